Serve a request from caller to target, with separate processes

Change: the shared types (request classes, targets, typed errors, events, the platform client, facts, members), an entry process that takes a caller's HTTP request, picks a target and streams its answer, a ledger with one object per idempotency key, stand-ins of the platform and of targets, the quick start, the check script with formatter, vet and staticcheck.

Conclusion: `make quickstart` serves a preview, a print batch (received twice, run once) and an upload over three entry processes.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,32 @@
+// Package daemon wires the packages of one entry instance together and runs them.
+package daemon
+
+import (
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+
+	"redwingpoint.org/redwingpoint/internal/settings"
+)
+
+// stopTimeout bounds the leaving of an instance: uploads of minutes finish.
+const stopTimeout = 30 * time.Minute
+
+// New returns the application of one instance.
+func New(s *settings.Settings, log *zap.Logger) *fx.App {
+	gin.SetMode(gin.ReleaseMode)
+	return fx.New(
+		fx.Supply(s, log),
+		fx.WithLogger(func() fxevent.Logger { return &fxevent.ZapLogger{Logger: log.Named("fx")} }),
+		fx.StopTimeout(stopTimeout),
+		eventsModule,
+		storageModule,
+		fleetModule,
+		routingModule,
+		requestModule,
+		operatorModule,
+	)
+}
--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/fx"
+
+	"redwingpoint.org/redwingpoint/internal/config"
+	"redwingpoint.org/redwingpoint/internal/discovery"
+	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/fleet"
+	"redwingpoint.org/redwingpoint/internal/limit"
+	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/routing"
+	"redwingpoint.org/redwingpoint/internal/settings"
+)
+
+// storeRetryDelay is the pause after a failed call to the platform.
+const storeRetryDelay = 500 * time.Millisecond
+
+// fleetModule provides membership, shared facts and the configuration in force.
+var fleetModule = fx.Module("fleet",
+	fx.Provide(
+		func(s *settings.Settings, clock *events.Clock) *fleet.Facts {
+			return fleet.NewFacts(s.Instance, clock, time.Now)
+		},
+		func(f *fleet.Facts) fleet.Board { return f },
+		newMembers,
+		func() *limit.Measuring {
+			return limit.NewMeasuring(limit.MeasuringBytesPerSecond, time.Now)
+		},
+		func(s *settings.Settings) *config.Holder { return config.NewHolder(s.Location) },
+		newWatcher,
+	),
+	fx.Invoke(runWatcher),
+)
+
+func newMembers(s *settings.Settings) *fleet.Members {
+	return fleet.NewMembers(fleet.Member{
+		ID:           s.Instance,
+		Location:     s.Location,
+		PeerAddr:     s.Peer.Listen,
+		OperatorAddr: s.Operator.Listen,
+	})
+}
+
+func newWatcher(store platform.Store, t *routing.Table, h *config.Holder, r events.Recorder) *discovery.Watcher {
+	return &discovery.Watcher{Store: store, Table: t, Config: h, Recorder: r, RetryDelay: storeRetryDelay}
+}
+
+func runWatcher(lc fx.Lifecycle, w *discovery.Watcher) { runLoop(lc, w.Run) }
+
+// runLoop runs a loop between start and stop of the application.
+func runLoop(lc fx.Lifecycle, loop func(context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(done)
+				loop(ctx)
+			}()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			<-done
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/internal/events/event.go
@@ -0,0 +1,83 @@
+// Package events records what an instance decided, as typed events stamped by a
+// hybrid logical clock, so that the events of all processes merge into one time line.
+package events
+
+import (
+	"redwingpoint.org/redwingpoint/internal/model"
+)
+
+// Kind names what happened. The text is stable: operators filter by it.
+type Kind string
+
+// Kinds of events, grouped by the package that records them.
+const (
+	RequestReceived Kind = "request-received"
+	RequestAnswered Kind = "request-answered"
+	RequestRefused  Kind = "request-refused"
+	CallerGone      Kind = "caller-gone"
+
+	TargetPicked      Kind = "target-picked"
+	RequestRetried    Kind = "request-retried"
+	RequestHedged     Kind = "request-hedged"
+	TargetShed        Kind = "target-shed"
+	ExchangeFailed    Kind = "exchange-failed"
+	AnswerTruncated   Kind = "answer-truncated"
+	BudgetExhausted   Kind = "budget-exhausted"
+	RegionCrossed     Kind = "region-crossed"
+	QuarantineAdded   Kind = "quarantine-added"
+	QuarantineLifted  Kind = "quarantine-lifted"
+	TargetEjected     Kind = "target-ejected"
+	TargetReadmitted  Kind = "target-readmitted"
+	TargetDraining    Kind = "target-draining"
+	TargetAdded       Kind = "target-added"
+	TargetRemoved     Kind = "target-removed"
+	ClaimWritten      Kind = "claim-written"
+	ClaimRefused      Kind = "claim-refused"
+	ClaimSent         Kind = "claim-sent"
+	ClaimDone         Kind = "claim-done"
+	ClaimNotRun       Kind = "claim-not-run"
+	ClaimAbandoned    Kind = "claim-abandoned"
+	ClaimReplayed     Kind = "claim-replayed"
+	ClaimUnknown      Kind = "claim-unknown"
+	RevisionInForce   Kind = "revision-in-force"
+	RevisionStale     Kind = "revision-stale"
+	MemberJoined      Kind = "member-joined"
+	MemberLeaving     Kind = "member-leaving"
+	MemberLeft        Kind = "member-left"
+	MemberSuspected   Kind = "member-suspected"
+	StoreDown         Kind = "store-down"
+	StoreUp           Kind = "store-up"
+	InstanceStarted   Kind = "instance-started"
+	InstanceDraining  Kind = "instance-draining"
+	InstanceStopped   Kind = "instance-stopped"
+	SettingsReloaded  Kind = "settings-reloaded"
+	PeerRefused       Kind = "peer-refused"
+	LateAnswerDropped Kind = "late-answer-dropped"
+)
+
+// Event is one entry of the time line. Fields that do not apply are empty.
+type Event struct {
+	Time     Timestamp         `json:"time"`
+	Instance model.InstanceID  `json:"instance"`
+	Kind     Kind              `json:"kind"`
+	Request  model.RequestID   `json:"request,omitempty"`
+	Service  model.ServiceName `json:"service,omitempty"`
+	Target   model.TargetID    `json:"target,omitempty"`
+	Member   model.InstanceID  `json:"member,omitempty"`
+	Revision model.Revision    `json:"revision,omitempty"`
+	// Detail is a short readable reason; it is never parsed.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Recorder accepts events. Record stamps Time and Instance, never blocks and is
+// safe for concurrent use.
+type Recorder interface {
+	Record(Event)
+}
+
+// Discard is a Recorder that drops every event.
+var Discard Recorder = discard{}
+
+type discard struct{}
+
+func (discard) Record(Event) {}
--- /dev/null
+++ b/internal/fleet/members.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"redwingpoint.org/redwingpoint/internal/model"
+)
+
+// Member is one instance of the fleet as this instance knows it.
+type Member struct {
+	ID           model.InstanceID
+	Location     model.Location
+	PeerAddr     string
+	OperatorAddr string
+	// Leaving is set once the instance has announced that it will stop.
+	Leaving bool
+}
+
+// Members publishes the live members, this instance included, by atomic swap.
+type Members struct {
+	self    model.InstanceID
+	current atomic.Pointer[[]Member]
+}
+
+// NewMembers returns a list that holds just this instance.
+func NewMembers(self Member) *Members {
+	m := &Members{self: self.ID}
+	m.Set([]Member{self})
+	return m
+}
+
+// Set replaces the list.
+func (m *Members) Set(list []Member) { m.current.Store(&list) }
+
+// Live returns the live members. The slice is shared and must not be changed.
+func (m *Members) Live() []Member { return *m.current.Load() }
+
+// Mine reports whether this instance is among the first n members in the
+// rendezvous order of a job. Leaving members take no jobs. With scope set, only
+// members of that region count. Two instances may both believe that a job is
+// theirs while their lists differ.
+func (m *Members) Mine(job string, n int, scope model.Region) bool {
+	return slices.Contains(m.Owners(job, n, scope), m.self)
+}
+
+// Owners returns the first n members in the rendezvous order of a job.
+func (m *Members) Owners(job string, n int, scope model.Region) []model.InstanceID {
+	type ranked struct {
+		id     model.InstanceID
+		weight uint64
+	}
+	var order []ranked
+	for _, member := range m.Live() {
+		if member.Leaving || (scope != "" && member.Location.Region != scope) {
+			continue
+		}
+		weight := xxhash.Sum64String(job + "\x00" + string(member.ID))
+		order = append(order, ranked{member.ID, weight})
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		switch {
+		case a.weight > b.weight:
+			return -1
+		case a.weight < b.weight:
+			return 1
+		default:
+			return 0
+		}
+	})
+	owners := make([]model.InstanceID, 0, n)
+	for _, r := range order[:min(n, len(order))] {
+		owners = append(owners, r.id)
+	}
+	return owners
+}
--- /dev/null
+++ b/internal/upstream/header.go
@@ -0,0 +1,26 @@
+// Package upstream exchanges requests and answers with targets: connections,
+// deadlines, cancellation, and the signals that targets put on their answers.
+package upstream
+
+// Header names of the exchange with targets and callers.
+const (
+	// HeaderRequestID carries the request ID in both directions.
+	HeaderRequestID = "Request-Id"
+	// HeaderDeadline carries the remaining time in milliseconds.
+	HeaderDeadline = "Deadline-Ms"
+	// HeaderDepth carries how many calls lie above this one.
+	HeaderDepth = "Call-Depth"
+	// HeaderIdempotencyKey carries the key of a non-idempotent request.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRetried marks an answer that was retried by a layer below.
+	HeaderRetried = "Retry-Attempted"
+	// HeaderInFlight is a target's report of the requests that it holds.
+	HeaderInFlight = "Load-In-Flight"
+	// HeaderDraining is set to "true" on the answers of a target that is leaving.
+	HeaderDraining = "Load-Draining"
+	// HeaderShed is set to "unstarted" on an answer to a request that the target
+	// did not start.
+	HeaderShed = "Load-Shed"
+	// ShedUnstarted is the value of HeaderShed.
+	ShedUnstarted = "unstarted"
+)
--- /dev/null
+++ b/scripts/quickstart.sh
@@ -0,0 +1,61 @@
+#!/bin/sh
+# Starts stand-ins of the platform and of three services' targets and three entry
+# instances on loopback, sends one preview, one print batch and one upload, prints
+# answers, picks and time line, and stops everything that it started.
+set -eu
+bin=${BIN:-bin}
+work=$(mktemp -d)
+pids=
+stop() {
+	for pid in $pids; do kill "$pid" 2>/dev/null || true; done
+	wait 2>/dev/null || true
+	rm -rf "$work"
+}
+trap stop EXIT
+trap 'exit 1' INT TERM
+
+run() { "$@" >>"$work/log" 2>&1 & pids="$pids $!"; }
+call() { "$bin/standin" call "$@"; }
+
+platform=127.7.0.1:7000
+run "$bin/standin" platform --listen "$platform"
+put() { call --wait 5s --method PUT --header 'If-None-Match=*' --body "$2" "http://$platform/v1/objects/$1" >/dev/null; }
+
+n=10
+for service in nahled odeslani prijem; do
+	list=
+	for domain in praha-a praha-b; do
+		n=$((n + 1))
+		addr=127.7.0.$n:8000
+		run "$bin/standin" target --id "$service-$domain" --listen "$addr" --work 5ms
+		list="$list${list:+,}{\"id\":\"$service-$domain\",\"service\":\"$service\",\"addr\":\"$addr\",\"slots\":2,\"maxConns\":240,\"location\":{\"region\":\"praha\",\"failureDomain\":\"$domain\"}}"
+	done
+	put "targets/$service" "[$list]"
+done
+put config/current '{"revision":1,"defaults":{"deadline":"2s"},"services":{"nahled":{"class":"idempotent"},"odeslani":{"class":"nonIdempotent"},"prijem":{"class":"upload"}}}'
+
+for i in 1 2 3; do
+	cat >"$work/$i.yaml" <<YAML
+instance: praha-a-$i
+location: {region: praha, failureDomain: praha-a}
+caller: {listen: "127.7.1.$i:8080"}
+operator: {listen: "127.7.1.$i:9090", token: quickstart}
+platform: {url: "http://$platform"}
+YAML
+	run "$bin/redwingpoint" serve --settings "$work/$i.yaml"
+done
+for i in 1 2 3; do call --wait 10s "http://127.7.1.$i:9090/ready" >/dev/null; done
+
+echo '== a preview, at instance 1'
+call --header 'Request-Id=preview-1' http://127.7.1.1:8080/nahled/letters/7
+echo '== a print batch, at instance 2, then received again at instance 3'
+call --method POST --header 'Request-Id=print-1,Idempotency-Key=batch-2026-12' --body 'two rent reminders' http://127.7.1.2:8080/odeslani/batches
+call --method POST --header 'Request-Id=print-2,Idempotency-Key=batch-2026-12' --body 'two rent reminders' http://127.7.1.3:8080/odeslani/batches
+echo '== an upload, at instance 3'
+head -c 3000000 /dev/zero >"$work/addresses.csv"
+call --method PUT --header 'Request-Id=upload-1' --file "$work/addresses.csv" http://127.7.1.3:8080/prijem/lists/december
+echo '== the time line'
+for i in 1 2 3; do
+	call --header 'Authorization=Bearer quickstart' "http://127.7.1.$i:9090/timeline"
+	echo
+done
