Name the error of a saturated service

Cause: holding a request at the entry while every target is full needs a signal from the picker. Change: routing.SaturatedError, not yet returned.

--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -84,3 +84,9 @@
 type NoTargetError struct{ Service model.ServiceName }
 
 func (e *NoTargetError) Error() string { return "no target of " + string(e.Service) + " may be used" }
+
+// SaturatedError reports that every usable target is believed to be full; a
+// request may wait at the entry instance until one frees a slot.
+type SaturatedError struct{ Service model.ServiceName }
+
+func (e *SaturatedError) Error() string { return "every target of " + string(e.Service) + " is full" }
