Give the platform client a call budget, an outage gate and read-back

Cause: a client retried as fast as its callers asked, a lost answer could not be told from a refused dial, and watches resumed only in one caller.

Change: every call takes a token of one budget; three failures in a row start an outage in which one probe at a time is let through after growing, jittered pauses. A write that got a connection and no answer is a LostAnswerError, one that got none certainly had no effect. Update resolves a lost answer by reading back, Follow resumes watches and never goes back.

Ruled out: retrying inside the client, which would multiply with the retries of its callers.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,43 +4,86 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
-// Client speaks the Object API and the instance list over HTTP.
+// Client speaks the Object API and the instance list over HTTP. Each method
+// makes at most one call and never repeats it. It is safe for concurrent use.
 type Client struct {
-	base string
-	http *http.Client
-	wait time.Duration
+	base    string
+	http    *http.Client
+	timeout time.Duration
+	wait    time.Duration
+	gate    *gate
 }
 
 // ClientOptions configures NewClient. Zero values mean the defaults.
 type ClientOptions struct {
 	// BaseURL is the platform's address, such as http://10.0.0.1:7000.
 	BaseURL string
+	// CallTimeout bounds each call; a watch may take WatchWait longer.
+	CallTimeout time.Duration
 	// WatchWait is how long one watch call may wait for a change.
 	WatchWait time.Duration
+	// CallsPerSecond is the call budget; a watch counts as one call.
+	CallsPerSecond float64
+	// Burst is the number of calls that may be made at once after a pause.
+	Burst int
+	// OnState is called when an outage begins and when it has ended.
+	OnState func(up bool)
 	// Transport replaces the HTTP transport.
 	Transport http.RoundTripper
 }
 
-const defaultWatchWait = 20 * time.Second
+// Defaults of ClientOptions.
+const (
+	defaultCallTimeout    = time.Second
+	defaultWatchWait      = 20 * time.Second
+	defaultCallsPerSecond = 100
+	defaultBurst          = 20
+	maxIdleConns          = 64
+)
 
 // NewClient returns a client of one platform address.
 func NewClient(o ClientOptions) *Client {
+	o = o.withDefaults()
+	return &Client{
+		base:    strings.TrimSuffix(o.BaseURL, "/"),
+		http:    &http.Client{Transport: o.Transport},
+		timeout: o.CallTimeout,
+		wait:    o.WatchWait,
+		gate:    newGate(o.CallsPerSecond, o.Burst, o.OnState),
+	}
+}
+
+func (o ClientOptions) withDefaults() ClientOptions {
+	if o.CallTimeout == 0 {
+		o.CallTimeout = defaultCallTimeout
+	}
 	if o.WatchWait == 0 {
 		o.WatchWait = defaultWatchWait
 	}
-	return &Client{
-		base: strings.TrimSuffix(o.BaseURL, "/"),
-		http: &http.Client{Transport: o.Transport},
-		wait: o.WatchWait,
+	if o.CallsPerSecond == 0 {
+		o.CallsPerSecond = defaultCallsPerSecond
+	}
+	if o.Burst == 0 {
+		o.Burst = defaultBurst
 	}
+	if o.OnState == nil {
+		o.OnState = func(bool) {}
+	}
+	if o.Transport == nil {
+		o.Transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
+	}
+	return o
 }
 
 var (
@@ -50,25 +93,24 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
-	resp, err := c.do(ctx, http.MethodGet, objectPath(key), nil, nil)
+	resp, err := c.call(ctx, request{op: "get", method: http.MethodGet, path: objectPath(key)})
 	if err != nil {
-		return Object{}, &UnavailableError{Op: "get", Cause: err}
+		return Object{}, err
 	}
-	defer drain(resp.Body)
-	switch resp.StatusCode {
+	switch resp.status {
 	case http.StatusOK:
-		return readObject(key, resp)
+		return Object{Key: key, Version: resp.version(), Value: resp.body}, nil
 	case http.StatusNotFound:
 		return Object{}, &NotFoundError{Key: key}
 	default:
-		return Object{}, &UnavailableError{Op: "get", Cause: &StatusError{Status: resp.StatusCode}}
+		return Object{}, resp.unavailable("get")
 	}
 }
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, prefix string) (Batch, error) {
 	query := url.Values{"prefix": {prefix}}
-	return c.batch(ctx, "list", "/v1/objects?"+query.Encode(), 0)
+	return c.batch(ctx, request{op: "list", method: http.MethodGet, path: "/v1/objects?" + query.Encode()}, 0)
 }
 
 // Watch implements Store.
@@ -76,28 +118,27 @@
 	query := url.Values{
 		"prefix": {prefix},
 		"after":  {strconv.FormatUint(uint64(after), 10)},
-		"wait":   {c.wait.String()},
 	}
-	return c.batch(ctx, "watch", "/v1/watch?"+query.Encode(), after)
+	path := "/v1/watch?" + query.Encode()
+	return c.batch(ctx, request{op: "watch", method: http.MethodGet, path: path, wait: c.wait}, after)
 }
 
-func (c *Client) batch(ctx context.Context, op, path string, after Version) (Batch, error) {
-	resp, err := c.do(ctx, http.MethodGet, path, nil, nil)
+func (c *Client) batch(ctx context.Context, r request, after Version) (Batch, error) {
+	resp, err := c.call(ctx, r)
 	if err != nil {
-		return Batch{}, &UnavailableError{Op: op, Cause: err}
+		return Batch{}, err
 	}
-	defer drain(resp.Body)
-	switch resp.StatusCode {
+	switch resp.status {
 	case http.StatusOK:
 		var b Batch
-		if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
-			return Batch{}, &UnavailableError{Op: op, Cause: err}
+		if err := json.Unmarshal(resp.body, &b); err != nil {
+			return Batch{}, &UnavailableError{Op: r.op, Cause: err}
 		}
 		return b, nil
 	case http.StatusGone:
 		return Batch{}, &CursorGoneError{After: after}
 	default:
-		return Batch{}, &UnavailableError{Op: op, Cause: &StatusError{Status: resp.StatusCode}}
+		return Batch{}, resp.unavailable(r.op)
 	}
 }
 
@@ -106,60 +147,138 @@
 	if len(value) > MaxObjectBytes {
 		return 0, &TooLargeError{Key: key, Bytes: len(value)}
 	}
-	return c.write(ctx, http.MethodPut, key, expect, value)
+	return c.write(ctx, request{op: "put", method: http.MethodPut, path: objectPath(key), body: value}, key, expect)
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, key string, expect Version) error {
-	_, err := c.write(ctx, http.MethodDelete, key, expect, nil)
+	_, err := c.write(ctx, request{op: "delete", method: http.MethodDelete, path: objectPath(key)}, key, expect)
 	return err
 }
 
-func (c *Client) write(ctx context.Context, method, key string, expect Version, value []byte) (Version, error) {
-	resp, err := c.do(ctx, method, objectPath(key), condition(expect), value)
-	if err != nil {
-		return 0, &LostAnswerError{Key: key, Cause: err}
+func (c *Client) write(ctx context.Context, r request, key string, expect Version) (Version, error) {
+	r.header = condition(expect)
+	resp, err := c.call(ctx, r)
+	var unsent *UnavailableError
+	var over *BudgetError
+	switch {
+	case errors.As(err, &unsent) && unsent.sent:
+		return 0, &LostAnswerError{Key: key, Cause: unsent.Cause}
+	case errors.As(err, &unsent), errors.As(err, &over):
+		return 0, err
 	}
-	defer drain(resp.Body)
-	version := parseVersion(resp.Header.Get("ETag"))
-	switch resp.StatusCode {
+	switch resp.status {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
-		return version, nil
+		return resp.version(), nil
 	case http.StatusPreconditionFailed:
-		return 0, &ConflictError{Key: key, Expect: expect, Current: version}
+		return 0, &ConflictError{Key: key, Expect: expect, Current: resp.version()}
+	case http.StatusRequestEntityTooLarge:
+		return 0, &TooLargeError{Key: key, Bytes: len(r.body)}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return 0, &UnavailableError{Op: "write", Cause: &StatusError{Status: resp.StatusCode}}
+		return 0, resp.unavailable(r.op)
 	default:
-		return 0, &LostAnswerError{Key: key, Cause: &StatusError{Status: resp.StatusCode}}
+		return 0, &LostAnswerError{Key: key, Cause: &StatusError{Status: resp.status}}
 	}
 }
 
 // Instances implements InstanceLister.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
-	resp, err := c.do(ctx, http.MethodGet, "/v1/instances", nil, nil)
+	resp, err := c.call(ctx, request{op: "instances", method: http.MethodGet, path: "/v1/instances"})
 	if err != nil {
-		return nil, &UnavailableError{Op: "instances", Cause: err}
+		return nil, err
 	}
-	defer drain(resp.Body)
-	if resp.StatusCode != http.StatusOK {
-		return nil, &UnavailableError{Op: "instances", Cause: &StatusError{Status: resp.StatusCode}}
+	if resp.status != http.StatusOK {
+		return nil, resp.unavailable("instances")
 	}
 	var list []Instance
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+	if err := json.Unmarshal(resp.body, &list); err != nil {
 		return nil, &UnavailableError{Op: "instances", Cause: err}
 	}
 	return list, nil
 }
 
-func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+// request is one call.
+type request struct {
+	op     string
+	method string
+	path   string
+	header http.Header
+	body   []byte
+	// wait is how long the server may hold the answer of a watch.
+	wait time.Duration
+}
+
+// response is the whole answer of a call.
+type response struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (r *response) version() Version { return parseVersion(r.header.Get("ETag")) }
+
+func (r *response) unavailable(op string) error {
+	return &UnavailableError{Op: op, Cause: &StatusError{Status: r.status}}
+}
+
+// call makes one call within the budget. A watch that probes an outage does not wait.
+func (c *Client) call(ctx context.Context, r request) (*response, error) {
+	probe, err := c.gate.enter(r.op)
+	if err != nil {
+		return nil, err
+	}
+	if r.op == "watch" {
+		if probe {
+			r.wait = 0
+		}
+		r.path += "&wait=" + r.wait.String()
+	}
+	sent := new(atomic.Bool)
+	resp, err := c.exchange(ctx, r, sent)
+	switch {
+	case err != nil && errors.Is(ctx.Err(), context.Canceled):
+		c.gate.abandoned(probe)
+	case err != nil || faulty(resp.status):
+		c.gate.failure(probe)
+	default:
+		c.gate.success(probe)
+	}
+	if err != nil {
+		return nil, &UnavailableError{Op: r.op, Cause: err, sent: sent.Load()}
+	}
+	return resp, nil
+}
+
+// faulty reports whether a status shows that the platform is down or overloaded.
+func faulty(status int) bool {
+	return status >= http.StatusInternalServerError || status == http.StatusTooManyRequests
+}
+
+// exchange sets sent once the call has a connection: from then on a write may
+// take effect.
+func (c *Client) exchange(ctx context.Context, r request, sent *atomic.Bool) (*response, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+r.wait)
+	defer cancel()
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.method, c.base+r.path, bytes.NewReader(r.body))
 	if err != nil {
 		return nil, err
 	}
-	for name, values := range header {
+	for name, values := range r.header {
 		req.Header[name] = values
 	}
-	return c.http.Do(req)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	return &response{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
 func condition(expect Version) http.Header {
@@ -178,16 +297,3 @@
 	}
 	return Version(v)
 }
-
-func readObject(key string, resp *http.Response) (Object, error) {
-	value, err := io.ReadAll(io.LimitReader(resp.Body, MaxObjectBytes+1))
-	if err != nil {
-		return Object{}, &UnavailableError{Op: "get", Cause: err}
-	}
-	return Object{Key: key, Version: parseVersion(resp.Header.Get("ETag")), Value: value}, nil
-}
-
-func drain(body io.ReadCloser) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, MaxObjectBytes))
-	_ = body.Close()
-}
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,242 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/config"
+	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/standin"
+)
+
+func virtualClient(p *standin.Platform) *platform.Client {
+	return platform.NewClient(platform.ClientOptions{
+		BaseURL:   "http://platform",
+		Transport: &standin.Transport{Handler: p.Handler(), Delay: 2 * time.Millisecond},
+	})
+}
+
+func always(f standin.Faults) standin.Script {
+	return standin.Script{Seed: 1, Steps: []standin.Step{{Faults: f}}}
+}
+
+func TestErrorsTellCertainFromUncertain(t *testing.T) {
+	p := standin.NewPlatform()
+	server := httptest.NewServer(p.Handler())
+	client := platform.NewClient(platform.ClientOptions{BaseURL: server.URL})
+	ctx := t.Context()
+
+	p.Inject(always(standin.Faults{LoseAnswers: 1}))
+	_, err := client.Put(ctx, "config/a", 0, []byte("x"))
+	if !platform.Uncertain(err) {
+		t.Errorf("cut after the write: %v is not uncertain", err)
+	}
+	p.Inject(standin.Script{})
+	_, err = client.Put(ctx, "config/a", 0, []byte("y"))
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) || conflict.Current != 1 {
+		t.Errorf("write under an old condition: %v", err)
+	}
+	whole := bytes.Repeat([]byte("m"), platform.MaxObjectBytes)
+	if _, err = client.Put(ctx, "config/big", 0, whole); err != nil {
+		t.Errorf("a megabyte: %v", err)
+	}
+	if object, err := client.Get(ctx, "config/big"); err != nil || !bytes.Equal(object.Value, whole) {
+		t.Errorf("read a megabyte: %d bytes, %v", len(object.Value), err)
+	}
+	_, err = client.Put(ctx, "config/big", 0, append(whole, 'm'))
+	var large *platform.TooLargeError
+	if !errors.As(err, &large) {
+		t.Errorf("more than a megabyte: %v", err)
+	}
+	server.Close()
+	client = platform.NewClient(platform.ClientOptions{BaseURL: server.URL})
+	_, err = client.Put(ctx, "config/a", 1, []byte("z"))
+	var unavailable *platform.UnavailableError
+	if !errors.As(err, &unavailable) || platform.Uncertain(err) {
+		t.Errorf("refused dial: %v must be certain", err)
+	}
+}
+
+// TestUpdateSettlesEveryWrite lets writers append their mark to one object under
+// faults. A write that Update reports as done is in the object once, one that it
+// reports as impossible is not.
+func TestUpdateSettlesEveryWrite(t *testing.T) {
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			p := standin.NewPlatform()
+			p.Inject(standin.Script{Seed: seed, Steps: []standin.Step{{Faults: standin.Faults{
+				LoseAnswers: 0.3, LateWrites: 0.2, LateBy: config.Duration(80 * time.Millisecond), StaleReads: 0.2,
+			}}}})
+			var wg sync.WaitGroup
+			marks := make([]byte, 20)
+			outcomes := make([]error, len(marks))
+			for i := range marks {
+				marks[i] = byte('a' + i)
+				wg.Go(func() { outcomes[i] = appendMark(t.Context(), virtualClient(p), marks[i]) })
+			}
+			wg.Wait()
+			p.Inject(standin.Script{})
+			time.Sleep(time.Second)
+			object, _ := p.Objects.Get("marks")
+			settled := 0
+			for i, mark := range marks {
+				n := bytes.Count(object.Value, []byte{mark})
+				switch err := outcomes[i]; {
+				case err == nil && n != 1:
+					t.Errorf("seed %d: accepted mark is there %d times", seed, n)
+				case err != nil && !platform.Uncertain(err) && n != 0:
+					t.Errorf("seed %d: refused mark is there, %v", seed, err)
+				case err == nil:
+					settled++
+				}
+			}
+			if settled < len(marks)/2 {
+				t.Errorf("seed %d: %d of %d writes settled", seed, settled, len(marks))
+			}
+		})
+	}
+}
+
+// appendMark retries while its write is known to be without effect.
+func appendMark(ctx context.Context, client *platform.Client, mark byte) error {
+	pause := platform.Backoff{Base: 20 * time.Millisecond, Max: time.Second}
+	mine := func(value []byte) bool { return bytes.IndexByte(value, mark) >= 0 }
+	var err error
+	for range 200 {
+		var object platform.Object
+		if object, err = platform.Read(ctx, client, "marks"); err == nil {
+			value := append(bytes.Clone(object.Value), mark)
+			call, cancel := context.WithTimeout(ctx, 10*time.Second)
+			_, err = platform.Update(call, client, "marks", object.Version, value, mine)
+			cancel()
+		}
+		if err == nil || platform.Uncertain(err) {
+			return err
+		}
+		_ = pause.Wait(ctx)
+	}
+	return err
+}
+
+func TestFollowResumes(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) { followUnderFaults(t, seed) })
+	}
+}
+
+func followUnderFaults(t *testing.T, seed uint64) {
+	p := standin.NewPlatform()
+	p.Inject(standin.Script{Seed: seed, Steps: []standin.Step{
+		{For: config.Duration(20 * time.Second), Faults: standin.Faults{DropWatches: 0.3, StaleReads: 0.3, ReorderWatches: true}},
+		{For: config.Duration(20 * time.Second), Faults: standin.Faults{Down: true}},
+		{For: config.Duration(20 * time.Second), Faults: standin.Faults{Hang: true}},
+	}})
+	ctx, cancel := context.WithCancel(t.Context())
+	newest := make(map[string]platform.Change)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		platform.Follow(ctx, virtualClient(p), "k/", func(c platform.Change) {
+			if c.Version <= newest[c.Key].Version {
+				t.Errorf("seed %d: %s went back to version %d", seed, c.Key, c.Version)
+			}
+			newest[c.Key] = c
+		}, nil)
+	}()
+	for round := range 600 {
+		key := "k/" + string(rune('a'+round%7))
+		object, _ := p.Objects.Get(key)
+		p.Objects.Write(key, object.Version, []byte{byte(round)}, round%11 == 0)
+		if round%100 == 50 {
+			p.Objects.ForgetCursors()
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(time.Minute)
+	cancel()
+	<-done
+	time.Sleep(time.Second)
+	batch, _ := p.Objects.Since("k/", 0)
+	alive := 0
+	for _, c := range newest {
+		if !c.Deleted {
+			alive++
+		}
+	}
+	if alive != len(batch.Changes) {
+		t.Errorf("seed %d: follower knows %d objects, the store has %d", seed, alive, len(batch.Changes))
+	}
+	for _, c := range batch.Changes {
+		if got := newest[c.Key]; got.Version != c.Version || !bytes.Equal(got.Value, c.Value) {
+			t.Errorf("seed %d: %s is at %d, follower at %d", seed, c.Key, c.Version, got.Version)
+		}
+	}
+}
+
+// TestOutageCausesNoRetryStorm lets a fleet call at twice its budget through an
+// outage and counts what reaches the platform.
+func TestOutageCausesNoRetryStorm(t *testing.T) {
+	const clients, callers, perSecond, burst = 17, 4, 100, 20
+	for name, fault := range map[string]standin.Faults{"down": {Down: true}, "hang": {Hang: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := standin.NewPlatform()
+				ctx, cancel := context.WithCancel(t.Context())
+				var wg sync.WaitGroup
+				for range clients {
+					client := virtualClient(p)
+					for range callers {
+						wg.Go(func() { hammer(ctx, client) })
+					}
+				}
+				time.Sleep(3 * time.Second)
+				before := p.Tally().Calls
+				if before < clients*perSecond*2 {
+					t.Errorf("%d calls in 3 s before the outage", before)
+				}
+				p.Inject(always(fault))
+				time.Sleep(5 * time.Second)
+				onset := p.Tally().Calls - before
+				if most := int64(clients * (burst + 2*perSecond + 10)); onset > most {
+					t.Errorf("%d calls in the first 5 s of the outage, above %d", onset, most)
+				}
+				time.Sleep(time.Minute)
+				outage := p.Tally().Calls - before - onset
+				if most := int64(clients * 60); outage > most {
+					t.Errorf("%d calls in the next minute, above one a second per client", outage)
+				}
+				p.Inject(standin.Script{})
+				healed := p.Tally().Calls
+				time.Sleep(time.Second)
+				after := p.Tally().Calls - healed
+				if most := int64(clients * (burst + perSecond)); after > most {
+					t.Errorf("%d calls in the first second after the outage, above %d", after, most)
+				}
+				time.Sleep(9 * time.Second)
+				healed = p.Tally().Calls
+				time.Sleep(3 * time.Second)
+				if resumed := p.Tally().Calls - healed; resumed < clients*perSecond*2 {
+					t.Errorf("%d calls in 3 s, ten seconds after the outage", resumed)
+				}
+				t.Logf("onset 5 s: %d, next minute: %d, first second after: %d calls of %d clients", onset, outage, after, clients)
+				cancel()
+				wg.Wait()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+func hammer(ctx context.Context, client *platform.Client) {
+	for ctx.Err() == nil {
+		_, _ = client.Get(ctx, "config/current")
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -9,25 +9,41 @@
 	"redwingpoint.org/redwingpoint/internal/platform"
 )
 
+// keptStates is the number of past states of an object that an old replica may show.
+const keptStates = 8
+
 // Objects is an in-memory versioned object store.
 type Objects struct {
 	mu      sync.Mutex
 	version platform.Version
-	objects map[string]platform.Change
+	// objects holds the states of each key, the newest last.
+	objects map[string][]platform.Change
 	wake    chan struct{}
+	// oldest is the lowest cursor that watches may resume from.
+	oldest platform.Version
 }
 
 // NewObjects returns an empty store.
 func NewObjects() *Objects {
-	return &Objects{objects: make(map[string]platform.Change), wake: make(chan struct{})}
+	return &Objects{objects: make(map[string][]platform.Change), wake: make(chan struct{})}
 }
 
 // Get returns the object and whether it exists.
-func (o *Objects) Get(key string) (platform.Object, bool) {
+func (o *Objects) Get(key string) (platform.Object, bool) { return o.GetAsOf(key, o.Version()) }
+
+// GetAsOf returns the object as a replica at an earlier version shows it.
+func (o *Objects) GetAsOf(key string, at platform.Version) (platform.Object, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := o.asOf(key, at)
+	return c.Object, c.Version > 0 && !c.Deleted
+}
+
+// Version returns the number of writes so far.
+func (o *Objects) Version() platform.Version {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	c, ok := o.objects[key]
-	return c.Object, ok && !c.Deleted
+	return o.version
 }
 
 // Write stores or deletes an object if its version is expect. It returns the
@@ -35,7 +51,7 @@
 func (o *Objects) Write(key string, expect platform.Version, value []byte, deleted bool) (platform.Version, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	current := o.objects[key]
+	current := o.asOf(key, o.version)
 	if current.Deleted {
 		current.Version = 0
 	}
@@ -43,25 +59,63 @@
 		return current.Version, false
 	}
 	o.version++
-	o.objects[key] = platform.Change{
+	states := append(o.objects[key], platform.Change{
 		Object:  platform.Object{Key: key, Version: o.version, Value: value},
 		Deleted: deleted,
+	})
+	if len(states) > keptStates {
+		states = append([]platform.Change{}, states[1:]...)
 	}
+	o.objects[key] = states
 	close(o.wake)
 	o.wake = make(chan struct{})
 	return o.version, true
 }
 
+// ForgetCursors makes watches from cursors before the present version fail.
+func (o *Objects) ForgetCursors() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.oldest = o.version
+}
+
 // Since returns the newest state of the objects under prefix written after a
 // version, the store's version, and a channel closed at the next write.
 func (o *Objects) Since(prefix string, after platform.Version) (platform.Batch, <-chan struct{}) {
+	return o.SinceAsOf(prefix, after, o.Version())
+}
+
+// SinceAsOf is Since at a replica that has seen the writes up to a version.
+func (o *Objects) SinceAsOf(prefix string, after, at platform.Version) (platform.Batch, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	batch := platform.Batch{Next: o.version}
-	for key, c := range o.objects {
-		if c.Version > after && strings.HasPrefix(key, prefix) && (after > 0 || !c.Deleted) {
+	batch := platform.Batch{Next: at}
+	for key := range o.objects {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		c := o.asOf(key, at)
+		if c.Version > after && (after > 0 || !c.Deleted) {
 			batch.Changes = append(batch.Changes, c)
 		}
 	}
 	return batch, o.wake
 }
+
+// CursorGone reports whether a watch may no longer resume from a cursor.
+func (o *Objects) CursorGone(after platform.Version) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return after < o.oldest
+}
+
+// asOf returns the state of a key at a version; the caller holds the lock.
+func (o *Objects) asOf(key string, at platform.Version) platform.Change {
+	states := o.objects[key]
+	for i := len(states) - 1; i >= 0; i-- {
+		if states[i].Version <= at {
+			return states[i]
+		}
+	}
+	return platform.Change{}
+}
