Keep ledger records in shards with group commit

Cause: one object per key costs a store write per claim and another per outcome, nothing was ever deleted, and an unconfirmed claim held its key for good.

Change: keys that carry their time (UUIDv7) share objects by five-second slices, others by hash. Claims and outcomes that wait for an object share one conditional update; a conflict or a lost answer is settled by reading the object and applying the same ops again, which recognise themselves by attempt ID. A claim that may be written but was given up is released in the background. A holder that is gone means outcome-unknown, never another send. Slices past their retention are deleted behind a horizon in the store: an object that was created again below it voids its claims, so that no clock decides whether a key may run again. Resend takes back a send that provably ran nothing.

--- a/internal/daemon/storage.go
+++ b/internal/daemon/storage.go
@@ -1,7 +1,12 @@
 package daemon
 
 import (
+	"context"
+	"math/rand/v2"
+	"time"
+
 	"go.uber.org/fx"
+	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/ledger"
@@ -13,10 +18,31 @@
 var storageModule = fx.Module("storage", fx.Provide(
 	newPlatformClient,
 	func(c *platform.Client) (platform.Store, platform.InstanceLister) { return c, c },
-	func(s *settings.Settings, store platform.Store, r events.Recorder) ledger.Ledger {
-		return ledger.NewStoreLedger(s.Instance, store, r)
+	func(s *settings.Settings, store platform.Store, r events.Recorder) *ledger.StoreLedger {
+		return ledger.New(ledger.Options{Self: s.Instance, Store: store, Recorder: r})
 	},
-))
+	func(l *ledger.StoreLedger) ledger.Ledger { return l },
+), fx.Invoke(runSweeper))
+
+// sweepInterval is the pause between two sweeps of the ledger.
+const sweepInterval = 5 * time.Minute
+
+// runSweeper deletes ledger records past their retention. Instances start at
+// different times, so that their sweeps rarely meet.
+func runSweeper(lc fx.Lifecycle, l *ledger.StoreLedger, log *zap.Logger) {
+	runLoop(lc, func(ctx context.Context) {
+		for {
+			select {
+			case <-time.After(sweepInterval/2 + rand.N(sweepInterval)):
+			case <-ctx.Done():
+				return
+			}
+			if deleted, err := l.Sweep(ctx); err != nil {
+				log.Warn("sweep ledger", zap.Int("deleted", deleted), zap.Error(err))
+			}
+		}
+	})
+}
 
 func newPlatformClient(s *settings.Settings, r events.Recorder) *platform.Client {
 	return platform.NewClient(platform.ClientOptions{
--- /dev/null
+++ b/internal/ledger/committer.go
@@ -0,0 +1,176 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/platform"
+)
+
+const (
+	conflictBase = 5 * time.Millisecond
+	conflictMax  = 200 * time.Millisecond
+	// commitTimeout bounds the writing of one batch.
+	commitTimeout = 2 * time.Second
+	// writeInterval is the shortest time between two writes of a shard.
+	writeInterval = 25 * time.Millisecond
+	// maxWaiting is the largest number of ops that wait for one shard.
+	maxWaiting = 4096
+	// maxIdleShards is the number of shards kept in memory while nothing waits for them.
+	maxIdleShards = 16
+	// settleTimeout is how long an outcome is offered to a store that is down.
+	settleTimeout = 30 * time.Second
+)
+
+// Committer carries ops out on the stored shards. Commit may be called with the
+// same op at several instances. An error of a claim means that it is not known
+// to be held; nothing may be sent.
+type Committer interface {
+	Commit(ctx context.Context, place Place, op Op) (Verdict, error)
+}
+
+// GroupCommitter writes the ops that wait for a shard in one conditional
+// update. Any number of instances may write the same shard: a conflict is
+// settled by reading the shard and applying the ops again. It is safe for
+// concurrent use.
+type GroupCommitter struct {
+	store  platform.Store
+	floors *floors
+	now    func() time.Time
+
+	mu     sync.Mutex
+	shards map[string]*writer
+	// idle holds the objects of writers without work, the longest idle first.
+	idle []string
+}
+
+// NewGroupCommitter returns a committer over the Object API.
+func NewGroupCommitter(store platform.Store) *GroupCommitter {
+	return &GroupCommitter{
+		store:  store,
+		floors: newFloors(store, time.Now),
+		now:    time.Now,
+		shards: make(map[string]*writer),
+	}
+}
+
+// pending is one op that waits for its verdict.
+type pending struct {
+	op      Op
+	until   time.Time
+	done    chan struct{}
+	verdict Verdict
+	err     error
+}
+
+func (p *pending) finish(v Verdict, err error) {
+	p.verdict = v
+	p.err = err
+	close(p.done)
+}
+
+// Commit implements Committer. If ctx ends first, a claim that may still be
+// written is released in the background.
+func (c *GroupCommitter) Commit(ctx context.Context, place Place, op Op) (Verdict, error) {
+	p, err := c.enqueue(place, op)
+	if err != nil {
+		return Verdict{}, err
+	}
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		if op.Kind == OpClaim && !c.withdraw(place, p) {
+			c.release(place, op)
+		}
+		return Verdict{}, &UndecidedError{Cause: ctx.Err()}
+	}
+	var undecided *UndecidedError
+	if op.Kind == OpClaim && errors.As(p.err, &undecided) {
+		c.release(place, op)
+	}
+	return p.verdict, p.err
+}
+
+// withdraw removes an op that no batch has taken yet.
+func (c *GroupCommitter) withdraw(place Place, p *pending) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.shards[place.Object]
+	if w == nil {
+		return false
+	}
+	i := slices.Index(w.queue, p)
+	if i < 0 {
+		return false
+	}
+	w.queue = slices.Delete(w.queue, i, i+1)
+	return true
+}
+
+// release gives a claim back that may or may not be written. The op follows the
+// claim through the same queue.
+func (c *GroupCommitter) release(place Place, claim Op) {
+	claim.Kind = OpRelease
+	_, _ = c.enqueue(place, claim)
+}
+
+func (c *GroupCommitter) enqueue(place Place, op Op) (*pending, error) {
+	p := &pending{op: op, done: make(chan struct{}), until: c.now().Add(settleTimeout)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.shards[place.Object]
+	if w == nil {
+		w = newWriter(c, place)
+		c.shards[place.Object] = w
+	}
+	if len(w.queue) >= maxWaiting {
+		return nil, &OverloadError{Object: place.Object}
+	}
+	w.place.Retention = max(w.place.Retention, place.Retention)
+	w.queue = append(w.queue, p)
+	if !w.running {
+		w.running = true
+		c.wake(place.Object)
+		go w.run()
+		return p, nil
+	}
+	select {
+	case w.arrived <- struct{}{}:
+	default:
+	}
+	return p, nil
+}
+
+// wake removes a shard from the idle ones; the caller holds the lock.
+func (c *GroupCommitter) wake(object string) {
+	c.idle = slices.DeleteFunc(c.idle, func(name string) bool { return name == object })
+}
+
+// take returns the ops that wait for w, or marks w as idle if there are none.
+func (c *GroupCommitter) take(w *writer) []*pending {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	batch := w.queue
+	w.queue = nil
+	w.retention = w.place.Retention
+	if len(batch) > 0 {
+		return batch
+	}
+	w.running = false
+	c.idle = append(c.idle, w.place.Object)
+	if len(c.idle) > maxIdleShards {
+		delete(c.shards, c.idle[0])
+		c.idle = c.idle[1:]
+	}
+	return nil
+}
+
+// putBack returns ops to the head of the queue.
+func (c *GroupCommitter) putBack(w *writer, batch []*pending) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.queue = append(batch, w.queue...)
+}
--- a/internal/ledger/errors.go
+++ b/internal/ledger/errors.go
@@ -29,3 +29,27 @@
 
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// FullError reports a shard without room for another claim.
+type FullError struct{ Object string }
+
+func (e *FullError) Error() string { return fmt.Sprintf("ledger shard %q is full", e.Object) }
+
+// OverloadError reports a shard with too many claims waiting to be written.
+type OverloadError struct{ Object string }
+
+func (e *OverloadError) Error() string { return fmt.Sprintf("ledger shard %q is overloaded", e.Object) }
+
+// AbandonedError reports a claim that its own attempt gave up before it was written.
+type AbandonedError struct{}
+
+func (*AbandonedError) Error() string { return "the attempt was given up" }
+
+// UndecidedError reports a claim whose write was not confirmed in time. The
+// attempt is given up; its claim is released when the store answers.
+type UndecidedError struct{ Cause error }
+
+func (e *UndecidedError) Error() string { return "claim not confirmed: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UndecidedError) Unwrap() error { return e.Cause }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,6 +1,8 @@
 // Package ledger decides whether a non-idempotent request may be sent. It keeps
-// one record per idempotency key in the Object API; a request is sent only by the
-// attempt whose conditional update is confirmed, and only once.
+// one record per idempotency key in the shards of the Object API; a request is
+// sent only by the attempt whose conditional update is confirmed, and only once.
+// No decision to send rests on a lease, on clocks that agree or on who is
+// believed to be alive. See docs/design/at-most-once.md.
 package ledger
 
 import (
@@ -64,7 +66,8 @@
 // Claim is the right of one attempt to send once. It is safe for concurrent use.
 type Claim interface {
 	// Send reports whether the request may be sent now. It returns true at most
-	// once, and never after the deadline or after Abandon.
+	// once, and never after the deadline or after Abandon. The caller bounds the
+	// write of the request by the same deadline.
 	Send() bool
 	// Abandon gives the right to send up. It reports whether nothing was and
 	// nothing will be sent for this attempt.
@@ -72,12 +75,30 @@
 	// Done records the answer. A failure leaves the outcome unknown to later receipts.
 	Done(ctx context.Context, answer *Answer) error
 	// NotRun releases the key after the target stated that it ran nothing, or
-	// after Abandon. Later receipts may claim the key again.
+	// after Abandon. Later receipts may claim the key again. The right to send
+	// is given up before anything is written.
 	NotRun(ctx context.Context) error
 	// Unknown records that the request was sent and its outcome is lost.
 	Unknown(ctx context.Context) error
 }
 
+// Resender is a Claim whose request may go to another target after a send that
+// provably ran nothing.
+type Resender interface {
+	Claim
+	// Resend takes back a Send whose target provably received no byte, or said
+	// that it did not start the request. It reports whether Send may be called
+	// again; the deadline stays. It must not be called while bytes of the
+	// earlier send may still leave.
+	Resend() bool
+}
+
+// Presence tells whether an instance has left the fleet. A wrong opinion never
+// affects safety: it only chooses between InProgress and OutcomeUnknown.
+type Presence interface {
+	Gone(model.InstanceID) bool
+}
+
 // Ledger begins attempts. Errors are *KeyError, *FingerprintError,
 // *ExpiredError or *UnavailableError; each says that nothing ran.
 type Ledger interface {
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -2,182 +2,196 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"errors"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
 
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/platform"
 )
 
-// maxKeyBytes is the longest idempotency key.
-const maxKeyBytes = 255
-
-// record is the stored form of one key.
-type record struct {
-	Attempt     string           `json:"attempt"`
-	Holder      model.InstanceID `json:"holder"`
-	Fingerprint string           `json:"fingerprint"`
-	Phase       string           `json:"phase"`
-	Answer      *Answer          `json:"answer,omitempty"`
-}
-
-// Phases of a record.
 const (
-	recordClaimed  = "claimed"
-	recordDone     = "done"
-	recordReleased = "released"
-	recordUnknown  = "unknown"
+	// claimTimeout bounds the wait for a claim, so that an outage of the store
+	// is answered long before the caller's deadline.
+	claimTimeout = time.Second
+	// defaultRetention is used for requests that state none.
+	defaultRetention = 24 * time.Hour
+	// minRetention keeps outcomes longer than any deadline.
+	minRetention = time.Minute
+	// heldGrace is added to an attempt's deadline before it counts as lost.
+	heldGrace = 5 * time.Second
 )
 
-// StoreLedger keeps one object per key. It is safe for concurrent use.
+// Options are the collaborators of a StoreLedger.
+type Options struct {
+	Self     model.InstanceID
+	Store    platform.Store
+	Recorder events.Recorder
+	// Commits replaces the committer of this process, for example by one that
+	// sends the ops of a shard to one instance to save conflicts.
+	Commits Committer
+	// Presence may be nil: then holders count as gone some time after their deadline.
+	Presence Presence
+}
+
+// StoreLedger keeps records in the shards of the Object API. It is safe for
+// concurrent use.
 type StoreLedger struct {
 	self     model.InstanceID
-	store    platform.Store
+	commits  Committer
+	floors   *floors
 	recorder events.Recorder
+	presence Presence
 	now      func() time.Time
+	// live holds the attempts of this process whose outcome is not recorded yet.
+	live sync.Map
+	// services holds the retention of each service seen.
+	services sync.Map
 }
 
-// NewStoreLedger returns a ledger over the Object API.
-func NewStoreLedger(self model.InstanceID, store platform.Store, recorder events.Recorder) *StoreLedger {
-	return &StoreLedger{self: self, store: store, recorder: recorder, now: time.Now}
-}
+var _ Ledger = (*StoreLedger)(nil)
 
-// Begin implements Ledger.
-func (l *StoreLedger) Begin(ctx context.Context, req Request) (Decision, error) {
-	if len(req.Key) == 0 || len(req.Key) > maxKeyBytes {
-		return Decision{}, &KeyError{Reason: "must have 1 to 255 bytes"}
-	}
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	defer cancel()
-	key := objectKey(req)
-	object, err := l.store.Get(ctx, key)
-	var absent *platform.NotFoundError
-	switch {
-	case errors.As(err, &absent):
-		return l.claim(ctx, key, 0, req)
-	case err != nil:
-		return Decision{}, &UnavailableError{Cause: err}
-	}
-	var rec record
-	if err := json.Unmarshal(object.Value, &rec); err != nil {
-		return Decision{}, &UnavailableError{Cause: eris.Wrap(err, "decode ledger record")}
+// New returns a ledger over the Object API.
+func New(o Options) *StoreLedger {
+	if o.Commits == nil {
+		o.Commits = NewGroupCommitter(o.Store)
 	}
-	if rec.Fingerprint != hex.EncodeToString(req.Fingerprint[:]) {
-		return Decision{}, &FingerprintError{Key: req.Key}
+	if o.Presence == nil {
+		o.Presence = nobodyGone{}
 	}
-	switch rec.Phase {
-	case recordReleased:
-		return l.claim(ctx, key, object.Version, req)
-	case recordDone:
-		return Decision{State: Done, Answer: rec.Answer, Holder: rec.Holder}, nil
-	case recordUnknown:
-		return Decision{State: OutcomeUnknown, Holder: rec.Holder}, nil
-	default:
-		return Decision{State: InProgress, Holder: rec.Holder}, nil
+	return &StoreLedger{
+		self:     o.Self,
+		commits:  o.Commits,
+		floors:   newFloors(o.Store, time.Now),
+		recorder: o.Recorder,
+		presence: o.Presence,
+		now:      time.Now,
 	}
 }
 
-func (l *StoreLedger) claim(ctx context.Context, key string, expect platform.Version, req Request) (Decision, error) {
-	c := &storeClaim{
-		right: right{deadline: req.Deadline, now: l.now},
-		l:     l,
-		key:   key,
-		req:   req,
-		rec: record{
-			Attempt:     uuid.NewString(),
-			Holder:      l.self,
-			Fingerprint: hex.EncodeToString(req.Fingerprint[:]),
-			Phase:       recordClaimed,
-		},
-	}
-	version, err := l.put(ctx, key, expect, c.rec)
-	if err != nil {
-		return Decision{}, &UnavailableError{Cause: err}
-	}
-	c.version = version
-	l.record(events.ClaimWritten, req)
-	return Decision{State: Fresh, Claim: c, Holder: l.self}, nil
-}
+type nobodyGone struct{}
+
+func (nobodyGone) Gone(model.InstanceID) bool { return false }
 
-// put writes a record and resolves a lost answer by reading the object back.
-func (l *StoreLedger) put(ctx context.Context, key string, expect platform.Version, rec record) (platform.Version, error) {
-	value, err := json.Marshal(rec)
+// Begin implements Ledger. It answers within a second also when the store does not.
+func (l *StoreLedger) Begin(ctx context.Context, req Request) (Decision, error) {
+	req.Retention = effectiveRetention(req.Retention)
+	now := l.now()
+	place, key, err := locate(req, now)
 	if err != nil {
-		return 0, eris.Wrap(err, "encode ledger record")
+		l.refused(req, err)
+		return Decision{}, err
 	}
-	version, err := l.store.Put(ctx, key, expect, value)
-	var lost *platform.LostAnswerError
-	if !errors.As(err, &lost) {
-		return version, err
+	l.services.Store(req.Service, req.Retention)
+	ctx, cancel := context.WithTimeout(ctx, min(claimTimeout, req.Deadline.Sub(now)))
+	defer cancel()
+	op := l.newClaim(req, key, now)
+	l.live.Store(op.Attempt, true)
+	verdict, err := l.commits.Commit(ctx, place, op)
+	if err == nil && verdict.Kind == Applied {
+		return l.granted(req, place, op), nil
 	}
-	object, err := l.store.Get(ctx, key)
+	l.live.Delete(op.Attempt)
 	if err != nil {
-		return 0, err
-	}
-	var found record
-	if json.Unmarshal(object.Value, &found) == nil && found.Attempt == rec.Attempt && found.Phase == rec.Phase {
-		return object.Version, nil
+		err = &UnavailableError{Cause: err}
+		l.refused(req, err)
+		return Decision{}, err
 	}
-	return 0, lost
+	return l.refuse(req, verdict)
 }
 
-func (l *StoreLedger) record(kind events.Kind, req Request) {
-	l.recorder.Record(events.Event{Kind: kind, Request: req.ID, Service: req.Service})
+func effectiveRetention(d time.Duration) time.Duration {
+	if d == 0 {
+		return defaultRetention
+	}
+	return max(d, minRetention)
 }
 
-func objectKey(req Request) string {
-	sum := sha256.Sum256([]byte(req.Caller + "\x00" + req.Key))
-	return platform.LedgerPrefix + string(req.Service) + "/" + hex.EncodeToString(sum[:])
+func (l *StoreLedger) newClaim(req Request, key KeyHash, now time.Time) Op {
+	return Op{
+		Kind:        OpClaim,
+		Key:         key,
+		Fingerprint: [16]byte(req.Fingerprint[:16]),
+		Attempt:     uuid.New(),
+		Holder:      l.self,
+		At:          now.UnixMilli(),
+		Window:      req.Deadline.Sub(now).Milliseconds(),
+	}
 }
 
-// storeClaim is the Claim of one attempt.
-type storeClaim struct {
-	right
-	l       *StoreLedger
-	key     string
-	version platform.Version
-	req     Request
-	rec     record
+func (l *StoreLedger) granted(req Request, place Place, op Op) Decision {
+	l.record(events.ClaimWritten, req)
+	claim := &storeClaim{
+		right: right{deadline: req.Deadline, now: l.now},
+		l:     l,
+		place: place,
+		op:    op,
+		req:   req,
+	}
+	return Decision{State: Fresh, Claim: claim, Holder: l.self}
 }
 
-// Send implements Claim.
-func (c *storeClaim) Send() bool {
-	ok := c.right.Send()
-	if ok {
-		c.l.record(events.ClaimSent, c.req)
+// refuse turns a verdict that grants nothing into a decision.
+func (l *StoreLedger) refuse(req Request, v Verdict) (Decision, error) {
+	var err error
+	switch v.Kind {
+	case Finished:
+		return Decision{State: Done, Answer: v.Answer, Holder: v.Holder}, nil
+	case Lost:
+		return Decision{State: OutcomeUnknown, Holder: v.Holder}, nil
+	case Held:
+		return Decision{State: l.heldState(v), Holder: v.Holder}, nil
+	case Mismatch:
+		err = &FingerprintError{Key: req.Key}
+	case Swept:
+		err = &ExpiredError{Key: req.Key}
+	default:
+		err = &UnavailableError{Cause: &AbandonedError{}}
 	}
-	return ok
+	l.refused(req, err)
+	return Decision{}, err
 }
 
-// Done implements Claim.
-func (c *storeClaim) Done(ctx context.Context, answer *Answer) error {
-	return c.finish(ctx, recordDone, answer, events.ClaimDone)
+// heldState chooses the words for a key that another attempt holds. Neither
+// allows another send.
+func (l *StoreLedger) heldState(v Verdict) State {
+	if v.Holder == l.self {
+		if _, ok := l.live.Load(v.Attempt); ok {
+			return InProgress
+		}
+		return OutcomeUnknown
+	}
+	deadline := time.UnixMilli(v.At + v.Window).Add(heldGrace)
+	if l.presence.Gone(v.Holder) || l.now().After(deadline) {
+		return OutcomeUnknown
+	}
+	return InProgress
 }
 
-// NotRun implements Claim.
-func (c *storeClaim) NotRun(ctx context.Context) error {
-	return c.finish(ctx, recordReleased, nil, events.ClaimNotRun)
+// Sweep deletes the records past their retention of the services seen by this
+// process. Any number of instances may sweep at once. It returns the number of
+// objects deleted.
+func (l *StoreLedger) Sweep(ctx context.Context) (int, error) {
+	deleted := 0
+	var failed error
+	l.services.Range(func(service, retention any) bool {
+		n, err := l.floors.sweep(ctx, service.(model.ServiceName), retention.(time.Duration))
+		deleted += n
+		failed = err
+		return err == nil
+	})
+	if failed != nil {
+		return deleted, &UnavailableError{Cause: failed}
+	}
+	return deleted, nil
 }
 
-// Unknown implements Claim.
-func (c *storeClaim) Unknown(ctx context.Context) error {
-	return c.finish(ctx, recordUnknown, nil, events.ClaimUnknown)
+func (l *StoreLedger) record(kind events.Kind, req Request) {
+	l.recorder.Record(events.Event{Kind: kind, Request: req.ID, Service: req.Service})
 }
 
-func (c *storeClaim) finish(ctx context.Context, phase string, answer *Answer, kind events.Kind) error {
-	rec := c.rec
-	rec.Phase = phase
-	rec.Answer = answer
-	if _, err := c.l.put(ctx, c.key, c.version, rec); err != nil {
-		return &UnavailableError{Cause: err}
-	}
-	c.l.record(kind, c.req)
-	return nil
+func (l *StoreLedger) refused(req Request, err error) {
+	l.recorder.Record(events.Event{Kind: events.ClaimRefused, Request: req.ID, Service: req.Service, Detail: err.Error()})
 }
