Add the inner protocol and the keys of a fleet

Cause: instances have no way to talk to each other.

Ways weighed: naming peers by host name needs names that instances lack, so a certificate names fleet and instance in a URI. A hello message for versions costs a round trip and bytes; the application protocols of TLS negotiate a version within the handshake. QUIC's own keep-alive (one packet and its acknowledgement serve both ends) instead of application heartbeats, which are acknowledged as well and so cost a third packet.

Change: internal/keys makes and checks certificates; internal/peer carries datagrams and requests over QUIC with certificates on both sides, in bounded frames.

Tests: go test ./internal/keys ./internal/peer; peers without a certificate, with an expired one, of another fleet and without a common version get nothing.

--- a/internal/limit/measuring.go
+++ b/internal/limit/measuring.go
@@ -53,9 +53,7 @@
 func (m *Measuring) Take(bytes int, p Priority) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.now()
-	m.tokens = min(m.burst, m.tokens+now.Sub(m.last).Seconds()*m.rate)
-	m.last = now
+	m.refill()
 	if m.tokens-float64(bytes) < reserve[p]*m.burst {
 		m.denied++
 		return false
--- /dev/null
+++ b/internal/peer/transport_test.go
@@ -0,0 +1,217 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"go.uber.org/goleak"
+
+	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/keys"
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// recorder is a Handler that hands its calls to the test.
+type recorder struct {
+	up     chan Link
+	down   chan bool
+	failed chan string
+	data   chan string
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		up: make(chan Link, 16), down: make(chan bool, 16),
+		failed: make(chan string, 16), data: make(chan string, 16),
+	}
+}
+
+func (r *recorder) LinkUp(l Link)                          { r.up <- l }
+func (r *recorder) LinkDown(_ model.InstanceID, lost bool) { r.down <- lost }
+func (r *recorder) DialFailed(addr string)                 { r.failed <- addr }
+func (r *recorder) Datagram(_ model.InstanceID, p []byte)  { r.data <- string(p) }
+
+type authority struct{ keys.Pair }
+
+func newAuthority(t *testing.T, fleet string) authority {
+	t.Helper()
+	ca, err := keys.NewCA(fleet, time.Now().Add(-2*time.Hour), 3*time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return authority{ca}
+}
+
+func (a authority) credentials(t *testing.T, id model.InstanceID, now func() time.Time) *keys.Credentials {
+	t.Helper()
+	pair, err := keys.NewInstance(a.Pair, id, now(), 10*time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := keys.New(a.Cert, pair, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func start(t *testing.T, n int, c *keys.Credentials, protocols ...string) (*Transport, *recorder) {
+	t.Helper()
+	r := newRecorder()
+	tr, err := Listen(Options{
+		Listen: net.JoinHostPort(standin.LoopbackIP(n), "0"), Credentials: c, Handler: r,
+		Recorder: events.Discard, MaxLinks: 8, Protocols: protocols,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr.Handle(OpObjects, func(from model.InstanceID, body []byte) (any, error) {
+		var name string
+		if err := Decode(body, &name); err != nil {
+			return nil, err
+		}
+		return string(from) + " asks for " + name, nil
+	})
+	tr.Start()
+	t.Cleanup(tr.Stop)
+	return tr, r
+}
+
+func TestCarriesDatagramsAndCalls(t *testing.T) {
+	ca := newAuthority(t, "vltava")
+	a, atA := start(t, 120, ca.credentials(t, "a", time.Now))
+	b, atB := start(t, 121, ca.credentials(t, "b", time.Now))
+	a.Dial(b.Addr())
+	if l := <-atA.up; l.Peer != "b" || !l.Dialed || l.Protocol != Protocols[0] {
+		t.Errorf("link at a: %+v", l)
+	}
+	if l := <-atB.up; l.Peer != "a" || l.Dialed || l.Addr != a.Addr() {
+		t.Errorf("link at b: %+v", l)
+	}
+	if !b.Send("a", []byte("hello")) || <-atA.data != "hello" {
+		t.Error("datagram was not delivered")
+	}
+	var answer string
+	if err := a.Call(t.Context(), "b", OpObjects, "config", &answer); err != nil || answer != "a asks for config" {
+		t.Errorf("call returned %q, %v", answer, err)
+	}
+	var refused *RefusedError
+	if err := a.Call(t.Context(), "b", 99, "config", &answer); !errors.As(err, &refused) {
+		t.Errorf("unknown operation returned %v", err)
+	}
+	a.Close("b")
+	if lost := <-atB.down; lost {
+		t.Error("a closed connection was reported as lost")
+	}
+}
+
+func (t *Transport) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.links)
+}
+
+func TestReportsASilentPeerAsLost(t *testing.T) {
+	ca := newAuthority(t, "vltava")
+	a, _ := start(t, 122, ca.credentials(t, "a", time.Now))
+	b, atB := start(t, 123, ca.credentials(t, "b", time.Now))
+	b.Dial(a.Addr())
+	<-atB.up
+	_ = a.socket.Close()
+	if lost := <-atB.down; !lost {
+		t.Error("a silent peer was reported as closed")
+	}
+}
+
+func TestKeepsOneOfTwoSimultaneousConnections(t *testing.T) {
+	ca := newAuthority(t, "vltava")
+	a, atA := start(t, 124, ca.credentials(t, "a", time.Now))
+	b, atB := start(t, 125, ca.credentials(t, "b", time.Now))
+	for range 5 {
+		a.Dial(b.Addr())
+		b.Dial(a.Addr())
+		<-atA.up
+		<-atB.up
+		for !b.Send("a", []byte("x")) || !a.Send("b", []byte("y")) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if a.count() != 1 || b.count() != 1 {
+		t.Errorf("%d and %d connections", a.count(), b.count())
+	}
+}
+
+func TestRefusesPeersOutsideTheFleet(t *testing.T) {
+	ca := newAuthority(t, "vltava")
+	past := func() time.Time { return time.Now().Add(-time.Hour) }
+	tests := []struct {
+		name        string
+		credentials *keys.Credentials
+	}{
+		{"expired certificate", ca.credentials(t, "b", past)},
+		{"another fleet", newAuthority(t, "nordhavn").credentials(t, "b", time.Now)},
+		{"another CA of the same name", newAuthority(t, "vltava").credentials(t, "b", time.Now)},
+	}
+	a, atA := start(t, 126, ca.credentials(t, "a", time.Now))
+	ring := events.NewRing("a", events.NewClock(time.Now), 16)
+	a.options.Recorder = ring
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b, atB := start(t, 127, test.credentials)
+			b.Dial(a.Addr())
+			<-atB.failed
+			a.Dial(b.Addr())
+			<-atA.failed
+			if b.Send("a", nil) || len(atA.up) > 0 {
+				t.Error("a connection was made")
+			}
+		})
+	}
+	t.Run("no certificate", func(t *testing.T) {
+		tlsConfig := ca.credentials(t, "b", time.Now).TLS(Protocols)
+		tlsConfig.Certificates = nil
+		c, err := quic.DialAddr(t.Context(), a.Addr(), tlsConfig, config())
+		if err == nil {
+			_, err = c.AcceptStream(context.Background())
+		}
+		var refused *quic.TransportError
+		if !errors.As(err, &refused) || len(atA.up) > 0 {
+			t.Errorf("connection ended with %v", err)
+		}
+	})
+	for _, e := range ring.Snapshot() {
+		if e.Kind != events.PeerRefused || e.Detail == "" {
+			t.Errorf("recorded %+v", e)
+		}
+	}
+	if len(ring.Snapshot()) < len(tests) {
+		t.Errorf("%d refusals were recorded", len(ring.Snapshot()))
+	}
+}
+
+func TestNegotiatesTheNewestCommonVersion(t *testing.T) {
+	ca := newAuthority(t, "vltava")
+	older, atOlder := start(t, 128, ca.credentials(t, "a", time.Now), "redwingpoint-peer/1")
+	newer, atNewer := start(t, 129, ca.credentials(t, "b", time.Now), "redwingpoint-peer/2", "redwingpoint-peer/1")
+	newest, atNewest := start(t, 130, ca.credentials(t, "c", time.Now), "redwingpoint-peer/3", "redwingpoint-peer/2")
+	older.Dial(newer.Addr())
+	if got := (<-atOlder.up).Protocol; got != "redwingpoint-peer/1" {
+		t.Errorf("versions 1 and 2,1 chose %s", got)
+	}
+	<-atNewer.up
+	newer.Dial(newest.Addr())
+	if got := (<-atNewest.up).Protocol; got != "redwingpoint-peer/2" {
+		t.Errorf("versions 2,1 and 3,2 chose %s", got)
+	}
+	newest.Dial(older.Addr())
+	if got := <-atNewest.failed; got != older.Addr() {
+		t.Errorf("versions 3,2 and 1: dial of %s failed", got)
+	}
+}
