Pick by own exchanges per slot, from a stable share of the targets

Cause: the picker scanned every target of a service, preferred the nearest without regard to its slots, and could not say that all of them were full.

Change: a pool keeps, for each tier (standing and region), the first 24 targets in the instance's rendezvous order; CostPicker takes the one with the fewest own exchanges per slot. An instance's share of the slots bounds what it has at a target, unless the target has just reported spare slots or has been silent for 100 ms; beyond that Pick returns *SaturatedError, so that the request waits at the entry. Non-idempotent requests and uploads try every proven target before an unproven one; draining targets get nothing, ejected ones only the rest.

Ruled out: a lock or an allocation on the pick (TestPickDoesNotAllocate), and reports as the order of targets (see docs/design/routing.md).

--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -3,7 +3,6 @@
 package routing
 
 import (
-	"sync/atomic"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/model"
@@ -24,40 +23,18 @@
 	Draining
 )
 
-// Load holds the counters of one target. They outlive snapshots and are updated
-// by every exchange without locks.
-type Load struct {
-	inFlight   atomic.Int32
-	reported   atomic.Int32
-	reportedAt atomic.Int64
-}
-
-// Begin counts an exchange that starts.
-func (l *Load) Begin() { l.inFlight.Add(1) }
-
-// End counts an exchange that ends.
-func (l *Load) End() { l.inFlight.Add(-1) }
-
-// InFlight returns the number of this instance's running exchanges.
-func (l *Load) InFlight() int { return int(l.inFlight.Load()) }
-
-// Report stores the number of requests that the target said it holds.
-func (l *Load) Report(requests int, at time.Time) {
-	l.reported.Store(int32(requests))
-	l.reportedAt.Store(at.UnixNano())
-}
-
-// Reported returns the last reported number of requests and when it arrived.
-func (l *Load) Reported() (requests int, at time.Time) {
-	return int(l.reported.Load()), time.Unix(0, l.reportedAt.Load())
-}
-
 // Endpoint is one target of a snapshot. Everything but Load is immutable.
 type Endpoint struct {
 	Target   model.Target
 	Distance model.Distance
 	Standing Standing
 	Load     *Load
+	// rank is the target's place in this instance's rendezvous order.
+	rank uint64
+	// share is the number of slots that this instance takes as its own part.
+	share int32
+	// slots is the number of own exchanges at which the target is full.
+	slots int32
 }
 
 // Request describes what a pick has to satisfy.
@@ -66,12 +43,17 @@
 	Class   model.Class
 	// Exclude lists targets that this request has tried already.
 	Exclude []model.TargetID
+	// Waited is how long the entry instance has held the request because of
+	// *SaturatedError; a request that waited long may cross regions.
+	Waited time.Duration
 }
 
 // Picker chooses a target. Implementations are safe for concurrent use.
 type Picker interface {
-	// Pick returns the endpoint for a request. It returns *UnknownServiceError
-	// or *NoTargetError.
+	// Pick returns the endpoint for a request. It returns *UnknownServiceError,
+	// *NoTargetError, or *SaturatedError when every usable target is believed to
+	// be full. A caller that holds a saturated request asks again when one of its
+	// exchanges with the service ends, and at least every AskAgain.
 	Pick(req Request) (*Endpoint, error)
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -4,14 +4,11 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
+
 	"redwingpoint.org/redwingpoint/internal/model"
 )
 
-// Pool holds the endpoints of one service. It is immutable.
-type Pool struct {
-	Endpoints []*Endpoint
-}
-
 // Snapshot maps services to pools. It is immutable.
 type Snapshot struct {
 	pools map[model.ServiceName]*Pool
@@ -20,25 +17,45 @@
 // Pool returns the pool of a service, or nil.
 func (s *Snapshot) Pool(service model.ServiceName) *Pool { return s.pools[service] }
 
+// Each calls f for every service.
+func (s *Snapshot) Each(f func(model.ServiceName, *Pool)) {
+	for name, pool := range s.pools {
+		f(name, pool)
+	}
+}
+
 // Table publishes snapshots by atomic swap. Readers never wait; writers take
-// turns. Loads are kept by target ID over snapshots.
+// turns. Loads and standings are kept by target ID over snapshots, for as long as
+// the target is listed.
 type Table struct {
+	id      model.InstanceID
 	self    model.Location
 	current atomic.Pointer[Snapshot]
 
 	mu        sync.Mutex
-	loads     map[model.TargetID]*Load
+	instances int
 	targets   map[model.ServiceName][]model.Target
-	standings map[model.TargetID]Standing
+	states    map[model.TargetID]*state
+}
+
+// state is what outlives the snapshots of one target.
+type state struct {
+	load     *Load
+	standing Standing
+	rank     uint64
 }
 
 // NewTable returns an empty table of an instance at the given location.
-func NewTable(self model.Location) *Table {
+func NewTable(self model.Location) *Table { return NewInstanceTable("", self) }
+
+// NewInstanceTable is NewTable for a named instance; instances with different
+// names prefer different targets.
+func NewInstanceTable(id model.InstanceID, self model.Location) *Table {
 	t := &Table{
-		self:      self,
-		loads:     make(map[model.TargetID]*Load),
-		targets:   make(map[model.ServiceName][]model.Target),
-		standings: make(map[model.TargetID]Standing),
+		id:      id,
+		self:    self,
+		targets: make(map[model.ServiceName][]model.Target),
+		states:  make(map[model.TargetID]*state),
 	}
 	t.current.Store(&Snapshot{})
 	return t
@@ -51,6 +68,7 @@
 func (t *Table) SetTargets(service model.ServiceName, list []model.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.forget(service, list)
 	if len(list) == 0 {
 		delete(t.targets, service)
 	} else {
@@ -59,17 +77,47 @@
 	t.publish(service)
 }
 
+// forget drops the states of targets that a new list no longer has.
+func (t *Table) forget(service model.ServiceName, list []model.Target) {
+	kept := make(map[model.TargetID]bool, len(list))
+	for i := range list {
+		kept[list[i].ID] = true
+	}
+	for _, old := range t.targets[service] {
+		if !kept[old.ID] {
+			delete(t.states, old.ID)
+		}
+	}
+}
+
 // SetStanding changes what is believed of one target.
 func (t *Table) SetStanding(service model.ServiceName, id model.TargetID, s Standing) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.standings[id] == s {
+	state := t.state(id)
+	if state.standing == s {
 		return
 	}
-	t.standings[id] = s
+	state.standing = s
 	t.publish(service)
 }
 
+// SetInstances tells how many instances of this region share its targets; with
+// it the number of connections per target is bounded.
+func (t *Table) SetInstances(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.instances == n {
+		return
+	}
+	t.instances = n
+	pools := make(map[model.ServiceName]*Pool, len(t.targets))
+	for service, list := range t.targets {
+		pools[service] = t.build(list)
+	}
+	t.current.Store(&Snapshot{pools: pools})
+}
+
 // publish swaps in a snapshot whose pool of one service is rebuilt; the other
 // pools are shared with the old snapshot. The caller holds t.mu.
 func (t *Table) publish(service model.ServiceName) {
@@ -86,27 +134,57 @@
 }
 
 func (t *Table) build(list []model.Target) *Pool {
-	pool := &Pool{Endpoints: make([]*Endpoint, 0, len(list))}
+	endpoints := make([]*Endpoint, 0, len(list))
+	sharers := t.sharers(list)
 	for _, target := range list {
-		pool.Endpoints = append(pool.Endpoints, t.endpoint(target))
+		endpoints = append(endpoints, t.endpoint(target, sharers))
 	}
-	return pool
+	return newPool(endpoints, t.instances)
 }
 
-func (t *Table) endpoint(target model.Target) *Endpoint {
-	load := t.loads[target.ID]
-	if load == nil {
-		load = new(Load)
-		t.loads[target.ID] = load
+// sharers estimates how many instances of this region use one target of a list.
+func (t *Table) sharers(list []model.Target) int {
+	own := 0
+	for i := range list {
+		if list[i].Location.Region == t.self.Region {
+			own++
+		}
+	}
+	if own <= maxHomes {
+		return t.instances
 	}
-	standing := t.standings[target.ID]
+	return max(1, t.instances*maxHomes/own)
+}
+
+func (t *Table) endpoint(target model.Target, sharers int) *Endpoint {
+	state := t.state(target.ID)
+	standing := state.standing
 	if target.Leaving {
 		standing = Draining
 	}
-	return &Endpoint{
+	e := &Endpoint{
 		Target:   target,
 		Distance: t.self.DistanceTo(target.Location),
 		Standing: standing,
-		Load:     load,
+		Load:     state.load,
+		rank:     state.rank,
+		share:    int32(shareOf(target.Slots, sharers)),
+		slots:    int32(target.Slots),
+	}
+	if target.Slots <= 0 {
+		e.slots = unlimited
+	}
+	if standing == Unproven {
+		e.share, e.slots = unprovenSlots, unprovenSlots
+	}
+	return e
+}
+
+func (t *Table) state(id model.TargetID) *state {
+	s := t.states[id]
+	if s == nil {
+		s = &state{load: new(Load), rank: xxhash.Sum64String(string(t.id) + "\x00" + string(id))}
+		t.states[id] = s
 	}
+	return s
 }
