--- /dev/null
+++ b/internal/routing/least.go
@@ -0,0 +1,52 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// LeastInFlight picks the nearest target with the fewest of this instance's own
+// exchanges; ties are broken at random.
+type LeastInFlight struct{ table *Table }
+
+// NewLeastInFlight returns a picker over a table.
+func NewLeastInFlight(t *Table) *LeastInFlight { return &LeastInFlight{table: t} }
+
+// Pick implements Picker.
+func (p *LeastInFlight) Pick(req Request) (*Endpoint, error) {
+	pool := p.table.Snapshot().Pool(req.Service)
+	if pool == nil {
+		return nil, &UnknownServiceError{Service: req.Service}
+	}
+	var best *Endpoint
+	ties := 0
+	for _, e := range pool.Endpoints {
+		if e.Standing == Draining || slices.Contains(req.Exclude, e.Target.ID) {
+			continue
+		}
+		switch order := compare(e, best); {
+		case order < 0:
+			best, ties = e, 1
+		case order == 0:
+			ties++
+			if rand.IntN(ties) == 0 {
+				best = e
+			}
+		}
+	}
+	if best == nil {
+		return nil, &NoTargetError{Service: req.Service}
+	}
+	return best, nil
+}
+
+func compare(a, b *Endpoint) int {
+	switch {
+	case b == nil:
+		return -1
+	case a.Distance != b.Distance:
+		return int(a.Distance) - int(b.Distance)
+	default:
+		return a.Load.InFlight() - b.Load.InFlight()
+	}
+}
