Keep the membership of the fleet and spread facts

Cause: every instance believed to be alone.

Ways weighed: probing random members (a QUIC handshake for each, several KB); flooding over links to a changing random view (messages to keep it); a view that each instance works out for itself from rendezvous rings: one successor in the failure domain, one in another domain of the region, one in another region. The last needs no messages and keeps degrees flat from 17 to 500 members.

Change: Engine, apart from transport and clock. A lost link to a member of the own region is a suspicion that floods; the suspect has 600 ms to contradict, then each member takes it off by itself. Members of other regions are never accused: one fact says that a region can't be reached, and its withdrawal brings all of its members back. Facts that a flood missed come by bucketed digests. Urgent facts may overdraw the budget further than joins and digests. A woken instance accuses nobody for 2 s, and one that hears from too few links puts it off.

Tests: go test ./internal/fleet (virtual time; 17, 60 and 500 members).

--- a/internal/fleet/fact.go
+++ b/internal/fleet/fact.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 )
 
@@ -28,8 +29,35 @@
 	FactLoadHint
 	// FactCrash is a request fingerprint that crashed one target; key: fingerprint.
 	FactCrash
+	// FactCut is a region's statement that it can't reach another region; key:
+	// both regions.
+	FactCut
 )
 
+// MaxValueBytes is the largest value of a fact that spreads.
+const MaxValueBytes = 700
+
+// urgent reports whether facts of a kind are passed on at once.
+func (k FactKind) urgent() bool { return k != FactRevision && k != FactLoadHint }
+
+// lasting reports whether facts of a kind take part in anti-entropy.
+func (k FactKind) lasting() bool { return k != FactLoadHint }
+
+// regional reports whether facts of a kind stay within their region.
+func (k FactKind) regional() bool { return k == FactLoadHint }
+
+// priority returns what facts of a kind are worth within the measuring budget.
+func (k FactKind) priority() limit.Priority {
+	switch k {
+	case FactRevision:
+		return limit.PriorityProbe
+	case FactLoadHint:
+		return limit.PriorityHint
+	default:
+		return limit.PriorityMembership
+	}
+}
+
 // Fact is one small statement that spreads to every instance. Of two facts with
 // the same kind and key the one with the higher stamp wins, then the one with
 // the higher origin.
@@ -37,7 +65,7 @@
 	Kind   FactKind         `cbor:"1,keyasint"`
 	Key    string           `cbor:"2,keyasint"`
 	Stamp  events.Timestamp `cbor:"3,keyasint"`
-	Origin model.InstanceID `cbor:"4,keyasint"`
+	Origin model.InstanceID `cbor:"4,keyasint,omitempty"`
 	// Expires is the wall time after which the fact is forgotten, in Unix
 	// milliseconds; zero means never.
 	Expires int64 `cbor:"5,keyasint,omitempty"`
--- a/internal/fleet/facts.go
+++ b/internal/fleet/facts.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +23,14 @@
 
 	mu          sync.Mutex
 	facts       map[factID]Fact
+	sums        digest
 	subscribers map[FactKind][]func(Fact)
+	// published is told of every fact that Publish states.
+	published func(Fact)
+	// pending are facts that subscribers have yet to see; notifying is set while
+	// a goroutine tells them.
+	pending   []Fact
+	notifying bool
 }
 
 var _ Board = (*Facts)(nil)
@@ -37,13 +46,25 @@
 	}
 }
 
-// Publish implements Board.
+// Publish implements Board. The fact wins over the one known so far, also when
+// that one was stamped by a clock that is ahead. Facts above MaxValueBytes are
+// kept, but don't spread.
 func (b *Facts) Publish(kind FactKind, key string, value []byte, ttl time.Duration) {
 	f := Fact{Kind: kind, Key: key, Stamp: b.clock.Now(), Origin: b.self, Value: value}
 	if ttl > 0 {
 		f.Expires = b.now().Add(ttl).UnixMilli()
 	}
-	b.Merge(f)
+	b.mu.Lock()
+	if old, ok := b.facts[factID{kind, key}]; ok {
+		f.Stamp = max(f.Stamp, old.Stamp+1)
+	}
+	b.put(f)
+	published := b.published
+	b.mu.Unlock()
+	if published != nil {
+		published(f)
+	}
+	b.notify()
 }
 
 // Merge takes a fact in if it is newer than what is known, and reports whether it was.
@@ -53,16 +74,52 @@
 		return false
 	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	old, known := b.facts[factID{f.Kind, f.Key}]
+	isNew := !known || f.newer(&old)
+	if isNew {
+		b.put(f)
+	}
+	b.mu.Unlock()
+	if isNew {
+		b.notify()
+	}
+	return isNew
+}
+
+// put replaces a fact. The caller holds b.mu.
+func (b *Facts) put(f Fact) {
 	id := factID{f.Kind, f.Key}
-	if old, ok := b.facts[id]; ok && !f.newer(&old) {
-		return false
+	if old, ok := b.facts[id]; ok {
+		b.sums.toggle(&old)
 	}
 	b.facts[id] = f
-	for _, notify := range b.subscribers[f.Kind] {
-		notify(f)
+	b.sums.toggle(&f)
+	b.pending = append(b.pending, f)
+}
+
+// notify tells subscribers of pending facts, one at a time and in order. A call
+// made while another one is at work leaves the rest to that one, so that a
+// subscriber may publish.
+func (b *Facts) notify() {
+	b.mu.Lock()
+	if b.notifying {
+		b.mu.Unlock()
+		return
+	}
+	b.notifying = true
+	for len(b.pending) > 0 {
+		f := b.pending[0]
+		b.pending = b.pending[1:]
+		subscribers := b.subscribers[f.Kind]
+		b.mu.Unlock()
+		for _, tell := range subscribers {
+			tell(f)
+		}
+		b.mu.Lock()
 	}
-	return true
+	b.pending = nil
+	b.notifying = false
+	b.mu.Unlock()
 }
 
 // Lookup implements Board.
@@ -73,22 +130,27 @@
 	return f, ok && !f.ExpiredAt(b.now())
 }
 
-// Each implements Board.
+// Each implements Board. Facts come in the order of their keys.
 func (b *Facts) Each(kind FactKind, visit func(Fact)) {
-	for _, f := range b.all(kind) {
+	for _, f := range b.selected(func(f *Fact) bool { return f.Kind == kind }) {
 		visit(f)
 	}
 }
 
-func (b *Facts) all(kind FactKind) []Fact {
+// selected returns the unexpired facts that match, ordered by kind and key.
+func (b *Facts) selected(match func(*Fact) bool) []Fact {
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	now := b.now()
 	var out []Fact
-	for id, f := range b.facts {
-		if id.kind == kind && !f.ExpiredAt(b.now()) {
+	for _, f := range b.facts {
+		if match(&f) && !f.ExpiredAt(now) {
 			out = append(out, f)
 		}
 	}
+	b.mu.Unlock()
+	slices.SortFunc(out, func(a, b Fact) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Key, b.Key))
+	})
 	return out
 }
 
@@ -96,5 +158,25 @@
 func (b *Facts) Subscribe(kind FactKind, notify func(Fact)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.subscribers[kind] = append(b.subscribers[kind], notify)
+	b.subscribers[kind] = append(slices.Clone(b.subscribers[kind]), notify)
+}
+
+// forget drops the facts that match and the expired ones.
+func (b *Facts) forget(match func(*Fact) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for id, f := range b.facts {
+		if f.ExpiredAt(now) || match(&f) {
+			b.sums.toggle(&f)
+			delete(b.facts, id)
+		}
+	}
+}
+
+// Len returns the number of facts held.
+func (b *Facts) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.facts)
 }
--- /dev/null
+++ b/internal/fleet/message.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"redwingpoint.org/redwingpoint/internal/peer"
+	"redwingpoint.org/redwingpoint/internal/platform"
+)
+
+// Holdings say how far an instance has followed the objects of the platform.
+type Holdings struct {
+	// Config and Targets are the store's versions up to which the instance knows
+	// the configuration and the lists of targets.
+	Config  platform.Version `cbor:"1,keyasint,omitempty"`
+	Targets platform.Version `cbor:"2,keyasint,omitempty"`
+}
+
+// message is one datagram between two members. Fields that do not apply are empty.
+type message struct {
+	Facts []Fact `cbor:"1,keyasint,omitempty"`
+	// Root opens an exchange of digests, Buckets answers one that differs,
+	// Summary lists what the buckets that differ hold, Want asks for facts by hash.
+	Root     uint64          `cbor:"2,keyasint,omitempty"`
+	Buckets  []byte          `cbor:"3,keyasint,omitempty"`
+	Summary  []bucketSummary `cbor:"4,keyasint,omitempty"`
+	Want     []byte          `cbor:"5,keyasint,omitempty"`
+	Holdings *Holdings       `cbor:"6,keyasint,omitempty"`
+}
+
+// factOverheadBytes bounds the encoding of a fact besides key, origin and value.
+const factOverheadBytes = 32
+
+func (f *Fact) wireBytes() int {
+	return factOverheadBytes + len(f.Key) + len(f.Origin) + len(f.Value)
+}
+
+// pack splits facts into messages that fit a datagram.
+func pack(facts []Fact) []message {
+	var out []message
+	var m message
+	bytes := 0
+	for _, f := range facts {
+		if bytes += f.wireBytes(); bytes > peer.MaxDatagramBytes && len(m.Facts) > 0 {
+			out = append(out, m)
+			m = message{}
+			bytes = f.wireBytes()
+		}
+		m.Facts = append(m.Facts, f)
+	}
+	if len(m.Facts) > 0 {
+		out = append(out, m)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/sim_test.go
@@ -0,0 +1,368 @@
+package fleet
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/limit"
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/peer"
+	"redwingpoint.org/redwingpoint/internal/platform"
+)
+
+// Sizes on the wire, headers of IP, UDP, QUIC and TLS included, as
+// TestWireCosts finds them with real connections.
+const (
+	simDatagramOverhead = 53
+	simAckBytes         = 57
+	simKeepAliveBytes   = 54 + 57
+	simDialerBytes      = 4200
+	simAcceptorBytes    = 3300
+	simFailedDialBytes  = 2 * 1308
+)
+
+// sim runs many engines in virtual time over a network that delays and loses
+// datagrams. Connections behave as QUIC's: they end IdleTimeout after the last
+// keep-alive that got through.
+type sim struct {
+	now    time.Time
+	rand   *rand.Rand
+	queue  simQueue
+	nodes  []*simNode
+	byID   map[model.InstanceID]*simNode
+	byAddr map[string]*simNode
+	links  map[[2]model.InstanceID]*simLink
+	loss   float64
+	// cut reports whether two locations can't reach each other.
+	cut func(a, b model.Location) bool
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type simQueue struct {
+	events []simEvent
+	seq    int
+}
+
+func (q *simQueue) Len() int { return len(q.events) }
+func (q *simQueue) Less(i, j int) bool {
+	return cmp.Or(q.events[i].at.Compare(q.events[j].at), cmp.Compare(q.events[i].seq, q.events[j].seq)) < 0
+}
+func (q *simQueue) Swap(i, j int) { q.events[i], q.events[j] = q.events[j], q.events[i] }
+func (q *simQueue) Push(x any)    { q.events = append(q.events, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := q.events[len(q.events)-1]
+	q.events = q.events[:len(q.events)-1]
+	return last
+}
+
+type simNode struct {
+	s       *sim
+	self    Member
+	engine  *Engine
+	board   *Facts
+	members *Members
+	budget  *limit.Measuring
+	events  *events.Ring
+	up      bool
+	frozen  bool
+	sent    int
+}
+
+type simLink struct {
+	ends   [2]*simNode
+	start  time.Time
+	broken time.Time
+}
+
+var simDomains = []model.Location{
+	{Region: "praha", FailureDomain: "praha-a"}, {Region: "brno", FailureDomain: "brno-a"},
+	{Region: "ostrava", FailureDomain: "ostrava-a"}, {Region: "praha", FailureDomain: "praha-b"},
+	{Region: "brno", FailureDomain: "brno-b"}, {Region: "ostrava", FailureDomain: "ostrava-b"},
+}
+
+// newSim returns a fleet of n instances that know each other and have paid for
+// their first connections.
+func newSim(n int, seed uint64) *sim {
+	s := newColdSim(n, seed)
+	for _, a := range s.nodes {
+		fact := Fact{Kind: FactMember, Key: string(a.self.ID), Stamp: 1, Origin: a.self.ID, Value: a.self.value(MemberAlive)}
+		for _, b := range s.nodes {
+			b.board.Merge(fact)
+		}
+	}
+	s.startAll()
+	s.run(30 * time.Second)
+	return s
+}
+
+// startAll starts every instance within a second.
+func (s *sim) startAll() {
+	s.list()
+	for _, n := range s.nodes {
+		n.up = true
+		s.after(time.Duration(s.rand.IntN(1000))*time.Millisecond, n.start)
+	}
+}
+
+// newColdSim returns n instances that have not started.
+func newColdSim(n int, seed uint64) *sim {
+	s := &sim{
+		now:    time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC),
+		rand:   rand.New(rand.NewPCG(seed, 1)),
+		byID:   make(map[model.InstanceID]*simNode),
+		byAddr: make(map[string]*simNode),
+		links:  make(map[[2]model.InstanceID]*simLink),
+		loss:   0.005,
+		cut:    func(_, _ model.Location) bool { return false },
+	}
+	for i := range n {
+		s.add(i)
+	}
+	return s
+}
+
+func (s *sim) add(i int) *simNode {
+	at := simDomains[i%len(simDomains)]
+	id := model.InstanceID(fmt.Sprintf("%s-%03d", at.FailureDomain, i))
+	n := &simNode{s: s, self: Member{ID: id, Location: at, PeerAddr: fmt.Sprintf("10.0.%d.%d:7946", i/250, i%250)}}
+	skew := time.Duration(s.rand.IntN(100)-50) * time.Millisecond
+	now := func() time.Time { return s.now }
+	clock := events.NewClock(func() time.Time { return s.now.Add(skew) })
+	n.board = NewFacts(id, clock, now)
+	n.members = NewMembers(n.self)
+	n.budget = limit.NewMeasuring(limit.MeasuringBytesPerSecond, now)
+	n.events = events.NewRing(id, clock, 256)
+	n.engine = NewEngine(Options{
+		Self: n.self, Board: n.board, Members: n.members, Transport: n, Budget: n.budget,
+		Recorder: n.events, Now: now, Rand: rand.New(rand.NewPCG(s.rand.Uint64(), 2)),
+	})
+	s.nodes = append(s.nodes, n)
+	s.byID[id] = n
+	s.byAddr[n.self.PeerAddr] = n
+	return n
+}
+
+// list gives every running instance the platform's list.
+func (s *sim) list() {
+	var list []platform.Instance
+	for _, n := range s.nodes {
+		list = append(list, platform.Instance{ID: n.self.ID, Location: n.self.Location, PeerAddr: n.self.PeerAddr})
+	}
+	for _, n := range s.nodes {
+		n.engine.SetListed(list)
+	}
+}
+
+func (n *simNode) start() {
+	n.up = true
+	n.engine.Start(nil)
+	n.tick()
+}
+
+func (n *simNode) tick() {
+	if !n.up {
+		return
+	}
+	if !n.frozen {
+		n.pay(len(n.engine.links) * simKeepAliveBytes * int(TickInterval) / int(peer.KeepAlive) / 2)
+		n.engine.Tick()
+	}
+	n.s.after(TickInterval, n.tick)
+}
+
+func (n *simNode) pay(bytes int) {
+	n.sent += bytes
+	n.budget.Charge(bytes)
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.queue.seq++
+	heap.Push(&s.queue, simEvent{at: s.now.Add(d), seq: s.queue.seq, run: run})
+}
+
+func (s *sim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.queue.events) > 0 && !s.queue.events[0].at.After(end) {
+		next := heap.Pop(&s.queue).(simEvent)
+		s.now = next.at
+		next.run()
+	}
+	s.now = end
+}
+
+func (s *sim) reachable(a, b *simNode) bool {
+	return a.up && b.up && !a.frozen && !b.frozen && !s.cut(a.self.Location, b.self.Location)
+}
+
+func (s *sim) delay(a, b *simNode) time.Duration {
+	jitter := time.Duration(s.rand.IntN(1000)) * time.Microsecond
+	switch a.self.Location.DistanceTo(b.self.Location) {
+	case model.SameDomain:
+		return 100*time.Microsecond + jitter
+	case model.SameRegion:
+		return 500*time.Microsecond + jitter
+	default:
+		return 12*time.Millisecond + jitter
+	}
+}
+
+func linkKey(a, b model.InstanceID) [2]model.InstanceID {
+	return [2]model.InstanceID{min(a, b), max(a, b)}
+}
+
+// Dial implements Transport.
+func (n *simNode) Dial(addr string) {
+	other := n.s.byAddr[addr]
+	if other == nil || !n.s.reachable(n, other) {
+		n.pay(simFailedDialBytes)
+		n.s.after(peer.DialTimeout, func() { n.engine.DialFailed(addr) })
+		return
+	}
+	n.s.after(3*n.s.delay(n, other), func() {
+		key := linkKey(n.self.ID, other.self.ID)
+		if n.s.links[key] != nil || !n.s.reachable(n, other) {
+			return
+		}
+		n.s.links[key] = &simLink{ends: [2]*simNode{n, other}, start: n.s.now}
+		n.pay(simDialerBytes)
+		other.pay(simAcceptorBytes)
+		n.engine.LinkUp(peer.Link{Peer: other.self.ID, Addr: addr, Dialed: true})
+		other.engine.LinkUp(peer.Link{Peer: n.self.ID, Addr: n.self.PeerAddr})
+	})
+}
+
+// Send implements Transport.
+func (n *simNode) Send(to model.InstanceID, payload []byte) bool {
+	other := n.s.byID[to]
+	if n.s.links[linkKey(n.self.ID, to)] == nil {
+		return false
+	}
+	n.pay(simDatagramOverhead + len(payload))
+	if n.s.rand.Float64() < n.s.loss {
+		return true
+	}
+	n.s.after(n.s.delay(n, other), func() {
+		if n.s.reachable(n, other) && n.s.links[linkKey(n.self.ID, to)] != nil {
+			other.pay(simAckBytes)
+			other.engine.Datagram(n.self.ID, payload)
+		}
+	})
+	return true
+}
+
+// Close implements Transport.
+func (n *simNode) Close(to model.InstanceID) {
+	key := linkKey(n.self.ID, to)
+	if n.s.links[key] == nil {
+		return
+	}
+	delete(n.s.links, key)
+	n.pay(simAckBytes)
+	other := n.s.byID[to]
+	n.s.after(0, func() { n.engine.LinkDown(to, false) })
+	n.s.after(n.s.delay(n, other), func() { other.engine.LinkDown(n.self.ID, false) })
+}
+
+// Heard implements Transport.
+func (n *simNode) Heard(from model.InstanceID) uint64 {
+	l := n.s.links[linkKey(n.self.ID, from)]
+	if l == nil {
+		return 0
+	}
+	return l.beats(n.s.now)
+}
+
+func (l *simLink) beats(now time.Time) uint64 {
+	if !l.broken.IsZero() {
+		now = l.broken
+	}
+	return uint64(now.Sub(l.start) / peer.KeepAlive)
+}
+
+// changed finds the links that a change has broken or mended.
+func (s *sim) changed() {
+	for key, l := range s.links {
+		ok := s.reachable(l.ends[0], l.ends[1])
+		if ok {
+			l.broken = time.Time{}
+			continue
+		}
+		if !l.broken.IsZero() {
+			continue
+		}
+		l.broken = s.now
+		lastBeat := l.start.Add(time.Duration(l.beats(s.now)) * peer.KeepAlive)
+		s.after(lastBeat.Add(peer.IdleTimeout).Sub(s.now), func() {
+			if s.links[key] == l && !l.broken.IsZero() {
+				delete(s.links, key)
+				l.ends[0].lost(l.ends[1])
+				l.ends[1].lost(l.ends[0])
+			}
+		})
+	}
+}
+
+// lost reports a lost connection, to a frozen instance once it has woken.
+func (n *simNode) lost(other *simNode) {
+	switch {
+	case !n.up:
+	case n.frozen:
+		n.s.after(TickInterval, func() { n.lost(other) })
+	default:
+		n.engine.LinkDown(other.self.ID, true)
+	}
+}
+
+func (s *sim) kill(n *simNode)   { n.up = false; s.changed() }
+func (s *sim) freeze(n *simNode) { n.frozen = true; s.changed() }
+func (s *sim) thaw(n *simNode)   { n.frozen = false; s.changed() }
+
+// leave lets an instance leave as the daemon does.
+func (s *sim) leave(n *simNode) {
+	n.engine.Leave()
+	s.after(5*time.Second, func() {
+		n.engine.Left()
+		s.after(time.Second, func() { s.kill(n) })
+	})
+}
+
+// spread returns how long each running instance took until it knew something,
+// shortest first; instances that don't within the limit count with the limit.
+func (s *sim) spread(limit time.Duration, knows func(*simNode) bool) []time.Duration {
+	const step = 10 * time.Millisecond
+	started := s.now
+	waiting := slices.DeleteFunc(slices.Clone(s.nodes), func(n *simNode) bool { return !n.up || n.frozen })
+	var took []time.Duration
+	for len(waiting) > 0 && s.now.Sub(started) < limit {
+		s.run(step)
+		waiting = slices.DeleteFunc(waiting, func(n *simNode) bool {
+			known := knows(n)
+			if known {
+				took = append(took, s.now.Sub(started))
+			}
+			return known
+		})
+	}
+	for range waiting {
+		took = append(took, limit)
+	}
+	return took
+}
+
+func (n *simNode) sees(id model.InstanceID) bool {
+	return slices.ContainsFunc(n.members.Live(), func(m Member) bool { return m.ID == id })
+}
+
+func (n *simNode) seesLeaving(id model.InstanceID) bool {
+	return slices.ContainsFunc(n.members.Live(), func(m Member) bool { return m.ID == id && m.Leaving })
+}
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,228 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/peer"
+)
+
+const (
+	// localLinks is the number of links that an instance opens within its region,
+	// one within its failure domain and one to another one, so that a lost domain
+	// leaves witnesses; farLinks go to other regions. About as many are opened by
+	// others towards it.
+	localLinks = 2
+	farLinks   = 1
+
+	// unwantedLife is how long a link stays open after it left the view.
+	unwantedLife = 10 * time.Second
+
+	minRetry = time.Second
+	maxRetry = time.Minute
+)
+
+// rings order all instances in circles; an instance links to its successors.
+const (
+	domainRing = iota
+	regionRing
+	farRing
+	ringCount
+)
+
+// places are an instance's positions on the rings.
+type places [ringCount]uint64
+
+func placesOf(id model.InstanceID) places {
+	var p places
+	for ring := range p {
+		p[ring] = xxhash.Sum64String(string(rune('0'+ring)) + string(id))
+	}
+	return p
+}
+
+// viewLife is how long a view is used while nothing changes; it bounds the delay
+// of second tries.
+const viewLife = time.Second
+
+// view returns the current view and works it out anew when it is due.
+func (e *Engine) view(now time.Time) []model.InstanceID {
+	if now.Sub(e.viewed) >= viewLife {
+		e.viewed = now
+		e.currentView = e.newView(now)
+	}
+	return e.currentView
+}
+
+// newView returns the instances that this one wants links to: its successors in
+// its failure domain, in its region and in other regions. Every instance works
+// it out for itself, without messages, and degrees stay even.
+func (e *Engine) newView(now time.Time) []model.InstanceID {
+	var view []model.InstanceID
+	self := e.o.Self.Location
+	near := func(k *known) bool { return k.member.Location.Region == self.Region }
+	view = e.successor(view, domainRing, now, func(k *known) bool { return k.member.Location == self })
+	view = e.successor(view, regionRing, now, func(k *known) bool { return near(k) && k.member.Location != self })
+	for len(view) < localLinks {
+		n := len(view)
+		if view = e.successor(view, regionRing, now, near); len(view) == n {
+			break
+		}
+	}
+	local := len(view)
+	for len(view) < local+farLinks {
+		n := len(view)
+		view = e.successor(view, farRing, now, func(k *known) bool { return !near(k) })
+		if len(view) == n {
+			break
+		}
+	}
+	return view
+}
+
+// successor appends the next instance on a ring that may be linked to.
+func (e *Engine) successor(view []model.InstanceID, ring int, now time.Time, match func(*known) bool) []model.InstanceID {
+	var best *known
+	var distance uint64
+	for id, k := range e.others {
+		if !match(k) || !e.linkable(k, now) || contains(view, id) {
+			continue
+		}
+		d := k.places[ring] - e.places[ring]
+		if best == nil || d < distance {
+			best = k
+			distance = d
+		}
+	}
+	if best == nil {
+		return view
+	}
+	return append(view, best.member.ID)
+}
+
+func contains(list []model.InstanceID, id model.InstanceID) bool {
+	for _, other := range list {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// linkable reports whether an instance may be part of the view.
+func (e *Engine) linkable(k *known, now time.Time) bool {
+	if e.links[k.member.ID] != nil {
+		return !k.dead
+	}
+	if k.dead || k.state == MemberSuspect || e.isCut(k.member.Location.Region) {
+		return false
+	}
+	return !now.Before(k.retryAt)
+}
+
+// connect dials the members of the view that have no link and closes links that
+// have long left it.
+func (e *Engine) connect(now time.Time) {
+	view := e.view(now)
+	for _, id := range view {
+		if k := e.others[id]; k != nil && e.links[id] == nil {
+			e.dial(k, now)
+		}
+	}
+	for id, l := range e.links {
+		switch {
+		case !l.dialed || contains(view, id):
+			l.unwanted = time.Time{}
+		case l.unwanted.IsZero():
+			l.unwanted = now
+		case now.Sub(l.unwanted) >= unwantedLife:
+			e.do(func() { e.o.Transport.Close(id) })
+		}
+	}
+	if len(e.links) == 0 && len(view) == 0 {
+		e.dialSeeds(now)
+	}
+}
+
+func (e *Engine) dial(k *known, now time.Time) {
+	if now.Before(k.dialingTill) {
+		return
+	}
+	k.dialingTill = now.Add(2 * peer.DialTimeout)
+	addr := k.member.PeerAddr
+	e.do(func() { e.o.Transport.Dial(addr) })
+}
+
+// dialSeeds dials the configured addresses, one at a time.
+func (e *Engine) dialSeeds(now time.Time) {
+	if len(e.seeds) == 0 || now.Before(e.nextProbe) {
+		return
+	}
+	e.nextProbe = now.Add(minRetry)
+	addr := e.seeds[e.o.Rand.IntN(len(e.seeds))]
+	if addr != e.o.Self.PeerAddr {
+		e.do(func() { e.o.Transport.Dial(addr) })
+	}
+}
+
+// LinkUp implements peer.Handler.
+func (e *Engine) LinkUp(l peer.Link) {
+	e.locked(func(now time.Time) {
+		k := e.other(l.Peer)
+		k.dialingTill = time.Time{}
+		k.failures = 0
+		k.retryAt = time.Time{}
+		if k.member.PeerAddr == "" {
+			k.member.PeerAddr = l.Addr
+		}
+		e.links[l.Peer] = &link{dialed: l.Dialed, heardAt: now}
+		e.reached(k.member.Location.Region)
+		e.greet(l.Peer)
+	})
+}
+
+// LinkDown implements peer.Handler.
+func (e *Engine) LinkDown(id model.InstanceID, lost bool) {
+	e.locked(func(now time.Time) {
+		e.listen(now)
+		delete(e.links, id)
+		e.changed = true
+		k := e.others[id]
+		switch {
+		case k == nil:
+		case lost:
+			e.unreachable(k, now)
+		default:
+			k.retryAt = now.Add(minRetry)
+		}
+	})
+}
+
+// DialFailed implements peer.Handler.
+func (e *Engine) DialFailed(addr string) {
+	e.locked(func(now time.Time) {
+		k := e.others[e.byAddr[addr]]
+		if k == nil {
+			return
+		}
+		k.dialingTill = time.Time{}
+		e.viewed = time.Time{}
+		if e.links[k.member.ID] == nil {
+			e.unreachable(k, now)
+		}
+	})
+}
+
+// unreachable puts off the next dial and tells others, if that is for this
+// instance to do.
+func (e *Engine) unreachable(k *known, now time.Time) {
+	k.retryAt = now.Add(min(minRetry<<min(k.failures, 6), maxRetry))
+	k.failures++
+	if k.member.Location.Region == e.o.Self.Location.Region {
+		e.accuse(k.member.ID, now)
+		return
+	}
+	e.farLost(k, now)
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -313,6 +313,15 @@
 	return c != nil && c.SendDatagram(payload) == nil
 }
 
+// Heard counts the packets received from a peer on its connection.
+func (t *Transport) Heard(peer model.InstanceID) uint64 {
+	c := t.conn(peer)
+	if c == nil {
+		return 0
+	}
+	return c.ConnectionStats().PacketsReceived
+}
+
 // Close ends the connection to a peer that is not needed any more.
 func (t *Transport) Close(peer model.InstanceID) {
 	if c := t.conn(peer); c != nil {
