--- a/internal/config/resolve.go
+++ b/internal/config/resolve.go
@@ -29,14 +29,37 @@
 	}
 	p := builtin(name, service.Class)
 	d.Defaults.apply(p)
-	for i := range d.Exceptions {
-		if e := &d.Exceptions[i]; e.applies(name, at, now) {
-			e.Set.apply(p)
+	for rank := widest; rank <= narrowest; rank++ {
+		for i := range d.Exceptions {
+			if e := &d.Exceptions[i]; e.Scope.rank() == rank && e.applies(name, at, now) {
+				e.Set.apply(p)
+			}
 		}
 	}
 	return p, true
 }
 
+// Ranks of scopes: a narrower one is laid over a wider one.
+const (
+	widest = iota
+	regionOnly
+	serviceOnly
+	narrowest
+)
+
+func (s Scope) rank() int {
+	switch {
+	case s.Service != "" && s.Region != "":
+		return narrowest
+	case s.Service != "":
+		return serviceOnly
+	case s.Region != "":
+		return regionOnly
+	default:
+		return widest
+	}
+}
+
 func builtin(name model.ServiceName, class model.Class) *model.Policy {
 	return &model.Policy{
 		Service:          name,
@@ -56,7 +79,7 @@
 }
 
 func (e *Exception) applies(name model.ServiceName, at model.Location, now time.Time) bool {
-	if e.Expires != nil && !now.Before(*e.Expires) {
+	if e.expired(now) {
 		return false
 	}
 	if e.Scope.Service != "" && e.Scope.Service != name {
@@ -65,6 +88,10 @@
 	return e.Scope.Region == "" || e.Scope.Region == at.Region
 }
 
+func (e *Exception) expired(now time.Time) bool {
+	return e.Expires != nil && !now.Before(*e.Expires)
+}
+
 func (f *Fields) apply(p *model.Policy) {
 	setDuration(&p.Deadline, f.Deadline)
 	setDuration(&p.ProgressTimeout, f.ProgressTimeout)
--- /dev/null
+++ b/internal/config/snapshot_test.go
@@ -0,0 +1,82 @@
+package config
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/model"
+)
+
+func locationOf(region model.Region) model.Location { return model.Location{Region: region} }
+
+func expiring(revision model.Revision, limit int, expires time.Time) *Document {
+	return &Document{
+		Revision: revision,
+		Services: map[model.ServiceName]Service{"nahled": {}},
+		Exceptions: []Exception{{
+			Scope: Scope{Service: "nahled"}, Set: Fields{QueueLimit: &limit}, Reason: "a short test", Expires: &expires,
+		}},
+	}
+}
+
+func TestExceptionEndsWithoutANewRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := events.NewClock(time.Now)
+		ring := events.NewRing("i", clock, 8)
+		h := NewHolder(locationOf("praha"))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); h.Run(ctx, ring) }()
+		synctest.Wait()
+		h.Apply(expiring(1, 7, time.Now().Add(3*time.Hour)), time.Now())
+		time.Sleep(3*time.Hour - time.Nanosecond)
+		synctest.Wait()
+		if got := h.Current().Policy("nahled").QueueLimit; got != 7 {
+			t.Errorf("before the expiry: %d", got)
+		}
+		time.Sleep(time.Nanosecond)
+		synctest.Wait()
+		if got := h.Current().Policy("nahled").QueueLimit; got != defaultQueueLimit {
+			t.Errorf("after the expiry: %d", got)
+		}
+		if h.Revision() != 1 {
+			t.Errorf("revision changed to %d", h.Revision())
+		}
+		if kept := ring.Snapshot(); len(kept) != 1 || kept[0].Kind != events.ExceptionExpired || kept[0].Revision != 1 {
+			t.Errorf("events: %+v", kept)
+		}
+		cancel()
+		<-done
+	})
+}
+
+func TestEndedExceptionDoesNotComeBack(t *testing.T) {
+	start := time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+	h := NewHolder(locationOf("praha"))
+	h.Apply(expiring(1, 7, start.Add(time.Hour)), start)
+	if !h.Expire(start.Add(time.Hour)) {
+		t.Fatal("did not expire")
+	}
+	if h.Expire(start) || h.Current().Policy("nahled").QueueLimit != defaultQueueLimit {
+		t.Error("a clock set back brought the exception back")
+	}
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	h := NewHolder(locationOf("praha"))
+	now := time.Now()
+	if !h.Apply(expiring(5, 5, now.Add(time.Hour)), now) {
+		t.Fatal("first document refused")
+	}
+	for _, revision := range []model.Revision{5, 4, 0} {
+		if h.Apply(expiring(revision, 1, now.Add(time.Hour)), now) {
+			t.Errorf("revision %d replaced 5", revision)
+		}
+	}
+	if h.Current().Policy("nahled").QueueLimit != 5 {
+		t.Error("policies changed")
+	}
+}
