Serve configuration, status, time line and quarantine to operators

Cause: the operator endpoint showed its own events and metrics only; a change of configuration had to be written into the store by hand.

Change: typed messages in operator/api, shared with the client in operator/client. The endpoint answers everything but /ready only to the token or to a client certificate of its CA. Apply reports every mistake, or the conflict with both authors, as RFC 9457; the report of what is in force keeps instances that reported once and are not live any more, so that a region that is cut off is shown and not left out.

Conclusion: each path is tried without, with a wrong and with a part of the token, and with a certificate of another authority.

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -318,6 +318,15 @@
 	return s.document, err
 }
 
+// StoredRevision reads the stored revision once, without judging its age.
+func (a *Applier) StoredRevision(ctx context.Context) (model.Revision, error) {
+	s, err := a.read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return s.document.Revision, nil
+}
+
 func (a *Applier) accepted(ctx context.Context, d *Document) {
 	a.Recorder.Record(events.Event{
 		Kind: events.RevisionAccepted, Revision: d.Revision, Detail: fmt.Sprintf("applied by %s", d.Author),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,8 +15,9 @@
 // stopTimeout bounds the leaving of an instance: uploads of minutes finish.
 const stopTimeout = 30 * time.Minute
 
-// New returns the application of one instance.
-func New(s *settings.Settings, log *zap.Logger) *fx.App {
+// New returns the application of one instance. Options may supply the
+// zap.AtomicLevel of the log, so that operators can change it.
+func New(s *settings.Settings, log *zap.Logger, options ...fx.Option) *fx.App {
 	gin.SetMode(gin.ReleaseMode)
 	return fx.New(
 		fx.Supply(s, log),
@@ -28,5 +29,6 @@
 		routingModule,
 		requestModule,
 		operatorModule,
+		fx.Options(options...),
 	)
 }
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -1,27 +1,74 @@
 package daemon
 
 import (
+	"context"
+	"time"
+
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"redwingpoint.org/redwingpoint/internal/buildinfo"
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/discovery"
 	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/operator"
+	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/settings"
 )
 
-// operatorModule serves operators.
+// operatorModule serves operators and ends exceptions at their expiry.
 var operatorModule = fx.Module("operator",
-	fx.Provide(newOperator),
-	fx.Invoke(serveOperators),
+	fx.Provide(newApplier, newOperator),
+	fx.Invoke(serveOperators, expireExceptions),
 )
 
-func newOperator(s *settings.Settings, ring *events.Ring, h *config.Holder, t *routing.Table, w *discovery.Watcher) *operator.Server {
-	return &operator.Server{Token: s.Operator.Token, Ring: ring, Config: h, Table: t, Ready: w.Ready}
+func newApplier(store platform.Store, h *config.Holder, r events.Recorder) *config.Applier {
+	return &config.Applier{Store: store, Known: h.Revision, Now: time.Now, Recorder: r}
+}
+
+// operatorDeps are what the operator endpoint shows and drives.
+type operatorDeps struct {
+	fx.In
+
+	Settings *settings.Settings
+	Ring     *events.Ring
+	Recorder events.Recorder
+	Config   *config.Holder
+	Applier  *config.Applier
+	Table    *routing.Table
+	Board    fleet.Board
+	Members  *fleet.Members
+	Watcher  *discovery.Watcher
+	LogLevel zap.AtomicLevel `optional:"true"`
+}
+
+func newOperator(d operatorDeps) *operator.Server {
+	if d.LogLevel == (zap.AtomicLevel{}) {
+		d.LogLevel = zap.NewAtomicLevel()
+	}
+	return &operator.Server{
+		Instance: d.Settings.Instance,
+		Location: d.Settings.Location,
+		Version:  buildinfo.Version(),
+		Token:    d.Settings.Operator.Token,
+		Ring:     d.Ring,
+		Recorder: d.Recorder,
+		Config:   d.Config,
+		Applier:  d.Applier,
+		Table:    d.Table,
+		Board:    d.Board,
+		Members:  d.Members,
+		LogLevel: d.LogLevel,
+		Ready:    d.Watcher.Ready,
+	}
 }
 
 func serveOperators(lc fx.Lifecycle, s *settings.Settings, o *operator.Server, log *zap.Logger) {
 	serveHTTP(lc, log.Named("operator"), s.Operator.Listen, o.Handler())
 }
+
+func expireExceptions(lc fx.Lifecycle, h *config.Holder, r events.Recorder) {
+	runLoop(lc, func(ctx context.Context) { h.Run(ctx, r) })
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -1,5 +1,5 @@
 // Package operator serves the endpoint that operators and the command line use:
-// readiness, the time line and metrics.
+// readiness, configuration, status, the time line, quarantine, metrics.
 package operator
 
 import (
@@ -9,18 +9,33 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gin-gonic/gin"
+	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/fleet"
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/operator/api"
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
 
-// Server is the operator endpoint of one instance.
+// Server is the operator endpoint of one instance. Everything but readiness
+// needs the token or a client certificate that the endpoint's CA signed.
 type Server struct {
-	Token  string
-	Ring   *events.Ring
-	Config *config.Holder
-	Table  *routing.Table
+	Instance model.InstanceID
+	Location model.Location
+	Version  string
+	// Token is the bearer token; an empty one is never accepted.
+	Token    string
+	Ring     *events.Ring
+	Recorder events.Recorder
+	Config   *config.Holder
+	Applier  *config.Applier
+	Table    *routing.Table
+	Board    fleet.Board
+	Members  *fleet.Members
+	// LogLevel is the level of the process's log.
+	LogLevel zap.AtomicLevel
 	// Ready reports whether this instance may receive requests.
 	Ready func() bool
 }
@@ -28,10 +43,20 @@
 // Handler returns the HTTP interface.
 func (s *Server) Handler() http.Handler {
 	engine := gin.New()
-	engine.GET("/ready", s.ready)
+	engine.GET(api.PathReady, s.ready)
 	private := engine.Group("/", s.authorize)
-	private.GET("/timeline", func(c *gin.Context) { c.JSON(http.StatusOK, s.Ring.Snapshot()) })
-	private.GET("/metrics", func(c *gin.Context) { metrics.WritePrometheus(c.Writer, true) })
+	private.GET(api.PathConfig, s.getConfig)
+	private.POST(api.PathConfig, s.applyConfig)
+	private.GET(api.PathHistory, s.getHistory)
+	private.GET(api.PathHistory+"/:revision", s.getRevision)
+	private.GET(api.PathInForce, s.getInForce)
+	private.GET(api.PathStatus, s.getStatus)
+	private.GET(api.PathTimeline, s.getTimeline)
+	private.GET(api.PathQuarantine, s.getQuarantine)
+	private.DELETE(api.PathQuarantine+"/:fingerprint", s.liftQuarantine)
+	private.GET(api.PathMetrics, func(c *gin.Context) { metrics.WritePrometheus(c.Writer, true) })
+	private.GET(api.PathLogLevel, s.getLogLevel)
+	private.PUT(api.PathLogLevel, s.putLogLevel)
 	return engine
 }
 
@@ -45,8 +70,40 @@
 }
 
 func (s *Server) authorize(c *gin.Context) {
-	token := strings.TrimPrefix(c.GetHeader("Authorization"), "Bearer ")
-	if s.Token == "" || subtle.ConstantTimeCompare([]byte(token), []byte(s.Token)) != 1 {
-		c.AbortWithStatus(http.StatusUnauthorized)
+	if !s.knownCertificate(c.Request) && !s.knownToken(c.Request) {
+		fail(c, http.StatusUnauthorized, api.CodeUnauthorized, "present the operator token or a client certificate")
+		c.Abort()
 	}
 }
+
+func (s *Server) knownToken(r *http.Request) bool {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return ok && s.Token != "" && subtle.ConstantTimeCompare([]byte(token), []byte(s.Token)) == 1
+}
+
+func (s *Server) knownCertificate(r *http.Request) bool {
+	return r.TLS != nil && len(r.TLS.VerifiedChains) > 0
+}
+
+// author returns the operator's name: that of the certificate if there is one.
+func author(r *http.Request, claimed string) string {
+	if r.TLS != nil && len(r.TLS.VerifiedChains) > 0 {
+		if name := r.TLS.VerifiedChains[0][0].Subject.CommonName; name != "" {
+			return name
+		}
+	}
+	return claimed
+}
+
+const problemTypePrefix = "urn:redwingpoint:problem:"
+
+func fail(c *gin.Context, status int, code api.Code, detail string) {
+	failWith(c, &api.Problem{Status: status, Code: code, Detail: detail})
+}
+
+func failWith(c *gin.Context, p *api.Problem) {
+	p.Type = problemTypePrefix + string(p.Code)
+	p.Title = http.StatusText(p.Status)
+	c.Header("Content-Type", "application/problem+json")
+	c.JSON(p.Status, p)
+}
--- /dev/null
+++ b/internal/operator/server_test.go
@@ -0,0 +1,283 @@
+package operator
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"redwingpoint.org/redwingpoint/internal/config"
+	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/fleet"
+	"redwingpoint.org/redwingpoint/internal/keys"
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/operator/api"
+	"redwingpoint.org/redwingpoint/internal/operator/client"
+	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/routing"
+	"redwingpoint.org/redwingpoint/internal/standin"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const document = `
+services: {nahled: {class: idempotent}, odeslani: {class: nonIdempotent}}
+defaults: {queueLimit: 7}
+`
+
+var praha = model.Location{Region: "praha", FailureDomain: "praha-a"}
+
+func newServer(t *testing.T) *Server {
+	t.Helper()
+	store := httptest.NewServer(standin.NewPlatform().Handler())
+	t.Cleanup(store.Close)
+	clock := events.NewClock(time.Now)
+	ring := events.NewRing("praha-a-1", clock, 64)
+	holder := config.NewHolder(praha)
+	return &Server{
+		Instance: "praha-a-1",
+		Location: praha,
+		Token:    "secret",
+		Ring:     ring,
+		Recorder: ring,
+		Config:   holder,
+		Applier: &config.Applier{
+			Store: platform.NewClient(platform.ClientOptions{BaseURL: store.URL}),
+			Known: holder.Revision, Now: time.Now, Recorder: ring,
+		},
+		Table:    routing.NewTable(praha),
+		Board:    fleet.NewFacts("praha-a-1", clock, time.Now),
+		Members:  fleet.NewMembers(fleet.Member{ID: "praha-a-1", Location: praha}),
+		LogLevel: zap.NewAtomicLevel(),
+		Ready:    func() bool { return true },
+	}
+}
+
+func start(t *testing.T, s *Server) (*client.Client, string) {
+	t.Helper()
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	return client.New(server.URL, "secret", nil), server.URL
+}
+
+func TestAnswersNobodyWithoutToken(t *testing.T) {
+	s := newServer(t)
+	_, address := start(t, s)
+	calls := []struct{ method, path string }{
+		{"GET", "/config"}, {"POST", "/config"}, {"GET", "/config/history"}, {"GET", "/config/history/1"},
+		{"GET", "/config/status"}, {"GET", "/status"}, {"GET", "/timeline"}, {"GET", "/quarantine"},
+		{"DELETE", "/quarantine/x"}, {"GET", "/metrics"}, {"GET", "/loglevel"}, {"PUT", "/loglevel"},
+	}
+	for _, token := range []string{"", "Bearer ", "Bearer wrong", "Bearer secretx", "secret", "Basic secret"} {
+		for _, call := range calls {
+			req, _ := http.NewRequest(call.method, address+call.path, nil)
+			req.Header.Set("Authorization", token)
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusUnauthorized {
+				t.Errorf("%s %s with %q: %d", call.method, call.path, token, resp.StatusCode)
+			}
+		}
+	}
+	s.Token = ""
+	if _, err := client.New(address, "", nil).Status(t.Context()); err == nil {
+		t.Error("an empty token opens an endpoint without one")
+	}
+}
+
+func TestClientCertificateStandsForAToken(t *testing.T) {
+	ca, pool := newCA(t)
+	stranger, _ := newCA(t)
+	server := httptest.NewUnstartedServer(newServer(t).Handler())
+	server.TLS = &tls.Config{ClientAuth: tls.VerifyClientCertIfGiven, ClientCAs: pool}
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	roots := server.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs
+	status := func(certificates ...tls.Certificate) error {
+		config := &tls.Config{RootCAs: roots, GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &append(certificates, tls.Certificate{})[0], nil
+		}}
+		_, err := client.New(server.URL, "", config).Status(t.Context())
+		return err
+	}
+	if err := status(newCertificate(t, ca)); err != nil {
+		t.Errorf("known certificate: %v", err)
+	}
+	if status() == nil {
+		t.Error("served without a certificate")
+	}
+	if status(newCertificate(t, stranger)) == nil {
+		t.Error("served a certificate of another authority")
+	}
+}
+
+func newCertificate(t *testing.T, ca keys.Pair) tls.Certificate {
+	t.Helper()
+	pair, err := keys.NewInstance(ca, "jana", time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := tls.X509KeyPair(pair.Cert, pair.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cert
+}
+
+func newCA(t *testing.T) (keys.Pair, *x509.CertPool) {
+	t.Helper()
+	ca, err := keys.NewCA("vltava", time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(ca.Cert)
+	return ca, pool
+}
+
+func TestApplyAnswersWithEveryMistakeOrTheConflict(t *testing.T) {
+	c, _ := start(t, newServer(t))
+	apply := func(change, author, text string) (*api.ApplyResponse, *api.Problem) {
+		answer, err := c.Apply(t.Context(), api.ApplyRequest{Text: text, Change: change, Author: author})
+		var p *api.Problem
+		if err != nil && !errors.As(err, &p) {
+			t.Fatal(err)
+		}
+		return answer, p
+	}
+	if _, p := apply("0", "jana", "services: {x: {class: y}}\ndefault: {}\n"); p == nil || len(p.Mistakes) != 2 || p.Status != 422 {
+		t.Errorf("invalid: %+v", p)
+	}
+	first, p := apply("1", "jana", document)
+	if p != nil || first.Revision != 1 {
+		t.Fatalf("first: %+v, %v", first, p)
+	}
+	second, p := apply("2", "petr", strings.Replace("revision: 1"+document, "7", "8", 1))
+	want := config.Change{Service: "nahled", Field: "queueLimit", From: "7", To: "8"}
+	if p != nil || second.Revision != 2 || len(second.Changes) != 2 || second.Changes[0] != want {
+		t.Fatalf("second: %+v, %v", second, p)
+	}
+	_, p = apply("3", "olga", strings.Replace("revision: 1"+document, "7", "9", 1))
+	if p == nil || p.Code != api.CodeConflict || p.Conflict.Author != "olga" || p.Conflict.Paths[0].Author != "petr" ||
+		p.Conflict.Paths[0].Path != "defaults.queueLimit" {
+		t.Errorf("conflict: %+v", p)
+	}
+	if _, p = apply("4", "olga", document); p == nil || p.Code != api.CodeBaseMissing {
+		t.Errorf("without a revision: %+v", p)
+	}
+	history, err := c.History(t.Context())
+	if err != nil || len(history.Revisions) != 2 || history.Revisions[0].Author != "petr" || history.Revisions[1].Author != "jana" {
+		t.Errorf("history: %+v, %v", history, err)
+	}
+	old, err := c.Config(t.Context(), "1")
+	if err != nil || *old.Document.Defaults.QueueLimit != 7 {
+		t.Errorf("revision 1: %+v, %v", old, err)
+	}
+}
+
+func TestDryRunChangesNothing(t *testing.T) {
+	c, _ := start(t, newServer(t))
+	answer, err := c.Apply(t.Context(), api.ApplyRequest{Text: document, Change: "1", Author: "jana", DryRun: true})
+	if err != nil || len(answer.Changes) == 0 || answer.Revision != 0 {
+		t.Errorf("%+v, %v", answer, err)
+	}
+	if current, err := c.Config(t.Context(), ""); err != nil || current.Document.Revision != 0 {
+		t.Errorf("stored: %+v, %v", current, err)
+	}
+}
+
+func TestInForceIsHonestAboutARegionThatIsCutOff(t *testing.T) {
+	s := newServer(t)
+	c, _ := start(t, s)
+	d, err := config.Parse([]byte("revision: 3" + document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Config.Apply(d, time.Now())
+	report := func(id string, region model.Region, revision model.Revision) {
+		raw, err := cbor.Marshal(revisionFact{Revision: revision, Location: model.Location{Region: region}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Board.Publish(fleet.FactRevision, id, raw, 0)
+	}
+	report("praha-b-1", "praha", 2)
+	report("brno-a-1", "brno", 2)
+	s.Members.Set([]fleet.Member{
+		{ID: "praha-a-1", Location: praha},
+		{ID: "praha-b-1", Location: model.Location{Region: "praha", FailureDomain: "praha-b"}},
+	})
+	answer, err := c.InForce(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, _ := json.Marshal(answer.Regions)
+	const want = `[{"region":"brno","revision":0,"live":0,"instances":[{"instance":"brno-a-1","revision":2,"live":false}]},` +
+		`{"region":"praha","revision":2,"live":2,"instances":[{"instance":"praha-a-1","revision":3,"live":true},` +
+		`{"instance":"praha-b-1","revision":2,"live":true}]}]`
+	if string(got) != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+	report("praha-b-1", "praha", 3)
+	if answer, _ = c.InForce(t.Context()); answer.Reached(3) || answer.Regions[1].Revision != 3 {
+		t.Errorf("reached without brno: %+v", answer)
+	}
+	s.Members.Set(append(s.Members.Live(), fleet.Member{ID: "brno-a-1", Location: model.Location{Region: "brno"}}))
+	report("brno-a-1", "brno", 4)
+	if answer, _ = c.InForce(t.Context()); !answer.Reached(3) || answer.Reached(4) {
+		t.Errorf("not reached: %+v", answer)
+	}
+}
+
+func TestTimelineIsFiltered(t *testing.T) {
+	s := newServer(t)
+	c, _ := start(t, s)
+	s.Ring.Record(events.Event{Kind: events.TargetPicked, Request: "r1", Service: "nahled", Target: "t1"})
+	s.Ring.Record(events.Event{Kind: events.RequestAnswered, Request: "r1", Service: "nahled", Target: "t1"})
+	s.Ring.Record(events.Event{Kind: events.TargetPicked, Request: "r2", Service: "odeslani", Target: "t2"})
+	s.Ring.Record(events.Event{Kind: events.RevisionInForce, Revision: 4})
+	for query, want := range map[string]int{
+		"": 4, "request=r1": 2, "service=odeslani": 1, "target=t1": 2, "revision=4": 1,
+		"kind=target-picked": 2, "kind=target-picked&request=r1": 1, "since=1h": 4, "since=2999-01-01T00:00:00Z": 0,
+	} {
+		filter, _ := url.ParseQuery(query)
+		answer, err := c.Timeline(t.Context(), filter)
+		if err != nil || len(answer.Events) != want {
+			t.Errorf("%q: %+v, %v; want %d events", query, answer, err, want)
+		}
+	}
+	if _, err := c.Timeline(t.Context(), url.Values{"since": {"yesterday"}}); err == nil {
+		t.Error("accepted since=yesterday")
+	}
+}
+
+func TestQuarantineIsListedAndLifted(t *testing.T) {
+	s := newServer(t)
+	c, _ := start(t, s)
+	raw, err := cbor.Marshal(quarantineFact{Service: "nahled", Request: "r1", First: "t1", Second: "t2"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Board.Publish(fleet.FactQuarantine, "f00", raw, time.Minute)
+	list, err := c.Quarantine(t.Context())
+	if err != nil || len(list.Requests) != 1 || list.Requests[0].Fingerprint != "f00" || list.Requests[0].Targets[1] != "t2" {
+		t.Fatalf("%+v, %v", list, err)
+	}
+	if list, err = c.Lift(t.Context(), "f00"); err != nil || len(list.Requests) != 0 {
+		t.Errorf("lifted: %+v, %v", list, err)
+	}
+	if _, err = c.Lift(t.Context(), "f01"); err == nil {
+		t.Error("lifted what is not quarantined")
+	}
+}
