--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -23,6 +23,16 @@
 	Draining
 )
 
+var standingNames = [...]string{Proven: "proven", Unproven: "unproven", Ejected: "ejected", Draining: "draining"}
+
+// String returns the name of s.
+func (s Standing) String() string {
+	if int(s) >= len(standingNames) {
+		return "unknown"
+	}
+	return standingNames[s]
+}
+
 // Endpoint is one target of a snapshot. Everything but Load is immutable.
 type Endpoint struct {
 	Target   model.Target
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -64,11 +64,13 @@
 // Snapshot returns the current snapshot.
 func (t *Table) Snapshot() *Snapshot { return t.current.Load() }
 
-// SetTargets replaces the targets of one service.
+// SetTargets replaces the targets of one service. A target that joins a service
+// which is known already starts as Unproven; a service's first list is taken as Proven.
 func (t *Table) SetTargets(service model.ServiceName, list []model.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(service, list)
+	t.welcome(service, list)
 	if len(list) == 0 {
 		delete(t.targets, service)
 	} else {
@@ -90,6 +92,17 @@
 	}
 }
 
+func (t *Table) welcome(service model.ServiceName, list []model.Target) {
+	if len(t.targets[service]) == 0 {
+		return
+	}
+	for i := range list {
+		if t.states[list[i].ID] == nil {
+			t.state(list[i].ID).standing = Unproven
+		}
+	}
+}
+
 // SetStanding changes what is believed of one target.
 func (t *Table) SetStanding(service model.ServiceName, id model.TargetID, s Standing) {
 	t.mu.Lock()
