Stop the quick start's processes when its output is closed

Cause: with its output piped into head the shell was ended by SIGPIPE without its EXIT trap, and the stand-ins stayed. Ruled out: processes of another run. Change: trap HUP and PIPE as well. Conclusion: nothing listens afterwards.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -12,7 +12,7 @@
 	rm -rf "$work"
 }
 trap stop EXIT
-trap 'exit 1' INT TERM
+trap 'exit 1' HUP INT PIPE TERM
 
 run() { "$@" >>"$work/log" 2>&1 & pids="$pids $!"; }
 call() { "$bin/standin" call "$@"; }
