Own the connections to targets, so that no request is replayed

Cause: http.Transport replays a request with Idempotency-Key when a reused connection breaks, and it counts no such replay; it also hands out idle connections that went silent.

Ruled out: http.Transport with keep-alives off for all classes (costs each idempotent call a dial), and a pool per class over http.Transport (the replay stays for idempotent calls, outside the retry budget).

A call names how long ago a reused connection must have been proven; a fresh one is asked for by zero. Commit runs after the dial and before the first byte. A connection returns to the stack only after a whole answer; one that stayed silent withdraws trust from all that were not proven since.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
-	"sync/atomic"
 	"time"
 
-	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
 
@@ -17,157 +15,142 @@
 type Call struct {
 	Endpoint *routing.Endpoint
 	Method   string
-	// Path is the escaped path with its query.
-	Path   string
+	// Path is the escaped path.
+	Path string
+	// Query is the raw query without the question mark.
+	Query  string
 	Header http.Header
 	Body   io.Reader
 	// ContentLength is the body's length in bytes, or -1 if unknown.
 	ContentLength int64
-	// Fresh forbids the use of a pooled connection.
-	Fresh bool
+	// MaxIdle is how long ago a reused connection must have delivered its last
+	// whole answer at most; zero asks for a fresh connection.
+	MaxIdle time.Duration
+	// Keep allows the connection to be reused after a whole answer.
+	Keep bool
+	// Commit, if set, is called once a connection is ready and before the first
+	// byte may be written. If it reports false nothing is sent.
+	Commit func() bool
+	// OnWrite, if set, is called with the number of bytes of each write to a
+	// fresh connection.
+	OnWrite func(bytes int)
+	// OnClose, if set, is called when a fresh connection is closed. It has to end
+	// a read of Body that is blocked.
+	OnClose func()
 }
 
-// Result is the answer of a target. The caller closes Body, which ends the exchange.
+// Result is the answer of a target. The caller closes Body, which ends the
+// exchange; a body that was not read to its end closes the connection.
 type Result struct {
 	Status int
 	Header http.Header
-	Body   io.ReadCloser
-}
-
-// CallError reports an attempt without an answer.
-type CallError struct {
-	Target model.TargetID
-	// Sent is set when at least one byte of the request may have reached the target.
-	Sent  bool
-	Cause error
-}
-
-func (e *CallError) Error() string {
-	return "target " + string(e.Target) + ": " + e.Cause.Error()
+	// ContentLength is the body's length in bytes, or -1 if unknown.
+	ContentLength int64
+	Body          io.ReadCloser
+	// Reused is set when the exchange ran on a connection used before.
+	Reused bool
+	// Shed is set when the target states that it did not start the request.
+	Shed bool
+	// Draining is set when the target states that it is leaving.
+	Draining bool
 }
 
-// Unwrap returns the cause.
-func (e *CallError) Unwrap() error { return e.Cause }
-
-// Client exchanges requests with targets. It is safe for concurrent use.
+// Client exchanges requests with targets. A request is written to one
+// connection at most once; nothing is replayed. It is safe for concurrent use.
 type Client struct {
-	pooled *http.Transport
-	fresh  *http.Transport
+	transport *http.Transport
+	epoch     time.Time
+	pools     pools
 }
 
-const (
-	dialTimeout     = 250 * time.Millisecond
-	idleConnTimeout = 30 * time.Second
-	maxIdlePerHost  = 32
-)
+// NewClient returns a client without connections.
+func NewClient() *Client { return NewClientWithDialer(dialTCP) }
 
-// NewClient returns a client with empty connection pools.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &watchedConn{Conn: conn, sent: sentFlag(ctx)}, nil
-	}
-	return &Client{
-		pooled: &http.Transport{
-			DialContext:         dial,
-			MaxIdleConns:        0,
-			MaxIdleConnsPerHost: maxIdlePerHost,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
-		},
-		fresh: &http.Transport{
-			DialContext:        dial,
-			DisableKeepAlives:  true,
-			DisableCompression: true,
-		},
-	}
+// NewClientWithDialer returns a client that opens connections by dial.
+func NewClientWithDialer(dial Dialer) *Client {
+	c := &Client{transport: newTransport(dial), epoch: time.Now()}
+	c.pools.current.Store(&map[netip.AddrPort]*pool{})
+	return c
 }
 
+// elapsed returns the time since the client's epoch.
+func (c *Client) elapsed() time.Duration { return time.Since(c.epoch) }
+
 // Do sends one call and returns when the answer's header has arrived. The
 // context bounds the whole exchange, the body included. Errors are *CallError.
 func (c *Client) Do(ctx context.Context, call Call) (*Result, error) {
-	sent := new(atomic.Bool)
-	req, err := newRequest(context.WithValue(ctx, sentKey{}, sent), call)
+	p := c.pools.get(c, call.Endpoint.Target.Addr)
+	cn, err := c.connect(ctx, p, call)
 	if err != nil {
-		return nil, &CallError{Target: call.Endpoint.Target.ID, Cause: err}
+		return nil, &CallError{Target: call.Endpoint.Target.ID, Reason: dialReason(ctx), Cause: err}
 	}
-	transport := c.pooled
-	if call.Fresh {
-		transport = c.fresh
-	} else {
-		sent.Store(true)
+	if call.Commit != nil && !call.Commit() {
+		cn.close()
+		return nil, &CallError{Target: call.Endpoint.Target.ID, Reason: NotCommitted, Cause: errNotCommitted}
 	}
-	call.Endpoint.Load.Begin()
-	resp, err := transport.RoundTrip(req)
+	startedAt := c.elapsed()
+	recent := startedAt-cn.provenAt <= recentlyProven
+	cn.wire.written.Store(false)
+	resp, err := cn.http.RoundTrip(newRequest(ctx, call))
 	if err != nil {
-		call.Endpoint.Load.End()
-		return nil, &CallError{Target: call.Endpoint.Target.ID, Sent: sent.Load(), Cause: err}
+		cn.close()
+		if cn.reused {
+			p.distrust(startedAt)
+		}
+		return nil, newCallError(ctx, call.Endpoint.Target.ID, cn, recent, err)
 	}
 	observe(call.Endpoint, resp.Header)
-	return &Result{
-		Status: resp.StatusCode,
-		Header: resp.Header,
-		Body:   &countedBody{ReadCloser: resp.Body, load: call.Endpoint.Load},
-	}, nil
+	return newResult(ctx, p, cn, call, resp), nil
 }
 
-func newRequest(ctx context.Context, call Call) (*http.Request, error) {
-	url := "http://" + call.Endpoint.Target.Addr.String() + call.Path
-	req, err := http.NewRequestWithContext(ctx, call.Method, url, call.Body)
+func (c *Client) connect(ctx context.Context, p *pool, call Call) (*conn, error) {
+	if call.MaxIdle > 0 {
+		if cn := p.get(call.MaxIdle); cn != nil {
+			return cn, nil
+		}
+	}
+	cn, err := c.open(ctx, call.Endpoint.Target.Addr)
 	if err != nil {
 		return nil, err
 	}
-	req.Header = call.Header
-	req.ContentLength = call.ContentLength
-	if call.ContentLength == 0 {
-		req.Body = http.NoBody
-	}
-	return req, nil
+	cn.wire.onWrite = call.OnWrite
+	cn.wire.onClose = call.OnClose
+	return cn, nil
 }
 
-func observe(e *routing.Endpoint, h http.Header) {
-	if n, err := strconv.Atoi(h.Get(HeaderInFlight)); err == nil {
-		e.Load.Report(n, time.Now())
+// CloseIdle closes the unused connections.
+func (c *Client) CloseIdle() {
+	for _, p := range *c.pools.current.Load() {
+		p.closeAll()
 	}
 }
 
-// CloseIdle closes the pooled connections.
-func (c *Client) CloseIdle() { c.pooled.CloseIdleConnections() }
-
-type sentKey struct{}
-
-func sentFlag(ctx context.Context) *atomic.Bool {
-	flag, _ := ctx.Value(sentKey{}).(*atomic.Bool)
-	return flag
-}
-
-// watchedConn notes the first write of the exchange that dialled it.
-type watchedConn struct {
-	net.Conn
-	sent *atomic.Bool
-}
-
-func (c *watchedConn) Write(p []byte) (int, error) {
-	if c.sent != nil {
-		c.sent.Store(true)
+func newResult(ctx context.Context, p *pool, cn *conn, call Call, resp *http.Response) *Result {
+	a := &answer{
+		ctx:    ctx,
+		body:   resp.Body,
+		pool:   p,
+		conn:   cn,
+		target: call.Endpoint.Target.ID,
+		keep:   call.Keep && !resp.Close,
+	}
+	return &Result{
+		Status:        resp.StatusCode,
+		Header:        resp.Header,
+		ContentLength: resp.ContentLength,
+		Body:          a,
+		Reused:        cn.reused,
+		Shed:          resp.Header.Get(HeaderShed) == ShedUnstarted,
+		Draining:      resp.Header.Get(HeaderDraining) == "true",
 	}
-	return c.Conn.Write(p)
-}
-
-// countedBody ends the exchange's count when it is closed.
-type countedBody struct {
-	io.ReadCloser
-	load   *routing.Load
-	closed atomic.Bool
 }
 
-func (b *countedBody) Close() error {
-	if b.closed.CompareAndSwap(false, true) {
-		b.load.End()
+func observe(e *routing.Endpoint, h http.Header) {
+	text := h.Get(HeaderInFlight)
+	if text == "" {
+		return
+	}
+	if n, err := strconv.Atoi(text); err == nil {
+		e.Load.Report(n, time.Now())
 	}
-	return b.ReadCloser.Close()
 }
--- /dev/null
+++ b/internal/upstream/request.go
@@ -0,0 +1,43 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+)
+
+// newRequest builds the request by hand: parsing a URL is not needed.
+func newRequest(ctx context.Context, call Call) *http.Request {
+	host := call.Endpoint.Target.Addr.String()
+	req := &http.Request{
+		Method:        call.Method,
+		URL:           targetURL(host, call),
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        call.Header,
+		Host:          host,
+		ContentLength: call.ContentLength,
+	}
+	if call.ContentLength != 0 && call.Body != nil {
+		req.Body = asReadCloser(call.Body)
+	}
+	return req.WithContext(ctx)
+}
+
+func targetURL(host string, call Call) *url.URL {
+	u := &url.URL{Scheme: "http", Host: host, Path: call.Path, RawQuery: call.Query}
+	if path, err := url.PathUnescape(call.Path); err == nil && path != call.Path {
+		u.Path = path
+		u.RawPath = call.Path
+	}
+	return u
+}
+
+func asReadCloser(r io.Reader) io.ReadCloser {
+	if rc, ok := r.(io.ReadCloser); ok {
+		return rc
+	}
+	return io.NopCloser(r)
+}
