--- /dev/null
+++ b/internal/limit/budget.go
@@ -0,0 +1,54 @@
+package limit
+
+import "sync/atomic"
+
+const (
+	// tokenUnits is the resolution of a Ratio: one token in units.
+	tokenUnits = 10_000
+	// ratioBurst is the number of tokens that a Ratio holds at most. It lets a
+	// service with little traffic retry at all.
+	ratioBurst = 10
+)
+
+// Ratio allows an extra action, such as a retry, for a share of all requests.
+// Over any run of n requests it allows at most share × n + 10 actions. It takes
+// no lock and is safe for concurrent use.
+type Ratio struct {
+	// missing counts the units below a full bucket, so that the zero value is full.
+	missing atomic.Int64
+	denied  atomic.Uint64
+}
+
+// Earn counts one request of which the given share may cause an extra action.
+func (r *Ratio) Earn(share float64) {
+	units := int64(share * tokenUnits)
+	for {
+		missing := r.missing.Load()
+		if missing == 0 {
+			return
+		}
+		if r.missing.CompareAndSwap(missing, max(0, missing-units)) {
+			return
+		}
+	}
+}
+
+// Spend pays for one extra action and reports whether the budget allows it. A
+// share of zero allows none.
+func (r *Ratio) Spend(share float64) bool {
+	for share > 0 {
+		missing := r.missing.Load()
+		if missing+tokenUnits > ratioBurst*tokenUnits {
+			r.denied.Add(1)
+			return false
+		}
+		if r.missing.CompareAndSwap(missing, missing+tokenUnits) {
+			return true
+		}
+	}
+	r.denied.Add(1)
+	return false
+}
+
+// Denied returns the number of actions that were not allowed.
+func (r *Ratio) Denied() uint64 { return r.denied.Load() }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,8 @@
 type Caller struct {
 	// Listen is the TCP address, such as 10.0.0.1:8080.
 	Listen string `yaml:"listen"`
+	// IdentityHeader names the header that names the caller; empty means Caller-Id.
+	IdentityHeader string `yaml:"identityHeader"`
 }
 
 // Operator configures the endpoint that operators use.
