Serve the three request classes by their own rules

The exchange outlives a caller that leaves, and its outcome is recorded. Uploads: a pump reads at most heldBody ahead, a watch ends stalls of either side, and a held body may move to another target. Idempotent: budgeted retries that don't multiply over nested calls, a hedge after a quantile of recent latencies, the loser cancelled.

Found on the way: http.ClientConn.RoundTrip waits for its write loop, so that a target which broke while the caller paused held the upload until the stall; the wire's Close now interrupts the body's reader (TestHeldUploadMovesWhileCallerPauses). gin replaced empty 404 answers of targets by its own body; the header is now written at once.

Tests: go test -race ./internal/entry.

--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -7,7 +7,9 @@
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/entry"
 	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/health"
 	"redwingpoint.org/redwingpoint/internal/ledger"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/settings"
 	"redwingpoint.org/redwingpoint/internal/upstream"
@@ -15,12 +17,40 @@
 
 // requestModule provides the path of a request and serves callers.
 var requestModule = fx.Module("request",
-	fx.Provide(upstream.NewClient, newEntry),
+	fx.Provide(upstream.NewClient, quarantine.New, newEntry),
 	fx.Invoke(serveCallers),
 )
 
-func newEntry(h *config.Holder, p routing.Picker, u *upstream.Client, l ledger.Ledger, r events.Recorder) *entry.Server {
-	return entry.New(entry.Options{Config: h, Picker: p, Upstream: u, Ledger: l, Recorder: r})
+// entryParams are the collaborators of the caller side. The observer is absent
+// until a module provides one.
+type entryParams struct {
+	fx.In
+	Lifecycle  fx.Lifecycle
+	Settings   *settings.Settings
+	Config     *config.Holder
+	Picker     routing.Picker
+	Upstream   *upstream.Client
+	Ledger     ledger.Ledger
+	Recorder   events.Recorder
+	Quarantine *quarantine.List
+	Observer   health.Observer `optional:"true"`
+}
+
+// newEntry returns the caller side. Its stop hook runs after the HTTP server's:
+// outcomes are recorded before the instance leaves.
+func newEntry(p entryParams) *entry.Server {
+	s := entry.New(entry.Options{
+		Config:       p.Config,
+		Picker:       p.Picker,
+		Upstream:     p.Upstream,
+		Ledger:       p.Ledger,
+		Recorder:     p.Recorder,
+		Quarantine:   p.Quarantine,
+		Observer:     p.Observer,
+		CallerHeader: p.Settings.Caller.IdentityHeader,
+	})
+	p.Lifecycle.Append(fx.StopHook(s.Settle))
+	return s
 }
 
 func serveCallers(lc fx.Lifecycle, s *settings.Settings, e *entry.Server, log *zap.Logger) {
--- /dev/null
+++ b/internal/entry/hedge.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/routing"
+	"redwingpoint.org/redwingpoint/internal/upstream"
+)
+
+const (
+	// silenceShare is the part of the remaining time after which an attempt
+	// without an answer gets a second one where latencies are unknown, as a divisor.
+	silenceShare = 4
+	// silenceFactor times the hedge delay is how long an attempt at the only
+	// target of a service may stay silent before a fresh connection is tried.
+	silenceFactor = 4
+	// minHedgeDelay keeps hedges from being sent at once where latencies are tiny.
+	minHedgeDelay = time.Millisecond
+)
+
+// Winners of a race.
+const (
+	undecided int32 = iota
+	primaryWon
+	hedgeWon
+)
+
+// race is one attempt and the hedge that may follow it. The first good answer
+// wins; the other exchange is cancelled, and its connection is closed.
+type race struct {
+	s       *Server
+	r       *request
+	body    []byte
+	primary *routing.Endpoint
+	// ctx bounds both exchanges.
+	ctx           context.Context
+	cancelPrimary context.CancelFunc
+	delay         time.Duration
+	winner        atomic.Int32
+	cancelHedge   atomic.Pointer[context.CancelFunc]
+	// listening is set while the hedge only waits for the primary to stay silent.
+	listening atomic.Bool
+	// result receives the hedge's end exactly once after fire was started.
+	result chan hedgeEnd
+}
+
+// hedgeEnd is how a hedge ended; both fields are nil if it was never sent.
+type hedgeEnd struct {
+	x   *exchange
+	err *upstream.CallError
+}
+
+// runHedged runs one attempt and sends a hedge if it takes unusually long.
+func (s *Server) runHedged(ctx context.Context, r *request, e *routing.Endpoint, body []byte, retry bool) (*exchange, *upstream.CallError) {
+	call := r.call(e, body, retry)
+	call.Keep = true
+	if retry {
+		return s.exchange(ctx, r, call)
+	}
+	if r.retried {
+		call.MaxIdle = provenMaxIdle
+		return s.exchange(ctx, r, call)
+	}
+	call.MaxIdle = pooledMaxIdle
+	primaryCtx, cancel := context.WithCancel(ctx)
+	race := &race{s: s, r: r, body: body, primary: e, ctx: ctx, cancelPrimary: cancel, result: make(chan hedgeEnd, 1)}
+	race.delay = r.hedgeDelay()
+	timer := time.AfterFunc(race.delay, race.fire)
+	x, err := s.exchange(primaryCtx, r, call)
+	if x != nil {
+		x.cancel = cancel
+	}
+	if timer.Stop() {
+		if err != nil {
+			cancel()
+		}
+		return x, err
+	}
+	return race.settle(x, err)
+}
+
+// hedgeDelay returns the time after which an attempt takes unusually long.
+func (r *request) hedgeDelay() time.Duration {
+	if r.policy.HedgeQuantile > 0 {
+		if delay, ok := r.svc.latency.Quantile(r.policy.HedgeQuantile); ok {
+			return max(delay, minHedgeDelay)
+		}
+	}
+	return time.Until(r.deadline) / silenceShare
+}
+
+// settle returns the winner once the primary has ended and a hedge was started.
+func (h *race) settle(x *exchange, err *upstream.CallError) (*exchange, *upstream.CallError) {
+	good := x != nil && !failedAnswer(x)
+	if good && h.winner.CompareAndSwap(undecided, primaryWon) {
+		if cancel := h.cancelHedge.Load(); cancel != nil {
+			(*cancel)()
+		}
+		return x, nil
+	}
+	if h.listening.CompareAndSwap(true, false) {
+		(*h.cancelHedge.Load())()
+	}
+	end := <-h.result
+	if end.x == nil {
+		return x, err
+	}
+	if x != nil {
+		h.s.record(h.r, events.LateAnswerDropped, x.e.Target.ID, "")
+		x.close()
+	}
+	h.cancelPrimary()
+	return end.x, nil
+}
+
+// fire sends the hedge. It runs in a goroutine of its own.
+func (h *race) fire() {
+	ctx, cancel := context.WithCancel(h.ctx)
+	h.cancelHedge.Store(&cancel)
+	x, err := h.hedge(ctx)
+	if x == nil {
+		cancel()
+		h.result <- hedgeEnd{err: err}
+		return
+	}
+	x.cancel = cancel
+	if !failedAnswer(x) && h.winner.CompareAndSwap(undecided, hedgeWon) {
+		h.r.svc.metrics.hedgesWon.Inc()
+		h.r.svc.latency.Observe(h.delay + x.latency)
+		h.cancelPrimary()
+		h.result <- hedgeEnd{x: x}
+		return
+	}
+	h.s.record(h.r, events.LateAnswerDropped, x.e.Target.ID, "")
+	x.close()
+	h.result <- hedgeEnd{}
+}
+
+func (h *race) hedge(ctx context.Context) (*exchange, *upstream.CallError) {
+	if h.winner.Load() != undecided {
+		return nil, nil
+	}
+	e, maxIdle := h.second(ctx)
+	if e == nil {
+		return nil, nil
+	}
+	if !h.r.svc.hedges.Spend(h.r.policy.HedgeBudget) {
+		h.s.record(h.r, events.BudgetExhausted, e.Target.ID, "hedges")
+		h.s.release(h.r, e)
+		return nil, nil
+	}
+	h.r.svc.metrics.hedges.Inc()
+	h.s.record(h.r, events.RequestHedged, e.Target.ID, "")
+	call := h.r.call(e, h.body, true)
+	call.Keep = true
+	call.MaxIdle = maxIdle
+	return h.s.exchange(ctx, h.r, call)
+}
+
+// second chooses where the hedge goes. If there is no other target, the first
+// one is asked again on a fresh connection once the old one seems silent.
+func (h *race) second(ctx context.Context) (*routing.Endpoint, time.Duration) {
+	e, err := h.s.pick(h.r, []model.TargetID{h.primary.Target.ID})
+	if err == nil {
+		return e, provenMaxIdle
+	}
+	var none *routing.NoTargetError
+	if !errors.As(err, &none) {
+		return nil, 0
+	}
+	h.listening.Store(true)
+	select {
+	case <-ctx.Done():
+		return nil, 0
+	case <-time.After(h.delay * (silenceFactor - 1)):
+	}
+	if !h.listening.CompareAndSwap(true, false) {
+		return nil, 0
+	}
+	h.primary.Load.Begin()
+	return h.primary, 0
+}
--- /dev/null
+++ b/internal/entry/hedge_test.go
@@ -0,0 +1,267 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/fleet"
+	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/upstream"
+)
+
+const usualLatency = 10 * time.Millisecond
+
+// varied returns the n-th of latencies that spread evenly below usualLatency.
+func varied(n int64) time.Duration {
+	return usualLatency/2 + time.Duration(n*7919%1000)*usualLatency/2000
+}
+
+// straggling returns an exchanger whose target "nahled-a" takes a second once
+// slow is set; cancelled counts the exchanges that were given up.
+func straggling(slow *atomic.Bool, cancelled *atomic.Int64) scripted {
+	var calls atomic.Int64
+	return func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
+		work := varied(calls.Add(1))
+		if slow.Load() && call.Endpoint.Target.ID == "nahled-a" {
+			work = time.Second
+		}
+		if err := pause(ctx, call, work); err != nil {
+			cancelled.Add(1)
+			return nil, err
+		}
+		return answerWith(http.StatusOK, string(call.Endpoint.Target.ID)), nil
+	}
+}
+
+func TestStragglerIsHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var slow atomic.Bool
+		var cancelled atomic.Int64
+		b := newBench(testDocument, func(o *Options) { o.Upstream = straggling(&slow, &cancelled) })
+		b.listTargets("nahled", 2, 2)
+		for range 200 {
+			b.do(get("/nahled/1"))
+		}
+		synctest.Wait()
+		slow.Store(true)
+		cancelled.Store(0)
+		hedges := 0
+		for range 10 {
+			start := time.Now()
+			w := b.do(get("/nahled/1"))
+			took := time.Since(start)
+			if w.Code != http.StatusOK || w.Body.String() != "nahled-b" || took > 3*usualLatency {
+				t.Fatalf("%d %s after %v", w.Code, w.Body, took)
+			}
+			if took > usualLatency {
+				hedges++
+			}
+			synctest.Wait()
+		}
+		if hedges == 0 || cancelled.Load() < int64(hedges) {
+			t.Errorf("%d hedges, %d exchanges cancelled", hedges, cancelled.Load())
+		}
+		for _, target := range b.table.Snapshot().Pool("nahled").Endpoints {
+			if n := target.Load.InFlight(); n != 0 {
+				t.Errorf("%s still counts %d exchanges", target.Target.ID, n)
+			}
+		}
+	})
+}
+
+func TestHedgesStayWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests = 1000
+		var calls atomic.Int64
+		b := newBench(testDocument, func(o *Options) {
+			o.Upstream = scripted(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
+				n := calls.Add(1)
+				work := varied(n)
+				if n > 100 {
+					work = time.Second
+				}
+				if err := pause(ctx, call, work); err != nil {
+					return nil, err
+				}
+				return answerWith(http.StatusOK, ""), nil
+			})
+		})
+		b.listTargets("nahled", 4, 2)
+		for range requests {
+			b.do(get("/nahled/1"))
+		}
+		if hedges := calls.Load() - requests; hedges > requests/10+10 || hedges == 0 {
+			t.Errorf("%d hedges of %d requests", hedges, requests)
+		}
+	})
+}
+
+// An answer that comes although its exchange was given up reaches nobody.
+func TestLateAnswerIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		issued, closed := 0, 0
+		var calls atomic.Int64
+		var warm atomic.Bool
+		b := newBench(testDocument, func(o *Options) {
+			o.Upstream = scripted(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
+				if warm.Load() && call.Endpoint.Target.ID == "nahled-a" {
+					<-ctx.Done()
+					issued++
+					late := answerWith(http.StatusOK, "late answer")
+					late.Body = closeCounter{late.Body, &closed}
+					return late, nil
+				}
+				time.Sleep(varied(calls.Add(1)))
+				return answerWith(http.StatusOK, "own answer"), nil
+			})
+		})
+		b.listTargets("nahled", 2, 2)
+		for range 200 {
+			b.do(get("/nahled/1"))
+		}
+		warm.Store(true)
+		for range 10 {
+			if w := b.do(get("/nahled/1")); w.Body.String() != "own answer" {
+				t.Errorf("%d %s", w.Code, w.Body)
+			}
+			synctest.Wait()
+		}
+		if issued == 0 || issued != closed || b.count(events.LateAnswerDropped) < issued {
+			t.Errorf("%d late answers, %d closed", issued, closed)
+		}
+	})
+}
+
+type closeCounter struct {
+	rc interface {
+		Read([]byte) (int, error)
+		Close() error
+	}
+	closed *int
+}
+
+func (c closeCounter) Read(p []byte) (int, error) { return c.rc.Read(p) }
+
+func (c closeCounter) Close() error {
+	*c.closed++
+	return c.rc.Close()
+}
+
+// mutableConn is a connection that can go silent for good.
+type mutableConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *mutableConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Open connections go silent for good while new ones work: the requests in
+// between are answered over fresh connections, and silent ones are not used on.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	var mu sync.Mutex
+	var conns []*mutableConn
+	dial := func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		raw, err := new(net.Dialer).DialContext(ctx, "tcp", addr.String())
+		if err != nil {
+			return nil, err
+		}
+		c := &mutableConn{Conn: raw}
+		mu.Lock()
+		defer mu.Unlock()
+		conns = append(conns, c)
+		return c, nil
+	}
+	b := newBench(testDocument, func(o *Options) { o.Upstream = upstream.NewClientWithDialer(dial) })
+	target := b.serveTargets(t, "nahled", 1)[0]
+	openConnections(t, b, target, 8)
+	mu.Lock()
+	for _, c := range conns {
+		c.silent.Store(true)
+	}
+	before := len(conns)
+	mu.Unlock()
+	for range 50 {
+		if w := b.do(get("/nahled/1")); w.Code != http.StatusOK {
+			t.Fatalf("%d %s", w.Code, w.Body)
+		}
+	}
+	if hedges := b.count(events.RequestHedged); hedges > 2 {
+		t.Errorf("%d requests ran into silent connections", hedges)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if got := len(conns) - before; got > 4 {
+		t.Errorf("%d new connections", got)
+	}
+}
+
+// openConnections leaves n unused connections to a target, and known latencies.
+func openConnections(t *testing.T, b *bench, target *standin.Target, n int) {
+	t.Helper()
+	release := make(chan struct{})
+	target.SetScript(func(http.ResponseWriter, *http.Request) { <-release })
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() { b.do(get("/nahled/1")) })
+	}
+	eventually(t, "all connections are open", func() bool { return target.Received() == int64(n) })
+	close(release)
+	wg.Wait()
+	target.SetScript(nil)
+	for range 600 {
+		b.do(get("/nahled/1"))
+	}
+}
+
+func TestCrashingRequestIsQuarantinedEverywhere(t *testing.T) {
+	b := newBench(testDocument, nil)
+	other := newBench(testDocument, func(o *Options) { o.Picker = nil })
+	b.board.Subscribe(fleet.FactQuarantine, func(f fleet.Fact) { other.board.Merge(f) })
+	targets := b.serveTargets(t, "nahled", 4)
+	for _, target := range targets {
+		target.SetScript(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "/poison") {
+				panic(http.ErrAbortHandler)
+			}
+		})
+	}
+	reached := func() (n int64) {
+		for _, target := range targets {
+			n += target.Received()
+		}
+		return n
+	}
+	wantProblem(t, b.do(get("/nahled/poison")), http.StatusBadGateway, CodeTargetFailed, MayHaveRun)
+	eventually(t, "the request is quarantined", func() bool { return !other.quarantine.Empty() })
+	before := reached()
+	for _, instance := range []*bench{b, other} {
+		w := instance.do(get("/nahled/poison"))
+		wantProblem(t, w, http.StatusUnprocessableEntity, CodeQuarantined, NotRun)
+		if w.Header().Get("Retry-After") == "" {
+			t.Error("no Retry-After")
+		}
+	}
+	if reached() != before {
+		t.Error("a quarantined request reached a target")
+	}
+	if w := b.do(get("/nahled/harmless")); w.Code != http.StatusOK {
+		t.Errorf("harmless request: %d %s", w.Code, w.Body)
+	}
+	if got := b.count(events.QuarantineAdded); got != 1 {
+		t.Errorf("%d events", got)
+	}
+}
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -11,6 +11,7 @@
 	"github.com/gin-gonic/gin/render"
 
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
 // Ran says what a refusal means for the caller's work.
@@ -23,6 +24,8 @@
 	MayHaveRun Ran = "outcome-unknown"
 	// Running means that another receipt of the request is being run.
 	Running Ran = "in-progress"
+	// HasRun means that the request ran and was answered.
+	HasRun Ran = "ran"
 )
 
 // Code names a refusal. The text is stable.
@@ -34,6 +37,9 @@
 	CodeNotReady        Code = "not-ready"
 	CodeBadDeadline     Code = "bad-deadline"
 	CodeBadLength       Code = "bad-length"
+	CodeBadCaller       Code = "bad-caller"
+	CodeBadRequestID    Code = "bad-request-id"
+	CodeHeaderTooLarge  Code = "header-too-large"
 	CodeTooDeep         Code = "too-deep"
 	CodeKeyMissing      Code = "key-missing"
 	CodeKeyInvalid      Code = "key-invalid"
@@ -53,6 +59,9 @@
 	CodeCallerCancelled Code = "caller-cancelled"
 )
 
+// statusCallerGone is the status, seen only in records, of a request whose caller left.
+const statusCallerGone = 499
+
 const problemTypePrefix = "urn:redwingpoint:problem:"
 
 // Problem is an answer of the balancer itself, in the form of RFC 9457.
@@ -82,11 +91,22 @@
 	}
 }
 
+// after adds advice on when to try again.
+func (p *Problem) after(d time.Duration) *Problem {
+	p.RetryAfter = d
+	return p
+}
+
+// write sends the problem. A failure of this side is marked as retried, so that
+// layers above, which see it through a target, don't multiply the work.
 func (p *Problem) write(c *gin.Context) {
 	if p.RetryAfter > 0 {
 		seconds := int((p.RetryAfter + time.Second - 1) / time.Second)
 		c.Header("Retry-After", strconv.Itoa(seconds))
 	}
+	if p.Status >= http.StatusInternalServerError {
+		c.Header(upstream.HeaderRetried, "true")
+	}
 	c.Render(p.Status, problemJSON{render.JSON{Data: p}})
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -1,63 +1,78 @@
 package entry
 
 import (
-	"bytes"
 	"io"
 	"net/http"
-	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
 
 	"redwingpoint.org/redwingpoint/internal/events"
-	"redwingpoint.org/redwingpoint/internal/ledger"
-	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
 const (
-	// maxBufferedBody is the largest body of a request that is not an upload.
-	maxBufferedBody = 1 << 20
-	// maxKeptAnswer is the largest answer body that the ledger keeps.
-	maxKeptAnswer = 16 << 10
-	// outcomeTimeout bounds the recording of an outcome after the exchange.
-	outcomeTimeout = 5 * time.Second
+	// aheadBytes is the size of the part of an answer that is read before the
+	// caller sees any of it; an answer up to this size is never cut short.
+	aheadBytes = 16 << 10
+	// slowCallerTimeout bounds how long past the deadline a caller may take to
+	// receive an answer that is larger than aheadBytes.
+	slowCallerTimeout = 30 * time.Second
 )
 
-func readBody(r *request) ([]byte, *Problem) {
-	body, err := io.ReadAll(io.LimitReader(r.http.Body, maxBufferedBody+1))
-	if err != nil {
-		return nil, refuse(http.StatusBadRequest, CodeBadLength, NotRun, "the body ended early")
-	}
-	if len(body) > maxBufferedBody {
-		return nil, refuse(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, NotRun, "bodies above 1 MiB need an upload service")
+var aheadBuffers = sync.Pool{New: func() any { return new([aheadBytes]byte) }}
+
+// relay sends an answer to the caller and ends its exchange. An answer that is
+// cut short aborts the caller's transfer, so that it can't be taken for a whole
+// one; the abort is a panic with http.ErrAbortHandler.
+func (s *Server) relay(c *gin.Context, r *request, x *exchange) {
+	defer x.close()
+	s.copyAnswerHeader(c, r, x)
+	if x.whole {
+		_, _ = c.Writer.Write(x.head)
+		s.answered(r, x)
+		return
 	}
-	return body, nil
+	s.streamUntil(c, r, x, r.deadline.Add(slowCallerTimeout))
 }
 
-func call(r *request, e *routing.Endpoint, body []byte) upstream.Call {
-	return upstream.Call{
-		Endpoint:      e,
-		Method:        r.http.Method,
-		Path:          r.path,
-		Header:        r.header(time.Now()),
-		Body:          bytes.NewReader(body),
-		ContentLength: int64(len(body)),
-	}
+// streamUntil copies an answer and gives a caller up that takes too long.
+func (s *Server) streamUntil(c *gin.Context, r *request, x *exchange, until time.Time) {
+	control := http.NewResponseController(c.Writer)
+	_ = control.SetWriteDeadline(until)
+	s.stream(c, r, x)
+	_ = control.SetWriteDeadline(time.Time{})
 }
 
-// relay streams an answer to the caller. An answer that ends early aborts the
-// caller's connection, so that it can't be taken for a whole one.
-func (s *Server) relay(c *gin.Context, r *request, e *routing.Endpoint, result *upstream.Result) {
-	defer func() { _ = result.Body.Close() }()
-	copyHeader(c.Writer.Header(), result.Header)
-	c.Header(upstream.HeaderRequestID, string(r.id))
-	c.Writer.WriteHeader(result.Status)
-	if _, err := io.Copy(c.Writer, result.Body); err != nil {
-		s.record(r, events.AnswerTruncated, e.Target.ID, err.Error())
+func (s *Server) copyAnswerHeader(c *gin.Context, r *request, x *exchange) {
+	header := c.Writer.Header()
+	copyHeader(header, x.result.Header)
+	header[upstream.HeaderRequestID] = []string{string(r.id)}
+	c.Writer.WriteHeader(x.result.Status)
+	c.Writer.WriteHeaderNow()
+}
+
+// stream copies an answer that was not read ahead as a whole.
+func (s *Server) stream(c *gin.Context, r *request, x *exchange) {
+	buf := aheadBuffers.Get().(*[aheadBytes]byte)
+	defer aheadBuffers.Put(buf)
+	if _, err := io.CopyBuffer(writerOnly{c.Writer}, x, buf[:]); err != nil {
+		kind := events.AnswerTruncated
+		if r.http.Context().Err() != nil {
+			kind = events.CallerGone
+		}
+		s.record(r, kind, x.e.Target.ID, err.Error())
 		panic(http.ErrAbortHandler)
 	}
-	s.record(r, events.RequestAnswered, e.Target.ID, strconv.Itoa(result.Status))
+	s.answered(r, x)
+}
+
+// writerOnly hides the ReadFrom method of a writer, so that the buffer is used.
+type writerOnly struct{ io.Writer }
+
+func (s *Server) answered(r *request, x *exchange) {
+	s.record(r, events.RequestAnswered, x.e.Target.ID, http.StatusText(x.result.Status))
 }
 
 func copyHeader(dst, src http.Header) {
@@ -66,25 +81,3 @@
 	}
 	dropHopByHop(dst)
 }
-
-// readAnswer reads a whole answer; the part above maxKeptAnswer is kept too, for
-// the caller, but marked so that it is not stored.
-func readAnswer(result *upstream.Result) (*ledger.Answer, error) {
-	defer func() { _ = result.Body.Close() }()
-	body, err := io.ReadAll(result.Body)
-	if err != nil {
-		return nil, err
-	}
-	header := result.Header.Clone()
-	dropHopByHop(header)
-	return &ledger.Answer{Status: result.Status, Header: header, Body: body, Truncated: len(body) > maxKeptAnswer}, nil
-}
-
-func replay(c *gin.Context, answer *ledger.Answer) *Problem {
-	id := c.Writer.Header().Get(upstream.HeaderRequestID)
-	copyHeader(c.Writer.Header(), answer.Header)
-	c.Header(upstream.HeaderRequestID, id)
-	c.Writer.WriteHeader(answer.Status)
-	_, _ = c.Writer.Write(answer.Body)
-	return nil
-}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -12,60 +14,105 @@
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
-// maxDepth is the deepest nesting of calls that is accepted.
-const maxDepth = 15
+const (
+	// maxDepth is the number of nested calls that are accepted.
+	maxDepth = 15
+	// maxHeaderBytes is the largest request header that is accepted.
+	maxHeaderBytes = 32 << 10
+	// maxCallerBytes is the longest name of a caller.
+	maxCallerBytes = 128
+	// maxRequestIDBytes is the longest request ID that a caller may set.
+	maxRequestIDBytes = 64
+)
 
 // request is one request of a caller, checked.
 type request struct {
-	id       model.RequestID
-	policy   *model.Policy
-	path     string
-	depth    int
-	deadline time.Time
-	http     *http.Request
+	id     model.RequestID
+	policy *model.Policy
+	svc    *service
+	// caller names the party that sent the request.
+	caller string
+	// path is escaped; query is raw.
+	path, query string
+	depth       int
+	deadline    time.Time
+	// retried is set when a layer above sent the request before.
+	retried bool
+	http    *http.Request
 }
 
-// parse checks a caller's request against the configuration in force.
-func (s *Server) parse(c *gin.Context) (*request, *Problem) {
+// parse checks a caller's request against the configuration in force. Its
+// problems all say that nothing ran.
+func (s *Server) parse(c *gin.Context, now time.Time) (*request, *Problem) {
 	snapshot := s.config.Current()
 	if snapshot == nil {
-		return nil, refuse(http.StatusServiceUnavailable, CodeNotReady, NotRun, "no configuration is in force yet")
+		return nil, refuse(http.StatusServiceUnavailable, CodeNotReady, NotRun, "no configuration is in force yet").after(time.Second)
+	}
+	if headerBytes(c.Request.Header) > maxHeaderBytes {
+		return nil, refuse(http.StatusRequestHeaderFieldsTooLarge, CodeHeaderTooLarge, NotRun, "the header is larger than 32 KiB")
 	}
-	name := model.ServiceName(c.Param("service"))
+	name, path := splitPath(c.Request.URL.EscapedPath())
 	policy := snapshot.Policy(name)
 	if policy == nil {
-		return nil, refuse(http.StatusNotFound, CodeUnknownService, NotRun, "service "+string(name)+" is not configured")
+		return nil, refuse(http.StatusNotFound, CodeUnknownService, NotRun, "the service is not configured")
 	}
-	r := &request{id: requestID(c.Request.Header), policy: policy, path: targetPath(c), http: c.Request}
-	if problem := r.parseDepth(); problem != nil {
-		return nil, problem
+	r := &request{
+		policy:   policy,
+		svc:      s.services.get(policy),
+		path:     path,
+		query:    c.Request.URL.RawQuery,
+		deadline: now.Add(policy.Deadline),
+		retried:  c.Request.Header.Get(upstream.HeaderRetried) != "",
+		http:     c.Request,
 	}
-	if problem := r.parseDeadline(time.Now()); problem != nil {
-		return nil, problem
+	checks := [...]func(*request) *Problem{s.parseID, parseDepth, parseDeadline, s.parseCaller}
+	for _, check := range checks {
+		if problem := check(r); problem != nil {
+			return nil, problem
+		}
 	}
 	return r, nil
 }
 
+// splitPath splits an escaped path into the service and the target's path.
+func splitPath(escaped string) (model.ServiceName, string) {
+	rest := strings.TrimPrefix(escaped, "/")
+	i := strings.IndexByte(rest, '/')
+	if i < 0 {
+		return model.ServiceName(rest), "/"
+	}
+	return model.ServiceName(rest[:i]), rest[i:]
+}
+
+func headerBytes(h http.Header) int {
+	total := 0
+	for name, values := range h {
+		for _, value := range values {
+			total += len(name) + len(value)
+		}
+	}
+	return total
+}
+
+// requestID returns the caller's request ID, or a new one if there is none that
+// can be used.
 func requestID(h http.Header) model.RequestID {
-	if id := h.Get(upstream.HeaderRequestID); id != "" && len(id) <= 64 {
+	if id := h.Get(upstream.HeaderRequestID); plainText(id, maxRequestIDBytes) {
 		return model.RequestID(id)
 	}
 	return model.RequestID(uuid.NewString())
 }
 
-func targetPath(c *gin.Context) string {
-	path := c.Request.URL.EscapedPath()
-	path = path[1+len(c.Param("service")):]
-	if path == "" {
-		path = "/"
-	}
-	if query := c.Request.URL.RawQuery; query != "" {
-		path += "?" + query
+func (s *Server) parseID(r *request) *Problem {
+	r.id = requestID(r.http.Header)
+	given := r.http.Header.Get(upstream.HeaderRequestID)
+	if given != "" && given != string(r.id) {
+		return refuse(http.StatusBadRequest, CodeBadRequestID, NotRun, "Request-Id must have 1 to 64 visible ASCII characters")
 	}
-	return path
+	return nil
 }
 
-func (r *request) parseDepth() *Problem {
+func parseDepth(r *request) *Problem {
 	text := r.http.Header.Get(upstream.HeaderDepth)
 	if text == "" {
 		return nil
@@ -78,8 +125,7 @@
 	return nil
 }
 
-func (r *request) parseDeadline(now time.Time) *Problem {
-	r.deadline = now.Add(r.policy.Deadline)
+func parseDeadline(r *request) *Problem {
 	text := r.http.Header.Get(upstream.HeaderDeadline)
 	if text == "" {
 		return nil
@@ -88,33 +134,79 @@
 	if err != nil || ms <= 0 {
 		return refuse(http.StatusBadRequest, CodeBadDeadline, NotRun, "Deadline-Ms must be a positive number of milliseconds")
 	}
-	if asked := now.Add(time.Duration(ms) * time.Millisecond); asked.Before(r.deadline) {
+	asked := r.deadline.Add(time.Duration(ms)*time.Millisecond - r.policy.Deadline)
+	if asked.Before(r.deadline) {
 		r.deadline = asked
 	}
 	return nil
 }
 
+// parseCaller names the caller by the header that the settings name, or else by
+// the address that the request came from.
+func (s *Server) parseCaller(r *request) *Problem {
+	if name := r.http.Header.Get(s.callerHeader); name != "" {
+		if !plainText(name, maxCallerBytes) {
+			return refuse(http.StatusBadRequest, CodeBadCaller, NotRun, s.callerHeader+" must have 1 to 128 visible ASCII characters")
+		}
+		r.caller = name
+		return nil
+	}
+	host, _, err := net.SplitHostPort(r.http.RemoteAddr)
+	if err != nil {
+		host = r.http.RemoteAddr
+	}
+	r.caller = host
+	return nil
+}
+
+// plainText reports whether text has 1 to limit visible ASCII characters.
+func plainText(text string, limit int) bool {
+	if text == "" || len(text) > limit {
+		return false
+	}
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 // header returns the header for a target: hop-by-hop fields are dropped,
 // deadline, depth and request ID are set.
-func (r *request) header(now time.Time) http.Header {
-	h := r.http.Header.Clone()
+func (r *request) header(now time.Time, retry bool) http.Header {
+	h := make(http.Header, len(r.http.Header)+4)
+	for name, values := range r.http.Header {
+		h[name] = values
+	}
 	dropHopByHop(h)
 	h.Set(upstream.HeaderRequestID, string(r.id))
 	h.Set(upstream.HeaderDepth, strconv.Itoa(r.depth+1))
-	h.Del(upstream.HeaderDeadline)
+	delete(h, upstream.HeaderDeadline)
 	if r.policy.Class != model.Upload {
-		h.Set(upstream.HeaderDeadline, strconv.FormatInt(r.deadline.Sub(now).Milliseconds(), 10))
+		left := max(1, r.deadline.Sub(now).Milliseconds())
+		h.Set(upstream.HeaderDeadline, strconv.FormatInt(left, 10))
+	}
+	if retry {
+		h.Set(upstream.HeaderRetried, "true")
 	}
 	return h
 }
 
-var hopByHop = []string{
+var hopByHop = [...]string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// dropHopByHop removes the fields that concern one connection only, those that
+// the Connection field names included.
 func dropHopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopByHop {
-		h.Del(name)
+		delete(h, name)
 	}
 }
--- /dev/null
+++ b/internal/entry/upload_test.go
@@ -0,0 +1,291 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/upstream"
+)
+
+func put(path string, body io.Reader) *http.Request {
+	return httptest.NewRequest(http.MethodPut, path, body)
+}
+
+// readBodyOrEnd reads a call's body as a connection would: it gives up when the
+// context ends.
+func readBodyOrEnd(ctx context.Context, call upstream.Call) (int64, error) {
+	type end struct {
+		n   int64
+		err error
+	}
+	done := make(chan end, 1)
+	go func() {
+		n, err := io.Copy(io.Discard, call.Body)
+		done <- end{n, err}
+	}()
+	select {
+	case e := <-done:
+		return e.n, e.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+func uploadBench(receive scripted) *bench {
+	b := newBench(testDocument, func(o *Options) { o.Upstream = receive })
+	b.listTargets("prijem", 2, 2)
+	return b
+}
+
+func TestSlowUploadIsNotBoundedInTotal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var got int64
+		b := uploadBench(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
+			n, err := readBodyOrEnd(ctx, call)
+			if err != nil {
+				return nil, brokenAt(call)
+			}
+			got = n
+			return answerWith(http.StatusCreated, "stored"), nil
+		})
+		reader, writer := io.Pipe()
+		go func() {
+			for range 100 {
+				time.Sleep(14 * time.Second)
+				_, _ = io.WriteString(writer, "address\n")
+			}
+			_ = writer.Close()
+		}()
+		if w := b.do(put("/prijem/lists/1", reader)); w.Code != http.StatusCreated || got != 800 {
+			t.Errorf("%d %s, target got %d bytes", w.Code, w.Body, got)
+		}
+	})
+}
+
+func TestCallerStallIsTyped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := uploadBench(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
+			_, _ = readBodyOrEnd(ctx, call)
+			return nil, brokenAt(call)
+		})
+		reader, writer := io.Pipe()
+		defer func() { _ = writer.Close() }()
+		go func() { _, _ = io.WriteString(writer, "half") }()
+		w := b.do(put("/prijem/lists/1", reader))
+		wantProblem(t, w, http.StatusRequestTimeout, CodeUploadStalled, MayHaveRun)
+	})
+}
+
+func TestTargetStallIsTyped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := uploadBench(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
+			<-ctx.Done()
+			return nil, &upstream.CallError{Target: call.Endpoint.Target.ID, Reason: upstream.Cancelled, Sent: true, Cause: ctx.Err()}
+		})
+		w := b.do(put("/prijem/lists/1", strings.NewReader("addresses")))
+		wantProblem(t, w, http.StatusGatewayTimeout, CodeUploadStalled, MayHaveRun)
+	})
+}
+
+// A caller that stalls on a real connection gets its answer although a read of
+// its body is blocked.
+func TestCallerStallEndsBlockedRead(t *testing.T) {
+	document := strings.Replace(testDocument, `"deadline":"30s"`, `"progressTimeout":"50ms"`, 1)
+	b := newBench(document, nil)
+	target := b.serveTargets(t, "prijem", 1)[0]
+	server := httptest.NewServer(b.Handler())
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "PUT /prijem/lists/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf")
+	answer, err := io.ReadAll(conn)
+	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 408 ") || !strings.Contains(string(answer), string(CodeUploadStalled)) {
+		t.Errorf("answer %q, %v", answer, err)
+	}
+	eventually(t, "the target sees the end", func() bool { return target.Cancelled() == 1 })
+}
+
+func TestHeldUploadMovesToAnotherTarget(t *testing.T) {
+	for name, script := range map[string]standin.Script{"crash": standin.Crash, "shed": standin.Shed} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(testDocument, nil)
+			targets := b.serveTargets(t, "prijem", 2)
+			var failed atomic.Bool
+			for _, target := range targets {
+				target.SetScript(func(w http.ResponseWriter, r *http.Request) {
+					if failed.CompareAndSwap(false, true) {
+						script(w, r)
+						return
+					}
+					n, _ := io.Copy(io.Discard, r.Body)
+					w.Header().Set("Received", http.StatusText(int(n)))
+					w.WriteHeader(http.StatusCreated)
+				})
+			}
+			w := b.do(put("/prijem/lists/1", strings.NewReader(strings.Repeat("x", http.StatusTeapot))))
+			if w.Code != http.StatusCreated || w.Header().Get("Received") != http.StatusText(http.StatusTeapot) {
+				t.Errorf("%d %s %v", w.Code, w.Body, w.Header())
+			}
+		})
+	}
+}
+
+func TestUploadBeyondWhatIsHeldIsNotSentAgain(t *testing.T) {
+	b := newBench(testDocument, nil)
+	targets := b.serveTargets(t, "prijem", 2)
+	for _, target := range targets {
+		target.SetScript(standin.Crash)
+	}
+	w := b.do(put("/prijem/lists/1", strings.NewReader(strings.Repeat("x", 1<<20))))
+	wantProblem(t, w, http.StatusBadGateway, CodeTargetFailed, MayHaveRun)
+	if got := targets[0].Received() + targets[1].Received(); got != 1 {
+		t.Errorf("sent %d times", got)
+	}
+}
+
+// countingReader counts what was taken from an endless body of n bytes.
+type countingReader struct {
+	left  int64
+	taken atomic.Int64
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(int64(len(p)), r.left)
+	r.left -= n
+	r.taken.Add(n)
+	return int(n), nil
+}
+
+// What is taken from the caller while the target doesn't read is bounded by
+// what is held and the sockets' buffers.
+func TestUploadMemoryIsBounded(t *testing.T) {
+	const size, bound = 256 << 20, 32 << 20
+	b := newBench(testDocument, nil)
+	target := b.serveTargets(t, "prijem", 1)[0]
+	resume := make(chan struct{})
+	target.SetScript(func(w http.ResponseWriter, r *http.Request) {
+		<-resume
+		n, _ := io.Copy(io.Discard, r.Body)
+		if n != size {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})
+	body := &countingReader{left: size}
+	done := make(chan *httptest.ResponseRecorder)
+	go func() { done <- b.do(put("/prijem/lists/1", body)) }()
+	last := int64(-1)
+	eventually(t, "the body stops to flow", func() bool {
+		time.Sleep(20 * time.Millisecond)
+		now := body.taken.Load()
+		stopped := now > 0 && now == last
+		last = now
+		return stopped
+	})
+	if last > bound {
+		t.Errorf("%d bytes were taken while the target read none", last)
+	}
+	close(resume)
+	if w := <-done; w.Code != http.StatusOK {
+		t.Errorf("%d %s", w.Code, w.Body)
+	}
+}
+
+// A half-finished upload survives the drain of its target and of its instance.
+func TestUploadSurvivesDrains(t *testing.T) {
+	b := newBench(testDocument, nil)
+	target := b.serveTargets(t, "prijem", 1)[0]
+	entry := httptest.NewServer(b.Handler())
+	defer entry.Close()
+	reader, writer := io.Pipe()
+	req, err := http.NewRequest(http.MethodPut, entry.URL+"/prijem/lists/1", reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	type answer struct {
+		status int
+		body   string
+	}
+	done := make(chan answer, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			done <- answer{body: err.Error()}
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		body, _ := io.ReadAll(resp.Body)
+		done <- answer{resp.StatusCode, string(body)}
+	}()
+	_, _ = writer.Write(make([]byte, 1<<20))
+	eventually(t, "the target has the upload", func() bool { return target.Received() == 1 })
+	target.Draining.Store(true)
+	stopped := make(chan error, 1)
+	go func() { stopped <- entry.Config.Shutdown(t.Context()) }()
+	_, _ = writer.Write(make([]byte, 1<<20))
+	_ = writer.Close()
+	if got := <-done; got.status != http.StatusOK || !strings.Contains(got.body, "with 2097152 bytes") {
+		t.Errorf("%d %s", got.status, got.body)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCancelledUploadReachesTarget(t *testing.T) {
+	b := newBench(testDocument, nil)
+	target := b.serveTargets(t, "prijem", 1)[0]
+	reader, writer := io.Pipe()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan *httptest.ResponseRecorder)
+	go func() { done <- b.do(put("/prijem/lists/1", reader).WithContext(ctx)) }()
+	_, _ = io.WriteString(writer, "half")
+	eventually(t, "the target has the upload", func() bool { return target.Received() == 1 })
+	cancel()
+	wantProblem(t, <-done, statusCallerGone, CodeCallerCancelled, MayHaveRun)
+	eventually(t, "the target sees the end", func() bool { return target.Cancelled() == 1 })
+	_ = writer.Close()
+}
+
+// The first target breaks while the caller pauses in the middle of its body.
+func TestHeldUploadMovesWhileCallerPauses(t *testing.T) {
+	b := newBench(testDocument, nil)
+	targets := b.serveTargets(t, "prijem", 2)
+	var failed atomic.Bool
+	for _, target := range targets {
+		target.SetScript(func(w http.ResponseWriter, r *http.Request) {
+			if failed.CompareAndSwap(false, true) {
+				standin.HangUp(w, r)
+				return
+			}
+			body, _ := io.ReadAll(r.Body)
+			_, _ = w.Write(body)
+		})
+	}
+	reader, writer := io.Pipe()
+	done := make(chan *httptest.ResponseRecorder)
+	go func() { done <- b.do(put("/prijem/lists/1", reader)) }()
+	_, _ = io.WriteString(writer, "first ")
+	eventually(t, "another target has the upload", func() bool {
+		return targets[0].Received()+targets[1].Received() == 2
+	})
+	_, _ = io.WriteString(writer, "second")
+	_ = writer.Close()
+	if w := <-done; w.Body.String() != "first second" {
+		t.Errorf("%d %s", w.Code, w.Body)
+	}
+}
