--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -57,10 +57,10 @@
 	return refuse(http.StatusBadRequest, CodeBadLength, NotRun, "the body ended before its announced length or is malformed")
 }
 
-// digest identifies a request by method, path, query and body.
+// digest identifies a request by service, method, path, query and body.
 func (r *request) digest(body []byte) [sha256.Size]byte {
 	h := sha256.New()
-	for _, part := range [...]string{r.http.Method, r.path, r.query} {
+	for _, part := range [...]string{string(r.policy.Service), r.http.Method, r.path, r.query} {
 		_, _ = io.WriteString(h, part)
 		_, _ = h.Write([]byte{0})
 	}
@@ -70,10 +70,13 @@
 	return sum
 }
 
-// fingerprint names a request in the quarantine, across services.
+// fingerprintBytes is the length of a fingerprint before it is written as text.
+const fingerprintBytes = 16
+
+// fingerprint names a request in the quarantine.
 func (r *request) fingerprint(body []byte) string {
 	sum := r.digest(body)
-	return string(r.policy.Service) + "/" + hex.EncodeToString(sum[:16])
+	return hex.EncodeToString(sum[:fingerprintBytes])
 }
 
 // quarantined refuses a request that crashed targets. It costs nothing while no
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -16,7 +16,7 @@
 // exchange ends. While every target is full the request waits its turn.
 func (s *Server) choose(ctx context.Context, r *request, exclude []model.TargetID) (*routing.Endpoint, *Problem) {
 	if r.svc.queue.Empty() {
-		e, err := s.pick(r, exclude)
+		e, err := s.pick(r, exclude, 0)
 		if !saturated(err) {
 			return s.chosen(r, e, err)
 		}
@@ -38,8 +38,9 @@
 	defer cancel()
 	var e *routing.Endpoint
 	var pickErr error
+	startedAt := time.Now()
 	try := func() bool {
-		e, pickErr = s.pick(r, exclude)
+		e, pickErr = s.pick(r, exclude, time.Since(startedAt))
 		return !saturated(pickErr)
 	}
 	if err := r.svc.queue.Wait(waitCtx, r.caller, r.policy.QueueLimit, try); err != nil {
@@ -78,8 +79,13 @@
 
 // pick asks the routing policy once. A target of another region is used only
 // within the volume budget; without budget it counts as full.
-func (s *Server) pick(r *request, exclude []model.TargetID) (*routing.Endpoint, error) {
-	e, err := s.picker.Pick(routing.Request{Service: r.policy.Service, Class: r.policy.Class, Exclude: exclude})
+func (s *Server) pick(r *request, exclude []model.TargetID, waited time.Duration) (*routing.Endpoint, error) {
+	e, err := s.picker.Pick(routing.Request{
+		Service: r.policy.Service,
+		Class:   r.policy.Class,
+		Exclude: exclude,
+		Waited:  waited,
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -165,7 +165,7 @@
 // second chooses where the hedge goes. If there is no other target, the first
 // one is asked again on a fresh connection once the old one seems silent.
 func (h *race) second(ctx context.Context) (*routing.Endpoint, time.Duration) {
-	e, err := h.s.pick(h.r, []model.TargetID{h.primary.Target.ID})
+	e, err := h.s.pick(h.r, []model.TargetID{h.primary.Target.ID}, 0)
 	if err == nil {
 		return e, provenMaxIdle
 	}
--- a/internal/entry/hedge_test.go
+++ b/internal/entry/hedge_test.go
@@ -213,7 +213,7 @@
 func openConnections(t *testing.T, b *bench, target *standin.Target, n int) {
 	t.Helper()
 	release := make(chan struct{})
-	target.SetScript(func(http.ResponseWriter, *http.Request) { <-release })
+	target.SetBehavior(func(http.ResponseWriter, *http.Request) { <-release })
 	var wg sync.WaitGroup
 	for range n {
 		wg.Go(func() { b.do(get("/nahled/1")) })
@@ -221,7 +221,7 @@
 	eventually(t, "all connections are open", func() bool { return target.Received() == int64(n) })
 	close(release)
 	wg.Wait()
-	target.SetScript(nil)
+	target.SetBehavior(nil)
 	for range 600 {
 		b.do(get("/nahled/1"))
 	}
@@ -233,7 +233,7 @@
 	b.board.Subscribe(fleet.FactQuarantine, func(f fleet.Fact) { other.board.Merge(f) })
 	targets := b.serveTargets(t, "nahled", 4)
 	for _, target := range targets {
-		target.SetScript(func(w http.ResponseWriter, r *http.Request) {
+		target.SetBehavior(func(w http.ResponseWriter, r *http.Request) {
 			if strings.HasSuffix(r.URL.Path, "/poison") {
 				panic(http.ErrAbortHandler)
 			}
--- a/internal/entry/idempotent_test.go
+++ b/internal/entry/idempotent_test.go
@@ -110,7 +110,7 @@
 func TestShortCutAnswerIsRetriedWhole(t *testing.T) {
 	b := newBench(testDocument, nil)
 	targets := b.serveTargets(t, "nahled", 2)
-	targets[0].SetScript(standin.Truncate)
+	targets[0].SetBehavior(standin.Truncate)
 	for range 8 {
 		w := b.do(get("/nahled/1"))
 		if w.Code != http.StatusOK || !strings.HasPrefix(w.Body.String(), "nahled-b ran") {
@@ -123,7 +123,7 @@
 func TestLongCutAnswerAbortsTransfer(t *testing.T) {
 	b := newBench(testDocument, nil)
 	target := b.serveTargets(t, "nahled", 1)[0]
-	target.SetScript(func(w http.ResponseWriter, _ *http.Request) {
+	target.SetBehavior(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, strings.Repeat("x", 4*aheadBytes))
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -24,7 +24,7 @@
 	if w := b.do(post("/odeslani/batches", "first", "letters")); w.Code != http.StatusOK {
 		t.Fatalf("first batch: %d %s", w.Code, w.Body)
 	}
-	target.SetScript(standin.Crash)
+	target.SetBehavior(standin.Crash)
 	w := b.do(post("/odeslani/batches", "second", "letters"))
 	wantProblem(t, w, http.StatusBadGateway, CodeOutcomeUnknown, MayHaveRun)
 	if got := target.Received(); got != 2 {
@@ -153,7 +153,7 @@
 	b := newBench(testDocument, nil)
 	target := b.serveTargets(t, "odeslani", 1)[0]
 	large := strings.Repeat("x", maxKeptAnswer+1)
-	target.SetScript(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) })
+	target.SetBehavior(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) })
 	if w := b.do(post("/odeslani/batches", "k", "letters")); w.Code != http.StatusOK || w.Body.String() != large {
 		t.Fatalf("first receipt: %d, %d bytes", w.Code, w.Body.Len())
 	}
@@ -164,7 +164,7 @@
 func TestTruncatedOnceAnswerIsUnknown(t *testing.T) {
 	b := newBench(testDocument, nil)
 	target := b.serveTargets(t, "odeslani", 1)[0]
-	target.SetScript(standin.Truncate)
+	target.SetBehavior(standin.Truncate)
 	w := b.do(post("/odeslani/batches", "k", "letters"))
 	wantProblem(t, w, http.StatusBadGateway, CodeOutcomeUnknown, MayHaveRun)
 	if state := b.ledger.state(); state != "unknown" {
@@ -196,7 +196,7 @@
 		t.Fatalf("%d %s", w.Code, w.Body)
 	}
 	for _, target := range targets {
-		target.SetScript(standin.Crash)
+		target.SetBehavior(standin.Crash)
 	}
 	w := b.do(post("/odeslani/batches", "", "letters"))
 	wantProblem(t, w, http.StatusBadGateway, CodeOutcomeUnknown, MayHaveRun)
@@ -212,7 +212,7 @@
 	b := newBench(testDocument, nil)
 	target := b.serveTargets(t, "odeslani", 1)[0]
 	arrived, finish := make(chan struct{}), make(chan struct{})
-	target.SetScript(func(w http.ResponseWriter, _ *http.Request) {
+	target.SetBehavior(func(w http.ResponseWriter, _ *http.Request) {
 		close(arrived)
 		<-finish
 		_, _ = io.WriteString(w, "printed")
--- a/internal/entry/upload_test.go
+++ b/internal/entry/upload_test.go
@@ -118,13 +118,13 @@
 }
 
 func TestHeldUploadMovesToAnotherTarget(t *testing.T) {
-	for name, script := range map[string]standin.Script{"crash": standin.Crash, "shed": standin.Shed} {
+	for name, script := range map[string]standin.Behavior{"crash": standin.Crash, "shed": standin.Shed} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(testDocument, nil)
 			targets := b.serveTargets(t, "prijem", 2)
 			var failed atomic.Bool
 			for _, target := range targets {
-				target.SetScript(func(w http.ResponseWriter, r *http.Request) {
+				target.SetBehavior(func(w http.ResponseWriter, r *http.Request) {
 					if failed.CompareAndSwap(false, true) {
 						script(w, r)
 						return
@@ -146,7 +146,7 @@
 	b := newBench(testDocument, nil)
 	targets := b.serveTargets(t, "prijem", 2)
 	for _, target := range targets {
-		target.SetScript(standin.Crash)
+		target.SetBehavior(standin.Crash)
 	}
 	w := b.do(put("/prijem/lists/1", strings.NewReader(strings.Repeat("x", 1<<20))))
 	wantProblem(t, w, http.StatusBadGateway, CodeTargetFailed, MayHaveRun)
@@ -178,7 +178,7 @@
 	b := newBench(testDocument, nil)
 	target := b.serveTargets(t, "prijem", 1)[0]
 	resume := make(chan struct{})
-	target.SetScript(func(w http.ResponseWriter, r *http.Request) {
+	target.SetBehavior(func(w http.ResponseWriter, r *http.Request) {
 		<-resume
 		n, _ := io.Copy(io.Discard, r.Body)
 		if n != size {
@@ -267,7 +267,7 @@
 	targets := b.serveTargets(t, "prijem", 2)
 	var failed atomic.Bool
 	for _, target := range targets {
-		target.SetScript(func(w http.ResponseWriter, r *http.Request) {
+		target.SetBehavior(func(w http.ResponseWriter, r *http.Request) {
 			if failed.CompareAndSwap(false, true) {
 				standin.HangUp(w, r)
 				return
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -25,7 +25,7 @@
 const (
 	// repollInterval is how often the head of the queue tries again without a
 	// signal, because other instances free slots too.
-	repollInterval = 5 * time.Millisecond
+	repollInterval = 2 * time.Millisecond
 	// minRetryAfter is the shortest advice to a refused caller.
 	minRetryAfter = time.Second
 	// intervalWeight is the weight of a new sample in the moving average of the
@@ -45,6 +45,7 @@
 	callers  map[string]*backlog
 	served   time.Time
 	interval time.Duration
+	polling  bool
 }
 
 // backlog holds the waiting requests of one caller, oldest first.
@@ -77,17 +78,11 @@
 	if err := q.join(ctx, caller, limit, w); err != nil {
 		return err
 	}
-	ticker := time.NewTicker(repollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case err := <-w.done:
-			return err
-		case <-ticker.C:
-			q.dispatch()
-		case <-ctx.Done():
-			return q.leave(ctx, caller, w)
-		}
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return q.leave(ctx, caller, w)
 	}
 }
 
@@ -115,9 +110,24 @@
 		q.served = time.Now()
 	}
 	q.serve()
+	if !q.polling && !q.Empty() {
+		q.polling = true
+		time.AfterFunc(repollInterval, q.poll)
+	}
 	return nil
 }
 
+// poll lets the head of the queue try again while any request waits.
+func (q *Queue) poll() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.serve()
+	q.polling = !q.Empty()
+	if q.polling {
+		time.AfterFunc(repollInterval, q.poll)
+	}
+}
+
 // admit checks the bounds for a new request. The caller holds q.mu.
 func (q *Queue) admit(ctx context.Context, caller string, limit int) error {
 	own := 0
--- /dev/null
+++ b/internal/quarantine/list_test.go
@@ -0,0 +1,90 @@
+package quarantine
+
+import (
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/fleet"
+	"redwingpoint.org/redwingpoint/internal/model"
+)
+
+func newList(instance model.InstanceID) (*List, *fleet.Facts, *events.Ring) {
+	clock := events.NewClock(time.Now)
+	ring := events.NewRing(instance, clock, 64)
+	board := fleet.NewFacts(instance, clock, time.Now)
+	return New(board, ring), board, ring
+}
+
+func crashOf(target model.TargetID) Crash {
+	return Crash{Service: "odeslani", Target: target, Request: "r"}
+}
+
+func TestSecondTargetQuarantinesForABoundedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _, ring := newList("a")
+		l.Crashed("f", crashOf("t1"))
+		l.Crashed("f", crashOf("t1"))
+		synctest.Wait()
+		if !l.Empty() {
+			t.Fatal("quarantined after crashes of one target")
+		}
+		l.Crashed("f", crashOf("t2"))
+		synctest.Wait()
+		if e, ok := l.Find("f"); !ok || e.First != "t1" || e.Second != "t2" {
+			t.Fatalf("got %+v, %v", e, ok)
+		}
+		if _, ok := l.Find("g"); ok {
+			t.Error("another request is quarantined")
+		}
+		time.Sleep(Duration + time.Second)
+		if !l.Empty() {
+			t.Error("the quarantine did not end")
+		}
+		kinds := ring.Snapshot()
+		if len(kinds) != 2 || kinds[0].Kind != events.QuarantineAdded || kinds[1].Kind != events.QuarantineLifted {
+			t.Errorf("events %v", kinds)
+		}
+	})
+}
+
+// Each instance saw one crash; the facts meet in either order.
+func TestCrashesOfTwoInstancesMeet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, boardA, _ := newList("a")
+		b, boardB, _ := newList("b")
+		exchange := func(f fleet.Fact) {
+			go boardA.Merge(f)
+			go boardB.Merge(f)
+		}
+		a.Crashed("f", crashOf("t1"))
+		b.Crashed("f", crashOf("t2"))
+		for _, kind := range []fleet.FactKind{fleet.FactCrash, fleet.FactQuarantine} {
+			for _, board := range []*fleet.Facts{boardA, boardB} {
+				board.Each(kind, exchange)
+			}
+			synctest.Wait()
+		}
+		if a.Empty() || b.Empty() {
+			t.Error("not quarantined on both instances")
+		}
+		b.Lift("f")
+		boardB.Each(fleet.FactQuarantine, exchange)
+		synctest.Wait()
+		if !a.Empty() || !b.Empty() {
+			t.Error("not lifted on both instances")
+		}
+	})
+}
+
+func TestMemoryOfCrashesIsBounded(t *testing.T) {
+	l, _, _ := newList("a")
+	for i := range 3 * maxCrashes {
+		l.Crashed(strconv.Itoa(i), crashOf("t1"))
+	}
+	if len(l.crashes) > maxCrashes {
+		t.Errorf("%d crashes are remembered", len(l.crashes))
+	}
+}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -11,8 +11,8 @@
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
-// Script replaces the way in which a target handles a request.
-type Script func(w http.ResponseWriter, r *http.Request)
+// Behavior replaces the way in which a target handles a request.
+type Behavior func(w http.ResponseWriter, r *http.Request)
 
 // Target is a scripted upstream server with a bounded number of slots.
 type Target struct {
@@ -25,7 +25,7 @@
 	received  atomic.Int64
 	runs      atomic.Int64
 	cancelled atomic.Int64
-	script    atomic.Pointer[Script]
+	behavior  atomic.Pointer[Behavior]
 	// Draining makes the target announce that it is leaving.
 	Draining atomic.Bool
 	// Rejecting makes the target shed every request at once.
@@ -46,13 +46,13 @@
 // Cancelled returns the number of requests whose sender gave up before they ended.
 func (t *Target) Cancelled() int64 { return t.cancelled.Load() }
 
-// SetScript sets what happens to requests from now on; nil restores the usual work.
-func (t *Target) SetScript(s Script) {
+// SetBehavior sets what happens to requests from now on; nil restores the usual work.
+func (t *Target) SetBehavior(s Behavior) {
 	if s == nil {
-		t.script.Store(nil)
+		t.behavior.Store(nil)
 		return
 	}
-	t.script.Store(&s)
+	t.behavior.Store(&s)
 }
 
 // ServeHTTP implements http.Handler.
@@ -68,8 +68,8 @@
 		Shed(w, r)
 		return
 	}
-	if script := t.script.Load(); script != nil {
-		(*script)(w, r)
+	if behavior := t.behavior.Load(); behavior != nil {
+		(*behavior)(w, r)
 		return
 	}
 	t.run(w, r)
@@ -95,19 +95,19 @@
 		t.ID, r.Method, r.URL.RequestURI(), n, r.Header.Get(upstream.HeaderRequestID))
 }
 
-// Shed is a Script that refuses a request unstarted.
+// Shed is a Behavior that refuses a request unstarted.
 func Shed(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(upstream.HeaderShed, upstream.ShedUnstarted)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// Crash is a Script that reads a request and ends its connection without an answer.
+// Crash is a Behavior that reads a request and ends its connection without an answer.
 func Crash(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	HangUp(w, r)
 }
 
-// HangUp is a Script that ends the connection at once.
+// HangUp is a Behavior that ends the connection at once.
 func HangUp(w http.ResponseWriter, _ *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err == nil {
@@ -115,7 +115,7 @@
 	}
 }
 
-// Truncate is a Script that announces more bytes than it sends.
+// Truncate is a Behavior that announces more bytes than it sends.
 func Truncate(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Length", "1000")
 	_, _ = io.WriteString(w, "the beginning")
