Cut allocations on the path of an idempotent request

One context for each exchange instead of two, one array for the values of the header fields that are set, the target's address kept as text, request IDs from random numbers drawn in advance.

--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -37,7 +37,7 @@
 	r       *request
 	body    []byte
 	primary *routing.Endpoint
-	// ctx bounds both exchanges.
+	// ctx ends when the caller leaves.
 	ctx           context.Context
 	cancelPrimary context.CancelFunc
 	delay         time.Duration
@@ -59,31 +59,36 @@
 func (s *Server) runHedged(ctx context.Context, r *request, e *routing.Endpoint, body []byte, retry bool) (*exchange, *upstream.CallError) {
 	call := r.call(e, body, retry)
 	call.Keep = true
+	primaryCtx, cancel := context.WithDeadline(ctx, r.deadline)
 	if retry {
-		return s.exchange(ctx, r, call)
+		return s.exchangeUntil(primaryCtx, cancel, r, call)
 	}
 	if r.retried {
 		call.MaxIdle = provenMaxIdle
-		return s.exchange(ctx, r, call)
+		return s.exchangeUntil(primaryCtx, cancel, r, call)
 	}
 	call.MaxIdle = pooledMaxIdle
-	primaryCtx, cancel := context.WithCancel(ctx)
 	race := &race{s: s, r: r, body: body, primary: e, ctx: ctx, cancelPrimary: cancel, result: make(chan hedgeEnd, 1)}
 	race.delay = r.hedgeDelay()
 	timer := time.AfterFunc(race.delay, race.fire)
-	x, err := s.exchange(primaryCtx, r, call)
-	if x != nil {
-		x.cancel = cancel
-	}
+	x, err := s.exchangeUntil(primaryCtx, cancel, r, call)
 	if timer.Stop() {
-		if err != nil {
-			cancel()
-		}
 		return x, err
 	}
 	return race.settle(x, err)
 }
 
+// exchangeUntil runs an exchange and calls cancel once it has ended.
+func (s *Server) exchangeUntil(ctx context.Context, cancel context.CancelFunc, r *request, call upstream.Call) (*exchange, *upstream.CallError) {
+	x, err := s.exchange(ctx, r, call)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	x.cancel = cancel
+	return x, nil
+}
+
 // hedgeDelay returns the time after which an attempt takes unusually long.
 func (r *request) hedgeDelay() time.Duration {
 	if r.policy.HedgeQuantile > 0 {
@@ -120,7 +125,7 @@
 
 // fire sends the hedge. It runs in a goroutine of its own.
 func (h *race) fire() {
-	ctx, cancel := context.WithCancel(h.ctx)
+	ctx, cancel := context.WithDeadline(h.ctx, h.r.deadline)
 	h.cancelHedge.Store(&cancel)
 	x, err := h.hedge(ctx)
 	if x == nil {
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -34,8 +34,8 @@
 
 // serveIdempotent answers a request that may run more than once.
 func (s *Server) serveIdempotent(c *gin.Context, r *request) *Problem {
-	ctx, cancel := context.WithDeadline(c.Request.Context(), r.deadline)
-	defer cancel()
+	// Each exchange has a context of its own with the deadline.
+	ctx := c.Request.Context()
 	body, problem := s.readBody(c, r)
 	if problem != nil {
 		return problem
@@ -125,7 +125,7 @@
 // layer above or below has retried already is not retried again, so that nested
 // calls don't multiply it.
 func (s *Server) mayRetry(ctx context.Context, r *request, x *exchange, t *tries) bool {
-	if r.retried || len(t.targets) >= maxAttempts || ctx.Err() != nil {
+	if r.retried || len(t.targets) >= maxAttempts || ctx.Err() != nil || !time.Now().Before(r.deadline) {
 		return false
 	}
 	if x != nil && x.result.Header.Get(upstream.HeaderRetried) != "" {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -25,6 +25,9 @@
 	maxRequestIDBytes = 64
 )
 
+// Request IDs come from random numbers that are drawn in advance.
+func init() { uuid.EnableRandPool() }
+
 // request is one request of a caller, checked.
 type request struct {
 	id     model.RequestID
@@ -180,15 +183,21 @@
 		h[name] = values
 	}
 	dropHopByHop(h)
-	h.Set(upstream.HeaderRequestID, string(r.id))
-	h.Set(upstream.HeaderDepth, strconv.Itoa(r.depth+1))
+	// One array holds the values of all fields that are set.
+	values := new([4]string)
+	set := func(i int, name, value string) {
+		values[i] = value
+		h[name] = values[i : i+1 : i+1]
+	}
+	set(0, upstream.HeaderRequestID, string(r.id))
+	set(1, upstream.HeaderDepth, strconv.Itoa(r.depth+1))
 	delete(h, upstream.HeaderDeadline)
 	if r.policy.Class != model.Upload {
 		left := max(1, r.deadline.Sub(now).Milliseconds())
-		h.Set(upstream.HeaderDeadline, strconv.FormatInt(left, 10))
+		set(2, upstream.HeaderDeadline, strconv.FormatInt(left, 10))
 	}
 	if retry {
-		h.Set(upstream.HeaderRetried, "true")
+		set(3, upstream.HeaderRetried, "true")
 	}
 	return h
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -91,7 +91,7 @@
 	startedAt := c.elapsed()
 	recent := startedAt-cn.provenAt <= recentlyProven
 	cn.wire.written.Store(false)
-	resp, err := cn.http.RoundTrip(newRequest(ctx, call))
+	resp, err := cn.http.RoundTrip(newRequest(ctx, p.host, call))
 	if err != nil {
 		cn.close()
 		if cn.reused {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,6 +20,7 @@
 type pool struct {
 	client *Client
 	addr   netip.AddrPort
+	host   string // addr as text
 	head   atomic.Pointer[node]
 	size   atomic.Int32
 	// distrusted is a time since the client's epoch; connections that were
@@ -156,7 +157,7 @@
 		return p
 	}
 	next := maps.Clone(old)
-	p := &pool{client: c, addr: addr}
+	p := &pool{client: c, addr: addr, host: addr.String()}
 	next[addr] = p
 	s.current.Store(&next)
 	return p
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -8,8 +8,7 @@
 )
 
 // newRequest builds the request by hand: parsing a URL is not needed.
-func newRequest(ctx context.Context, call Call) *http.Request {
-	host := call.Endpoint.Target.Addr.String()
+func newRequest(ctx context.Context, host string, call Call) *http.Request {
 	req := &http.Request{
 		Method:        call.Method,
 		URL:           targetURL(host, call),
