--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -12,6 +12,9 @@
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
 
+// minServiceTime is the shortest time for which a target is given a request.
+const minServiceTime = time.Millisecond
+
 // choose picks a target for a request and counts an exchange there, which the
 // exchange ends. While every target is full the request waits its turn.
 func (s *Server) choose(ctx context.Context, r *request, exclude []model.TargetID) (*routing.Endpoint, *Problem) {
@@ -56,7 +59,7 @@
 		return time.Now().Add(r.policy.ProgressTimeout)
 	}
 	typical, _ := r.svc.latency.Quantile(0.5)
-	return r.deadline.Add(-typical)
+	return r.deadline.Add(-max(typical, minServiceTime))
 }
 
 func waitProblem(ctx context.Context, err error) *Problem {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -121,6 +121,7 @@
 	}
 	c.Writer.Header()[upstream.HeaderRequestID] = []string{string(r.id)}
 	s.record(r, events.RequestReceived, "", r.http.Method)
+	defer r.svc.metrics.duration.UpdateDuration(startedAt)
 	switch r.policy.Class {
 	case model.Idempotent:
 		problem = s.serveIdempotent(c, r)
@@ -133,7 +134,6 @@
 		problem.Request = r.id
 		s.refuse(c, r.policy.Service, problem)
 	}
-	r.svc.metrics.duration.UpdateDuration(startedAt)
 }
 
 func (s *Server) refuse(c *gin.Context, service model.ServiceName, p *Problem) {
