Run the fleet: peers, objects from peers, leaving without a cut

Cause: instances neither met nor learnt configuration and targets but from the store, and SIGTERM closed the listener at once.

Two instances of a region watch the store; the others fetch what changed from a connected peer that announced more, the closest first. Versions of an object only rise. A starting instance reads the store and hears a peer; while the store is down it needs peers of two failure domains and takes the highest. Leaving: not ready and a leaving member at once, served on for leave.lag (default 5 s) with Connection: close, then the listener is closed, exchanges are finished, and the member states that it left. Settings gain peer.seeds and leave.lag.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 		routingModule,
 		requestModule,
 		operatorModule,
+		leaveModule,
 		fx.Options(options...),
 	)
 }
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -31,9 +31,10 @@
 			return limit.NewMeasuring(limit.MeasuringBytesPerSecond, time.Now)
 		},
 		func(s *settings.Settings) *config.Holder { return config.NewHolder(s.Location) },
+		newPeers,
 		newWatcher,
 	),
-	fx.Invoke(runWatcher),
+	fx.Invoke(runPeers, runWatcher),
 )
 
 func newMembers(s *settings.Settings) *fleet.Members {
@@ -45,8 +46,31 @@
 	})
 }
 
-func newWatcher(store platform.Store, t *routing.Table, h *config.Holder, r events.Recorder) *discovery.Watcher {
-	return &discovery.Watcher{Store: store, Table: t, Config: h, Recorder: r, RetryDelay: storeRetryDelay}
+// watcherDeps are what discovery reads, and what it keeps in step.
+type watcherDeps struct {
+	fx.In
+
+	Store    platform.Store
+	Table    *routing.Table
+	Config   *config.Holder
+	Recorder events.Recorder
+	Members  *fleet.Members
+	Board    fleet.Board
+	Peers    *peers
+}
+
+func newWatcher(d watcherDeps) *discovery.Watcher {
+	return &discovery.Watcher{
+		Store:      d.Store,
+		Table:      d.Table,
+		Config:     d.Config,
+		Recorder:   d.Recorder,
+		RetryDelay: storeRetryDelay,
+		Members:    d.Members,
+		Peers:      d.Peers.asPeers(),
+		Board:      d.Board,
+		Self:       d.Members.Live()[0],
+	}
 }
 
 func runWatcher(lc fx.Lifecycle, w *discovery.Watcher) { runLoop(lc, w.Run) }
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -14,7 +14,7 @@
 const readHeaderTimeout = 10 * time.Second
 
 // serveHTTP listens at start and finishes the exchanges in flight at stop.
-func serveHTTP(lc fx.Lifecycle, log *zap.Logger, addr string, handler http.Handler) {
+func serveHTTP(lc fx.Lifecycle, log *zap.Logger, addr string, handler http.Handler) *http.Server {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -32,4 +32,5 @@
 		},
 		OnStop: server.Shutdown,
 	})
+	return server
 }
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -15,14 +15,15 @@
 
 // requestModule provides the path of a request and serves callers.
 var requestModule = fx.Module("request",
-	fx.Provide(upstream.NewClient, newEntry),
-	fx.Invoke(serveCallers),
+	fx.Provide(upstream.NewClient, newEntry, serveCallers),
 )
 
 func newEntry(h *config.Holder, p routing.Picker, u *upstream.Client, l ledger.Ledger, r events.Recorder) *entry.Server {
 	return entry.New(entry.Options{Config: h, Picker: p, Upstream: u, Ledger: l, Recorder: r})
 }
 
-func serveCallers(lc fx.Lifecycle, s *settings.Settings, e *entry.Server, log *zap.Logger) {
-	serveHTTP(lc, log.Named("caller"), s.Caller.Listen, e.Handler())
+func serveCallers(lc fx.Lifecycle, s *settings.Settings, e *entry.Server, log *zap.Logger) *callers {
+	c := new(callers)
+	c.server = serveHTTP(lc, log.Named("caller"), s.Caller.Listen, c.wrap(e.Handler()))
+	return c
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -1,5 +1,6 @@
 // Package discovery keeps an instance's targets and configuration in step with
-// the Object API.
+// the Object API. A few instances of each region watch the store; the others,
+// and all of them while the store is down, learn from their peers.
 package discovery
 
 import (
@@ -7,107 +8,181 @@
 	"encoding/json"
 	"errors"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
 
+const (
+	// watchersPerRegion is the number of instances of a region that watch the store.
+	watchersPerRegion = 2
+	// watchJob names the job of watching in the rendezvous order.
+	watchJob = "watch"
+	// idleCheck is how often an instance that does not watch looks whether it should.
+	idleCheck = time.Second
+
+	maxRetryDelay = 5 * time.Second
+)
+
 // Watcher follows the Object API and applies what it reads.
 type Watcher struct {
 	Store    platform.Store
 	Table    *routing.Table
 	Config   *config.Holder
 	Recorder events.Recorder
-	// RetryDelay is the pause after a failed call.
+	// RetryDelay is the first pause after a failed call; pauses grow.
 	RetryDelay time.Duration
 
-	targetsListed atomic.Bool
+	// Members, Peers and Board are nil for an instance without peers.
+	Members *fleet.Members
+	Peers   Peers
+	Board   fleet.Board
+	Self    fleet.Member
+
+	once    sync.Once
+	config  *replica
+	targets *replica
+	wakeup  chan struct{}
+	start   starting
 }
 
-// Ready reports whether the targets were read and a configuration is in force.
-func (w *Watcher) Ready() bool { return w.targetsListed.Load() && w.Config.Current() != nil }
+// init prepares the replicas.
+func (w *Watcher) init() {
+	w.once.Do(func() {
+		w.config = newReplica(platform.ConfigKey, w.applyConfig)
+		w.targets = newReplica(platform.TargetsPrefix, w.applyTargets)
+		w.wakeup = make(chan struct{}, 1)
+	})
+}
 
-// Run follows the prefixes until ctx ends.
+// Run follows the store and the peers until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		w.follow(ctx, platform.TargetsPrefix, w.applyTargets, &w.targetsListed)
-	}()
-	w.follow(ctx, platform.ConfigKey, w.applyConfig, new(atomic.Bool))
-	<-done
+	w.init()
+	w.start.begin(time.Now())
+	var running sync.WaitGroup
+	running.Go(func() { w.follow(ctx, w.targets) })
+	running.Go(func() { w.follow(ctx, w.config) })
+	if w.Peers != nil {
+		running.Go(func() { w.catchUp(ctx) })
+		running.Go(func() { w.report(ctx) })
+	}
+	running.Wait()
 }
 
-// follow lists a prefix, then watches it; it starts over when the cursor is gone.
-// It sets applied once the first list has been applied.
-func (w *Watcher) follow(ctx context.Context, prefix string, apply func(platform.Change) error, applied *atomic.Bool) {
-	var cursor platform.Version
-	listed := false
+// follow watches the store while that is this instance's job. Everybody reads
+// it once at start, unless peers have made the instance ready before.
+func (w *Watcher) follow(ctx context.Context, r *replica) {
+	backoff := platform.Backoff{Base: w.RetryDelay, Max: maxRetryDelay}
+	read := false
 	for ctx.Err() == nil {
-		batch, err := w.next(ctx, prefix, cursor, listed)
-		var gone *platform.CursorGoneError
-		if errors.As(err, &gone) {
-			listed = false
+		if (read || w.caughtUp()) && !w.watches(r) {
+			sleep(ctx, idleCheck)
 			continue
 		}
-		if err != nil {
-			w.pause(ctx)
+		if err := w.step(ctx, r, read); err != nil {
+			sleep(ctx, backoff.Next())
 			continue
 		}
-		listed = true
-		cursor = batch.Next
-		for _, change := range batch.Changes {
-			if err := apply(change); err != nil {
-				w.Recorder.Record(events.Event{Kind: events.RevisionStale, Detail: change.Key + ": " + err.Error()})
-			}
-		}
-		applied.Store(true)
+		read = true
+		backoff.Reset()
+		w.announce()
 	}
 }
 
-func (w *Watcher) next(ctx context.Context, prefix string, cursor platform.Version, listed bool) (platform.Batch, error) {
-	if !listed {
-		return w.Store.List(ctx, prefix)
+// watches reports whether watching is this instance's job: it is one of its
+// region's watchers, or has nobody to learn from.
+func (w *Watcher) watches(r *replica) bool {
+	if w.Peers == nil || len(w.Peers.Holders()) == 0 {
+		return true
 	}
-	return w.Store.Watch(ctx, prefix, cursor)
+	return w.Members.Mine(watchJob+"/"+r.prefix, watchersPerRegion, w.Self.Location.Region)
+}
+
+// step makes one call to the store.
+func (w *Watcher) step(ctx context.Context, r *replica, read bool) error {
+	if !read {
+		return w.list(ctx, r)
+	}
+	_, cursor, _ := r.state()
+	batch, err := w.Store.Watch(ctx, r.prefix, cursor)
+	var gone *platform.CursorGoneError
+	if errors.As(err, &gone) {
+		return w.list(ctx, r)
+	}
+	if err != nil {
+		return err
+	}
+	r.take(batch)
+	return nil
 }
 
-func (w *Watcher) pause(ctx context.Context) {
+func (w *Watcher) list(ctx context.Context, r *replica) error {
+	batch, err := w.Store.List(ctx, r.prefix)
+	if err != nil {
+		return err
+	}
+	if err := r.takeList(batch); err != nil {
+		w.Recorder.Record(events.Event{Kind: events.RevisionStale, Detail: r.prefix + ": " + err.Error()})
+		return err
+	}
+	w.start.read(r.prefix)
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-time.After(w.RetryDelay):
+	case <-timer.C:
 	}
 }
 
-func (w *Watcher) applyTargets(change platform.Change) error {
+func (w *Watcher) applyTargets(change platform.Change) {
 	service := model.ServiceName(strings.TrimPrefix(change.Key, platform.TargetsPrefix))
 	var list []model.Target
 	if !change.Deleted {
 		if err := json.Unmarshal(change.Value, &list); err != nil {
-			return eris.Wrap(err, "decode targets")
+			w.refuse(change, eris.Wrap(err, "decode targets"))
+			return
 		}
 	}
 	w.Table.SetTargets(service, list)
-	return nil
 }
 
-func (w *Watcher) applyConfig(change platform.Change) error {
-	if change.Deleted {
-		return nil
+func (w *Watcher) applyConfig(change platform.Change) {
+	if change.Deleted || change.Key != platform.ConfigKey {
+		return
 	}
 	document := new(config.Document)
 	if err := json.Unmarshal(change.Value, document); err != nil {
-		return eris.Wrap(err, "decode configuration")
+		w.refuse(change, eris.Wrap(err, "decode configuration"))
+		return
 	}
-	if w.Config.Apply(document, time.Now()) {
-		w.Recorder.Record(events.Event{Kind: events.RevisionInForce, Revision: document.Revision})
+	if !w.Config.Apply(document, time.Now()) {
+		w.recordStale(document.Revision)
+		return
 	}
-	return nil
+	w.Recorder.Record(events.Event{Kind: events.RevisionInForce, Revision: document.Revision})
+	w.publishRevision()
+}
+
+// recordStale records a document that is older than the one in force.
+func (w *Watcher) recordStale(revision model.Revision) {
+	current := w.Config.Current()
+	if current != nil && revision < current.Document.Revision {
+		w.Recorder.Record(events.Event{Kind: events.RevisionStale, Revision: revision})
+	}
+}
+
+func (w *Watcher) refuse(change platform.Change, err error) {
+	w.Recorder.Record(events.Event{Kind: events.RevisionStale, Detail: change.Key + ": " + err.Error()})
 }
--- a/internal/fleet/holdings.go
+++ b/internal/fleet/holdings.go
@@ -53,3 +53,16 @@
 	}
 	return out
 }
+
+// Others returns the other instances that are members or listed.
+func (e *Engine) Others() []Member {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []Member
+	for _, k := range e.others {
+		if k.live() || (k.state == 0 && k.listed) {
+			out = append(out, k.member)
+		}
+	}
+	return out
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"os"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.yaml.in/yaml/v3"
@@ -24,6 +25,7 @@
 	Peer     Peer           `yaml:"peer"`
 	Platform Platform       `yaml:"platform"`
 	Events   Events         `yaml:"events"`
+	Leave    Leave          `yaml:"leave"`
 }
 
 // Caller configures the endpoint that callers use.
@@ -48,6 +50,16 @@
 	CA   string `yaml:"ca"`
 	Cert string `yaml:"cert"`
 	Key  string `yaml:"key"`
+	// Seeds are UDP addresses of other instances, to be asked while the
+	// platform's instance list can't be read.
+	Seeds []string `yaml:"seeds"`
+}
+
+// Leave configures the stopping of an instance.
+type Leave struct {
+	// Lag is how long the platform's balancer may go on sending requests after
+	// the instance has stopped being ready.
+	Lag time.Duration `yaml:"lag"`
 }
 
 // Platform says where the platform's services are.
@@ -62,7 +74,10 @@
 	Keep int `yaml:"keep"`
 }
 
-const defaultKeptEvents = 8192
+const (
+	defaultKeptEvents = 8192
+	defaultLeaveLag   = 5 * time.Second
+)
 
 // FileError reports a settings file that cannot be used.
 type FileError struct {
@@ -81,7 +96,10 @@
 	if err != nil {
 		return nil, &FileError{Path: path, Cause: err}
 	}
-	s := &Settings{Events: Events{Keep: defaultKeptEvents}}
+	s := &Settings{
+		Events: Events{Keep: defaultKeptEvents},
+		Leave:  Leave{Lag: defaultLeaveLag},
+	}
 	dec := yaml.NewDecoder(bytes.NewReader(raw))
 	dec.KnownFields(true)
 	if err := dec.Decode(s); err != nil {
