--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -21,8 +21,8 @@
 	simDatagramOverhead = 53
 	simAckBytes         = 57
 	simKeepAliveBytes   = 54 + 57
-	simDialerBytes      = 4200
-	simAcceptorBytes    = 3300
+	simDialerBytes      = 4800
+	simAcceptorBytes    = 2700
 	simFailedDialBytes  = 2 * 1308
 )
 
