Test the configuration in force under stale reads, lost watches, cuts and outages

Change: tests in virtual time with 18 watchers in three regions. A change is in force everywhere within 5 s with two watchers in each region, with the watches of a whole region hung, and after a cut has healed; a stale read and a lower revision never take effect; a starting instance needs the word of two failure domains while the store is down; ten minutes of outage end without a storm.

Tests: go test -race ./internal/discovery.

--- /dev/null
+++ b/internal/discovery/watcher_test.go
@@ -0,0 +1,414 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/config"
+	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/fleet"
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/peer"
+	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/routing"
+	"redwingpoint.org/redwingpoint/internal/standin"
+)
+
+const (
+	// inForceLimit is how soon a change must be in force everywhere reachable.
+	inForceLimit = 5 * time.Second
+	peerDelay    = 12 * time.Millisecond
+)
+
+// testStore is a store that can be down, hang or answer from an old replica.
+type testStore struct {
+	platform.Store
+	objects *standin.Objects
+	down    atomic.Bool
+	hung    atomic.Bool
+	// replica is the version that reads show; zero means the newest.
+	replica  atomic.Uint64
+	calls    atomic.Int64
+	watching atomic.Int64
+}
+
+func (s *testStore) at() platform.Version {
+	if at := s.replica.Load(); at > 0 {
+		return platform.Version(at)
+	}
+	return s.objects.Version()
+}
+
+func (s *testStore) List(_ context.Context, prefix string) (platform.Batch, error) {
+	s.calls.Add(1)
+	if s.down.Load() {
+		return platform.Batch{}, &platform.UnavailableError{Op: "list", Cause: &platform.StatusError{Status: 503}}
+	}
+	b, _ := s.objects.SinceAsOf(prefix, 0, s.at())
+	return b, nil
+}
+
+func (s *testStore) Watch(ctx context.Context, prefix string, after platform.Version) (platform.Batch, error) {
+	s.calls.Add(1)
+	s.watching.Add(1)
+	defer s.watching.Add(-1)
+	timeout := time.After(20 * time.Second)
+	for {
+		if s.down.Load() {
+			return platform.Batch{}, &platform.UnavailableError{Op: "watch", Cause: &platform.StatusError{Status: 503}}
+		}
+		b, wake := s.objects.SinceAsOf(prefix, after, s.at())
+		if len(b.Changes) > 0 && !s.hung.Load() {
+			return b, nil
+		}
+		select {
+		case <-wake:
+		case <-time.After(time.Second):
+		case <-timeout:
+			return platform.Batch{Next: after}, nil
+		case <-ctx.Done():
+			return platform.Batch{}, &platform.UnavailableError{Op: "watch", Cause: ctx.Err()}
+		}
+	}
+}
+
+// testFleet is a set of watchers, each linked to its next ones.
+type testFleet struct {
+	objects *standin.Objects
+	mu      sync.Mutex
+	nodes   []*testNode
+	cut     map[model.Region]bool
+	stop    context.CancelFunc
+	ctx     context.Context
+}
+
+type testNode struct {
+	f     *testFleet
+	self  fleet.Member
+	store *testStore
+	w     *Watcher
+	ring  *events.Ring
+	held  fleet.Holdings
+	// muted hides the instance from the others.
+	muted bool
+}
+
+var testDomains = []model.Location{
+	{Region: "praha", FailureDomain: "praha-a"}, {Region: "brno", FailureDomain: "brno-a"},
+	{Region: "ostrava", FailureDomain: "ostrava-a"}, {Region: "praha", FailureDomain: "praha-b"},
+	{Region: "brno", FailureDomain: "brno-b"}, {Region: "ostrava", FailureDomain: "ostrava-b"},
+}
+
+func newTestFleet(n int) *testFleet {
+	f := &testFleet{objects: standin.NewObjects(), cut: make(map[model.Region]bool)}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	f.write(1)
+	f.objects.Write(platform.TargetsPrefix+"nahled", 0, []byte(`[]`), false)
+	for range n {
+		f.add()
+	}
+	for _, node := range f.nodes {
+		node.run()
+	}
+	time.Sleep(10 * time.Second)
+	return f
+}
+
+// write stores a revision of the configuration.
+func (f *testFleet) write(revision int) {
+	old, _ := f.objects.Get(platform.ConfigKey)
+	text := fmt.Sprintf(`{"revision":%d,"services":{"nahled":{"class":"idempotent"}}}`, revision)
+	f.objects.Write(platform.ConfigKey, old.Version, []byte(text), false)
+}
+
+func (f *testFleet) add() *testNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := len(f.nodes)
+	at := testDomains[i%len(testDomains)]
+	n := &testNode{f: f, store: &testStore{objects: f.objects}}
+	n.self = fleet.Member{ID: model.InstanceID(fmt.Sprintf("%s-%d", at.FailureDomain, i)), Location: at}
+	n.ring = events.NewRing(n.self.ID, events.NewClock(time.Now), 64)
+	n.w = &Watcher{
+		Store: n.store, Table: routing.NewTable(at), Config: config.NewHolder(at), Recorder: n.ring,
+		RetryDelay: 500 * time.Millisecond, Members: fleet.NewMembers(n.self), Peers: n, Self: n.self,
+	}
+	f.nodes = append(f.nodes, n)
+	var members []fleet.Member
+	for _, other := range f.nodes {
+		members = append(members, other.self)
+	}
+	for _, other := range f.nodes {
+		other.w.Members.Set(members)
+	}
+	return n
+}
+
+func (n *testNode) run() { go n.w.Run(n.f.ctx) }
+
+// linked returns the instances one, two and three places before and after.
+func (n *testNode) linked() []*testNode {
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	var out []*testNode
+	count := len(n.f.nodes)
+	for i, other := range n.f.nodes {
+		for step := 1; step <= 3; step++ {
+			if n.f.nodes[(i+step)%count] == n || n.f.nodes[(i+count-step)%count] == n {
+				if other != n && !other.muted && !n.f.parted(n, other) {
+					out = append(out, other)
+				}
+				break
+			}
+		}
+	}
+	return out
+}
+
+func (f *testFleet) parted(a, b *testNode) bool {
+	return f.cut[a.self.Location.Region] != f.cut[b.self.Location.Region]
+}
+
+// Holders implements Peers.
+func (n *testNode) Holders() []fleet.Holder {
+	var out []fleet.Holder
+	for _, other := range n.linked() {
+		n.f.mu.Lock()
+		held := other.held
+		n.f.mu.Unlock()
+		out = append(out, fleet.Holder{Member: other.self, Holdings: held})
+	}
+	return out
+}
+
+// Others implements Peers.
+func (n *testNode) Others() []fleet.Member { return n.w.Members.Live()[1:] }
+
+// Announce implements Peers.
+func (n *testNode) Announce(h fleet.Holdings) {
+	n.f.mu.Lock()
+	changed := n.held != h
+	n.held = h
+	n.f.mu.Unlock()
+	if changed {
+		time.AfterFunc(peerDelay, n.f.tell)
+	}
+}
+
+// tell wakes every watcher, as an announcement or a new link does.
+func (f *testFleet) tell() {
+	f.mu.Lock()
+	nodes := append([]*testNode{}, f.nodes...)
+	f.mu.Unlock()
+	for _, n := range nodes {
+		n.w.Held("", fleet.Holdings{})
+	}
+}
+
+// Call implements Peers.
+func (n *testNode) Call(_ context.Context, to model.InstanceID, _ peer.Op, body, answer any) error {
+	for _, other := range n.linked() {
+		if other.self.ID != to {
+			continue
+		}
+		time.Sleep(2 * peerDelay)
+		raw, err := peer.Encode(body)
+		if err != nil {
+			return err
+		}
+		result, err := other.w.Serve(n.self.ID, raw)
+		if err != nil {
+			return err
+		}
+		*answer.(*objectsAnswer) = *result.(*objectsAnswer)
+		return nil
+	}
+	return &peer.NotLinkedError{Peer: to}
+}
+
+func (n *testNode) revision() model.Revision {
+	current := n.w.Config.Current()
+	if current == nil {
+		return 0
+	}
+	return current.Document.Revision
+}
+
+// expect fails unless all instances that match have a revision in force in time.
+func (f *testFleet) expect(t *testing.T, what string, want model.Revision, match func(*testNode) bool) {
+	t.Helper()
+	time.Sleep(inForceLimit)
+	for _, n := range f.nodes {
+		if match(n) && n.revision() != want {
+			t.Errorf("%s: %s has revision %d in force, want %d", what, n.self.ID, n.revision(), want)
+		}
+	}
+}
+
+func everybody(*testNode) bool { return true }
+
+func inBubble(t *testing.T, n int, test func(t *testing.T, f *testFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(n)
+		test(t, f)
+		f.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestFewInstancesWatch(t *testing.T) {
+	inBubble(t, 18, func(t *testing.T, f *testFleet) {
+		var watching int64
+		for _, n := range f.nodes {
+			watching += n.store.watching.Load()
+			if !n.w.Ready() {
+				t.Errorf("%s is not ready", n.self.ID)
+			}
+		}
+		if want := int64(3 * watchersPerRegion * 2); watching != want {
+			t.Errorf("%d watches wait, want %d", watching, want)
+		}
+		f.write(2)
+		f.expect(t, "a change", 2, everybody)
+	})
+}
+
+func TestLostWatchesOfARegionAreMadeUpByPeers(t *testing.T) {
+	inBubble(t, 18, func(t *testing.T, f *testFleet) {
+		for _, n := range f.nodes {
+			n.store.hung.Store(n.self.Location.Region == "brno")
+		}
+		f.write(2)
+		f.expect(t, "with hung watches", 2, everybody)
+	})
+}
+
+func TestCutRegionCatchesUp(t *testing.T) {
+	inBubble(t, 18, func(t *testing.T, f *testFleet) {
+		isCut := func(n *testNode) bool { return n.self.Location.Region == "ostrava" }
+		set := func(cut bool) {
+			f.mu.Lock()
+			f.cut["ostrava"] = cut
+			f.mu.Unlock()
+			for _, n := range f.nodes {
+				n.store.down.Store(cut && isCut(n))
+			}
+		}
+		set(true)
+		f.write(2)
+		f.expect(t, "outside the cut", 2, func(n *testNode) bool { return !isCut(n) })
+		f.expect(t, "inside the cut", 1, isCut)
+		set(false)
+		f.tell()
+		f.expect(t, "after the cut", 2, everybody)
+	})
+}
+
+func TestStaleReadsNeverTakeEffect(t *testing.T) {
+	inBubble(t, 6, func(t *testing.T, f *testFleet) {
+		f.write(2)
+		f.expect(t, "before", 2, everybody)
+		late := f.add()
+		late.store.replica.Store(1)
+		late.run()
+		for !late.w.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		if late.revision() != 2 {
+			t.Errorf("the instance was ready with revision %d", late.revision())
+		}
+		for _, n := range f.nodes {
+			n.store.replica.Store(1)
+		}
+		time.Sleep(time.Minute)
+		f.expect(t, "with stale reads", 2, everybody)
+	})
+}
+
+func TestLowerRevisionIsRefusedAndRecorded(t *testing.T) {
+	inBubble(t, 6, func(t *testing.T, f *testFleet) {
+		f.write(5)
+		f.expect(t, "before", 5, everybody)
+		f.write(3)
+		f.expect(t, "after a lower one was written", 5, everybody)
+		for _, n := range f.nodes {
+			stale := 0
+			for _, e := range n.ring.Snapshot() {
+				if e.Kind == events.RevisionStale && e.Revision == 3 {
+					stale++
+				}
+			}
+			if stale == 0 {
+				t.Errorf("%s did not record the lower revision", n.self.ID)
+			}
+		}
+	})
+}
+
+func TestStartsFromPeersOfTwoDomainsWhileTheStoreIsDown(t *testing.T) {
+	inBubble(t, 6, func(t *testing.T, f *testFleet) {
+		f.write(2)
+		f.expect(t, "before", 2, everybody)
+		late := f.add()
+		late.store.down.Store(true)
+		f.mu.Lock()
+		for _, n := range f.nodes[1:6] {
+			n.muted = true
+		}
+		f.mu.Unlock()
+		late.run()
+		f.tell()
+		time.Sleep(time.Minute)
+		if late.w.Ready() {
+			t.Error("ready with the word of one failure domain")
+		}
+		f.mu.Lock()
+		for _, n := range f.nodes[1:6] {
+			n.muted = false
+		}
+		f.mu.Unlock()
+		f.tell()
+		time.Sleep(time.Second)
+		if !late.w.Ready() || late.revision() != 2 {
+			t.Errorf("ready %t with revision %d", late.w.Ready(), late.revision())
+		}
+	})
+}
+
+// TestNoStormAfterAnOutage counts the calls to a store that is down for ten
+// minutes and then back.
+func TestNoStormAfterAnOutage(t *testing.T) {
+	inBubble(t, 18, func(t *testing.T, f *testFleet) {
+		calls := func() (total int64) {
+			for _, n := range f.nodes {
+				total += n.store.calls.Load()
+			}
+			return total
+		}
+		for _, n := range f.nodes {
+			n.store.down.Store(true)
+		}
+		time.Sleep(time.Minute)
+		before := calls()
+		time.Sleep(10 * time.Minute)
+		watches := int64(3 * watchersPerRegion * 2)
+		if during := calls() - before; during > watches*10*60/2 {
+			t.Errorf("%d calls in ten minutes of outage", during)
+		}
+		f.write(2)
+		before = calls()
+		for _, n := range f.nodes {
+			n.store.down.Store(false)
+		}
+		time.Sleep(10 * time.Second)
+		if after := calls() - before; after > 3*watches {
+			t.Errorf("%d calls in the ten seconds after the outage", after)
+		}
+		f.expect(t, "after the outage", 2, everybody)
+	})
+}
