Spread announcements and reports over links and time; print the fleet's figures

Cause: five peers fetched a new configuration from the same instance, which then had no budget left for its report: with 17 members the reports of the revision in force were known to all after 5.4 s (25 s while reports ranked with probes).

Change: announcements go to one link after the other, 100 ms apart; reports of the revision rank with membership, as the budget's comment says; links are flushed in turns, so that a fact crosses a link once. make fleet-figures prints bytes, times and benchmarks.

--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -31,7 +31,8 @@
 	// freshSilence is the silence up to which a link counts as healthy.
 	freshSilence = peer.KeepAlive + 200*time.Millisecond
 
-	flushInterval  = 250 * time.Millisecond
+	// flushInterval is the mean pause between two flushes of a link.
+	flushInterval  = 500 * time.Millisecond
 	expireInterval = 10 * time.Second
 )
 
@@ -103,6 +104,10 @@
 	bulk   []Fact
 	// urgentAt is when urgent facts were last sent.
 	urgentAt time.Time
+	// announceAt is when the peer is to be told what this instance holds.
+	announceAt time.Time
+	// flushAt is when the bulk facts are sent next.
+	flushAt time.Time
 	// differs is set after a digest that differed.
 	differs bool
 }
@@ -250,6 +255,7 @@
 		e.connect(now)
 		e.healCuts(now)
 		e.reconcile(now)
+		e.announceDue(now)
 		e.flushUrgent(now)
 		e.flushDue(now)
 		if now.Sub(e.lastExpire) >= expireInterval {
--- a/internal/fleet/engine_test.go
+++ b/internal/fleet/engine_test.go
@@ -43,6 +43,8 @@
 			_, ok := n.board.Lookup(FactTargetDrain, "nahled-3")
 			return ok
 		}))
+		s.nodes[5].hold(Holdings{Config: 2})
+		checkSpread(t, "configuration", s.spread(patience, func(n *simNode) bool { return n.held.Config == 2 }))
 		dead := s.nodes[2]
 		s.kill(dead)
 		checkSpread(t, "death", s.spread(patience, func(n *simNode) bool { return !n.sees(dead.self.ID) }))
--- a/internal/fleet/fact.go
+++ b/internal/fleet/fact.go
@@ -48,14 +48,10 @@
 
 // priority returns what facts of a kind are worth within the measuring budget.
 func (k FactKind) priority() limit.Priority {
-	switch k {
-	case FactRevision:
-		return limit.PriorityProbe
-	case FactLoadHint:
+	if k == FactLoadHint {
 		return limit.PriorityHint
-	default:
-		return limit.PriorityMembership
 	}
+	return limit.PriorityMembership
 }
 
 // Fact is one small statement that spreads to every instance. Of two facts with
--- /dev/null
+++ b/internal/fleet/figures_test.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/model"
+)
+
+// figures collects times over several seeds.
+type figures struct{ took []time.Duration }
+
+func (f *figures) add(took []time.Duration) { f.took = append(f.took, took...) }
+
+// String returns both tails: the first, half, 99 in 100, and all.
+func (f *figures) String() string {
+	slices.Sort(f.took)
+	at := func(share float64) time.Duration {
+		return f.took[int(share*float64(len(f.took)-1))].Round(10 * time.Millisecond)
+	}
+	return fmt.Sprintf("first %v, half %v, 99 in 100 %v, all %v", at(0), at(0.5), at(0.99), at(1))
+}
+
+// BenchmarkFleetFigures prints the table of docs/design/fleet.md. Its bounds are
+// checked by TestNewsSpreadsInTime.
+func BenchmarkFleetFigures(b *testing.B) {
+	for b.Loop() {
+		for _, size := range []int{17, 100, 500} {
+			printFigures(size, 3)
+		}
+		for _, size := range []int{17, 100, 500} {
+			printColdStart(size)
+		}
+	}
+}
+
+func printFigures(size, seeds int) {
+	var drain, death, leave, join, domain, inForce, reports figures
+	var mean, worst, change int
+	var wall time.Duration
+	for seed := range uint64(seeds) {
+		s := newSim(size, 100+seed)
+		began := time.Now()
+		m, w := s.rate(time.Minute)
+		wall += time.Since(began)
+		mean += m / seeds
+		worst = max(worst, w)
+		s.nodes[1].board.Publish(FactTargetDrain, "nahled-3", nil, time.Minute)
+		drain.add(s.spread(patience, func(n *simNode) bool { _, ok := n.board.Lookup(FactTargetDrain, "nahled-3"); return ok }))
+		dead := s.nodes[2]
+		s.kill(dead)
+		death.add(s.spread(patience, func(n *simNode) bool { return !n.sees(dead.self.ID) }))
+		s.run(20 * time.Second)
+		leaver := s.nodes[3]
+		s.leave(leaver)
+		leave.add(s.spread(patience, func(n *simNode) bool { return n.seesLeaving(leaver.self.ID) }))
+		s.run(20 * time.Second)
+		joiner := s.add(size)
+		s.list()
+		joiner.start()
+		join.add(s.spread(patience, func(n *simNode) bool { return n.sees(joiner.self.ID) }))
+		s.run(20 * time.Second)
+		before, changed := s.sent(), s.now
+		s.nodes[5].hold(Holdings{Config: 2})
+		inForce.add(s.spread(patience, func(n *simNode) bool { return n.held.Config == 2 }))
+		running := len(s.nodes) - 2
+		reports.add(s.spread(5*time.Minute, func(n *simNode) bool { return n.reports(2) >= running }))
+		change += ((s.sent()-before)/size - mean*int(s.now.Sub(changed)/time.Second)) / seeds
+		s.run(30 * time.Second)
+		for _, n := range s.nodes {
+			if n.self.Location == (model.Location{Region: "brno", FailureDomain: "brno-a"}) {
+				n.up = false
+			}
+		}
+		s.changed()
+		left := 0
+		for _, n := range s.nodes {
+			if n.up {
+				left++
+			}
+		}
+		domain.add(s.spread(patience, func(n *simNode) bool { return len(n.members.Live()) == left }))
+	}
+	fmt.Printf("%d members: %d B/s each, the busiest %d B/s; %.0f µs of processor time per member and second, simulation included\n",
+		size, mean, worst, float64(wall.Microseconds())/float64(60*size*seeds))
+	for _, row := range []struct {
+		what string
+		f    *figures
+	}{{"drain", &drain}, {"death", &death}, {"leave", &leave}, {"join", &join}, {"configuration in force", &inForce},
+		{"reports of it known", &reports}, {"loss of a failure domain", &domain}} {
+		fmt.Printf("  %-26s %v\n", row.what, row.f)
+	}
+	fmt.Printf("  bytes sent by a member for one change of the configuration: %d\n", change)
+}
+
+// rate returns the bytes a second that members send: the mean and the most.
+func (s *sim) rate(d time.Duration) (mean, worst int) {
+	before := make(map[*simNode]int)
+	for _, n := range s.nodes {
+		before[n] = n.sent
+	}
+	s.run(d)
+	seconds := int(d / time.Second)
+	total := 0
+	for _, n := range s.nodes {
+		sent := n.sent - before[n]
+		total += sent
+		worst = max(worst, sent/seconds)
+	}
+	return total / seconds / len(s.nodes), worst
+}
+
+// printColdStart starts a whole fleet within a second, knowing only the
+// platform's list.
+func printColdStart(size int) {
+	s := newColdSim(size, 9)
+	s.startAll()
+	took := s.spread(10*time.Minute, func(n *simNode) bool { return len(n.members.Live()) == size })
+	f := figures{took}
+	fmt.Printf("%d members start at once; all known: %v\n", size, &f)
+}
+
+// BenchmarkMergeFact measures the taking in of one fact.
+func BenchmarkMergeFact(b *testing.B) {
+	n := newColdSim(1, 1).nodes[0]
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		n.board.Merge(Fact{Kind: FactTargetHealth, Key: "target", Origin: "x", Stamp: n.board.clock.Now(), Value: []byte{1}})
+	}
+}
+
+// BenchmarkDatagram measures the handling of one datagram with one new fact at
+// an instance with six links.
+func BenchmarkDatagram(b *testing.B) {
+	s := newSim(100, 1)
+	n := s.nodes[0]
+	from := n.engine.linkIDs()[0]
+	b.ReportAllocs()
+	for b.Loop() {
+		fact := Fact{Kind: FactTargetHealth, Key: "target", Origin: "x", Stamp: n.board.clock.Now(), Value: []byte{1}}
+		n.engine.Datagram(from, encode(message{Facts: []Fact{fact}}))
+		s.queue.events = s.queue.events[:0]
+	}
+}
+
+// BenchmarkTick measures one tick of an instance among 500.
+func BenchmarkTick(b *testing.B) {
+	s := newSim(500, 1)
+	n := s.nodes[0]
+	b.ReportAllocs()
+	for b.Loop() {
+		s.now = s.now.Add(TickInterval)
+		n.engine.Tick()
+		s.queue.events = s.queue.events[:0]
+	}
+}
+
+// BenchmarkMemory reports the memory of one instance's board and engine for
+// each member and each further fact.
+func BenchmarkMemory(b *testing.B) {
+	const count = 10000
+	for b.Loop() {
+		n := newColdSim(1, 1).nodes[0]
+		start := heapBytes()
+		for i := range count {
+			m := Member{ID: model.InstanceID(fmt.Sprintf("praha-a-%05d", i)), Location: simDomains[0], PeerAddr: fmt.Sprint("10.0.0.1:", i)}
+			n.board.Merge(Fact{Kind: FactMember, Key: string(m.ID), Stamp: 1, Origin: m.ID, Value: m.value(MemberAlive)})
+		}
+		members := heapBytes()
+		for i := range count {
+			n.board.Merge(Fact{Kind: FactTargetHealth, Key: fmt.Sprintf("target-%05d", i), Stamp: 1, Origin: "x", Value: make([]byte, 20)})
+		}
+		b.ReportMetric(float64(members-start)/count, "B/member")
+		b.ReportMetric(float64(heapBytes()-members)/count, "B/fact")
+		runtime.KeepAlive(n)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/fleet/holdings.go
+++ b/internal/fleet/holdings.go
@@ -12,23 +12,45 @@
 	Holdings Holdings
 }
 
-// Announce tells all links what this instance holds. They ask for what they
-// lack, so that a change travels from link to link.
+// announceStep is the pause between the announcements to two links. Peers that
+// learn of a change one after the other fetch it from different instances.
+const announceStep = TickInterval
+
+// Announce tells the links what this instance holds, one after the other. They
+// ask for what they lack, so that a change travels from link to link.
 func (e *Engine) Announce(h Holdings) {
-	e.locked(func(time.Time) {
+	e.locked(func(now time.Time) {
 		if h == e.holdings {
 			return
 		}
 		e.holdings = h
-		for _, id := range e.linkIDs() {
-			if known := e.heldBy[id]; known.Config >= h.Config && known.Targets >= h.Targets {
-				continue
-			}
-			e.sendIf(id, message{Holdings: &h}, e.o.Budget.AllowsUrgent)
+		ids := e.linkIDs()
+		e.o.Rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+		due := now
+		for _, id := range ids {
+			e.links[id].announceAt = due
+			due = due.Add(announceStep)
 		}
+		e.announceDue(now)
 	})
 }
 
+// announceDue sends the announcements that are due to peers that hold less.
+func (e *Engine) announceDue(now time.Time) {
+	for _, id := range e.linkIDs() {
+		l := e.links[id]
+		if l.announceAt.IsZero() || now.Before(l.announceAt) {
+			continue
+		}
+		h := e.holdings
+		known := e.heldBy[id]
+		behind := known.Config < h.Config || known.Targets < h.Targets
+		if !behind || e.sendIf(id, message{Holdings: &h}, e.o.Budget.AllowsUrgent) {
+			l.announceAt = time.Time{}
+		}
+	}
+}
+
 // OnHeld calls f for every announcement of a linked member. It must be set
 // before Start; f must not block.
 func (e *Engine) OnHeld(f func(model.InstanceID, Holdings)) { e.onHeld = f }
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -76,6 +76,8 @@
 	up      bool
 	frozen  bool
 	sent    int
+	// held is the configuration that the instance holds.
+	held Holdings
 }
 
 type simLink struct {
@@ -146,6 +148,7 @@
 		Self: n.self, Board: n.board, Members: n.members, Transport: n, Budget: n.budget,
 		Recorder: n.events, Now: now, Rand: rand.New(rand.NewPCG(s.rand.Uint64(), 2)),
 	})
+	n.engine.OnHeld(n.fetch)
 	s.nodes = append(s.nodes, n)
 	s.byID[id] = n
 	s.byAddr[n.self.PeerAddr] = n
@@ -273,6 +276,42 @@
 	n.s.after(n.s.delay(n, other), func() { other.engine.LinkDown(n.self.ID, false) })
 }
 
+// simDocumentBytes is the size of a compressed configuration on the wire.
+const simDocumentBytes = 4096
+
+// fetch gets a newer configuration from a peer, as package discovery does.
+func (n *simNode) fetch(from model.InstanceID, h Holdings) {
+	other := n.s.byID[from]
+	if h.Config <= n.held.Config {
+		return
+	}
+	n.s.after(2*n.s.delay(n, other)+n.s.delay(other, n), func() {
+		if h.Config > n.held.Config && n.s.reachable(n, other) {
+			other.pay(simDocumentBytes)
+			n.hold(h)
+		}
+	})
+}
+
+// hold puts a configuration in force.
+func (n *simNode) hold(h Holdings) {
+	n.held = h
+	n.engine.Announce(h)
+	value := encode(RevisionValue{Revision: model.Revision(h.Config), Location: n.self.Location})
+	n.board.Publish(FactRevision, string(n.self.ID), value, time.Hour)
+}
+
+// reports counts the instances that are known to have a revision in force.
+func (n *simNode) reports(revision model.Revision) int {
+	count := 0
+	n.board.Each(FactRevision, func(f Fact) {
+		if v, err := DecodeRevision(f); err == nil && v.Revision >= revision {
+			count++
+		}
+	})
+	return count
+}
+
 // Heard implements Transport.
 func (n *simNode) Heard(from model.InstanceID) uint64 {
 	l := n.s.links[linkKey(n.self.ID, from)]
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -169,16 +169,17 @@
 }
 
 // flushDue sends the facts that wait, the most useful first. Load hints don't
-// wait for budget.
+// wait for budget. Links take turns, so that a fact that comes in over one of
+// them need not go out over it as well.
 func (e *Engine) flushDue(now time.Time) {
-	if now.Sub(e.lastFlush) < flushInterval {
-		return
-	}
-	e.lastFlush = now
 	for _, id := range e.linkIDs() {
 		l := e.links[id]
+		if now.Before(l.flushAt) {
+			continue
+		}
+		l.flushAt = now.Add(flushInterval/2 + time.Duration(e.o.Rand.Int64N(int64(flushInterval))))
 		var rest []Fact
-		for _, p := range []limit.Priority{limit.PriorityMembership, limit.PriorityProbe, limit.PriorityHint} {
+		for _, p := range []limit.Priority{limit.PriorityMembership, limit.PriorityHint} {
 			due := slices.DeleteFunc(slices.Clone(l.bulk), func(f Fact) bool { return f.Kind.priority() != p })
 			due = e.sendFacts(id, due, func(bytes int) bool { return e.o.Budget.Allows(bytes, p) })
 			if p != limit.PriorityHint {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -45,7 +45,7 @@
 
 // viewLife is how long a view is used while nothing changes; it bounds the delay
 // of second tries.
-const viewLife = time.Second
+const viewLife = 3 * time.Second
 
 // view returns the current view and works it out anew when it is due.
 func (e *Engine) view(now time.Time) []model.InstanceID {
--- /dev/null
+++ b/mk/fleet.mk
@@ -0,0 +1,8 @@
+.PHONY: fleet-figures
+
+# Prints the table of docs/design/fleet.md: bytes and times in virtual time, and
+# the benchmarks of the membership protocol.
+fleet-figures:
+	$(GO) test ./internal/fleet -run TestWireCosts -v -count=1
+	$(GO) test ./internal/fleet -run '^$$' -bench FleetFigures -benchtime 1x -timeout 30m
+	$(GO) test ./internal/fleet -run '^$$' -bench 'MergeFact|Datagram|Tick|Memory'
