--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -135,7 +135,6 @@
 
 	lastTick   time.Time
 	settledAt  time.Time
-	lastFlush  time.Time
 	lastExpire time.Time
 	nextDigest time.Time
 	nextProbe  time.Time
