--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -17,12 +17,10 @@
 
 // requestModule provides the path of a request and serves callers.
 var requestModule = fx.Module("request",
-	fx.Provide(upstream.NewClient, quarantine.New, newEntry),
-	fx.Invoke(serveCallers),
+	fx.Provide(upstream.NewClient, quarantine.New, newEntry, serveCallers),
 )
 
-// entryParams are the collaborators of the caller side. The observer is absent
-// until a module provides one.
+// entryParams are the collaborators of the caller side.
 type entryParams struct {
 	fx.In
 	Lifecycle  fx.Lifecycle
@@ -33,7 +31,7 @@
 	Ledger     ledger.Ledger
 	Recorder   events.Recorder
 	Quarantine *quarantine.List
-	Observer   health.Observer `optional:"true"`
+	Observer   health.Observer
 }
 
 // newEntry returns the caller side. Its stop hook runs after the HTTP server's:
@@ -53,6 +51,8 @@
 	return s
 }
 
-func serveCallers(lc fx.Lifecycle, s *settings.Settings, e *entry.Server, log *zap.Logger) {
-	serveHTTP(lc, log.Named("caller"), s.Caller.Listen, e.Handler())
+func serveCallers(lc fx.Lifecycle, s *settings.Settings, e *entry.Server, log *zap.Logger) *callers {
+	c := new(callers)
+	c.server = serveHTTP(lc, log.Named("caller"), s.Caller.Listen, c.wrap(e.Handler()))
+	return c
 }
