Add the command line for configuration, status, time line, quarantine and keys

Cause: the binary could only serve; operators had no tool.

Change: config get, diff, apply, history and status, status, timeline, quarantine, keys, version and completion, with exit codes for scripts. An apply waits until the revision is in force and prints it region by region; an answer that was lost is settled by sending the same change ID again. Flags come from flag, environment, file, in this order. The steps of the wiring are logged at debug level.

Ruled out: the time line's order of revision-accepted and revision-in-force as part of a golden file; the watch may see the new document before its writer has the answer.

--- a/cmd/redwingpoint/main.go
+++ b/cmd/redwingpoint/main.go
@@ -12,33 +12,58 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
-// Exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2
-)
+func main() { os.Exit(Main()) }
 
-func main() {
+// Main runs the command line of this process and returns its exit code.
+func Main() int {
 	gin.SetMode(gin.ReleaseMode)
-	os.Exit(run(context.Background(), os.Args[1:]))
+	return run(context.Background(), os.Args[1:])
 }
 
 func run(ctx context.Context, args []string) int {
+	root := rootCommand()
+	err := root.ParseAndRun(ctx, args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "redwingpoint:", describe(err))
+	}
+	return exitCode(err)
+}
+
+func rootCommand() *ffcli.Command {
 	root := &ffcli.Command{
-		Name:        "redwingpoint",
-		ShortUsage:  "redwingpoint <subcommand> [flags]",
-		FlagSet:     flag.NewFlagSet("redwingpoint", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{serveCommand()},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Name:       "redwingpoint",
+		ShortUsage: "redwingpoint <subcommand> [flags]",
+		LongHelp: `Runs an entry instance of the load balancer, and asks and drives a running fleet.
+
+Every flag can be given as a flag, in the environment (REDWINGPOINT_ and the
+flag's name in capitals, hyphens as underscores), or in the file that --options
+names (one "name value" a line). The first of these three that sets it wins.
+
+Exit codes: 0 done, 1 failure, 2 usage, 3 invalid document or settings,
+4 conflict with another change, 5 accepted but not in force everywhere.`,
+		FlagSet: newFlags("redwingpoint"),
+		Subcommands: []*ffcli.Command{
+			serveCommand(), configCommand(), statusCommand(), timelineCommand(), quarantineCommand(),
+			keysCommand(), versionCommand(),
+		},
 	}
-	err := root.ParseAndRun(ctx, args)
-	switch {
-	case err == nil:
-		return 0
-	case errors.Is(err, flag.ErrHelp):
-		return exitUsage
-	default:
-		fmt.Fprintln(os.Stderr, "redwingpoint:", err)
-		return exitFailure
+	root.Subcommands = append(root.Subcommands, completionCommand(root))
+	root.Exec = subcommandRequired(root)
+	return root
+}
+
+func newFlags(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
+
+// subcommandRequired reports a missing or unknown subcommand of a command.
+func subcommandRequired(c *ffcli.Command) func(context.Context, []string) error {
+	return func(_ context.Context, args []string) error {
+		if len(args) == 0 {
+			return flag.ErrHelp
+		}
+		var names []string
+		for _, sub := range c.Subcommands {
+			names = append(names, sub.Name)
+		}
+		return &usageError{Problem: "unknown subcommand " + args[0], Known: names}
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,13 +15,20 @@
 // stopTimeout bounds the leaving of an instance: uploads of minutes finish.
 const stopTimeout = 30 * time.Minute
 
+// wiringLog logs the steps of the wiring at debug level and its failures as errors.
+func wiringLog(log *zap.Logger) fxevent.Logger {
+	l := &fxevent.ZapLogger{Logger: log.Named("fx")}
+	l.UseLogLevel(zap.DebugLevel)
+	return l
+}
+
 // New returns the application of one instance. Options may supply the
 // zap.AtomicLevel of the log, so that operators can change it.
 func New(s *settings.Settings, log *zap.Logger, options ...fx.Option) *fx.App {
 	gin.SetMode(gin.ReleaseMode)
 	return fx.New(
 		fx.Supply(s, log),
-		fx.WithLogger(func() fxevent.Logger { return &fxevent.ZapLogger{Logger: log.Named("fx")} }),
+		fx.WithLogger(func() fxevent.Logger { return wiringLog(log) }),
 		fx.StopTimeout(stopTimeout),
 		eventsModule,
 		storageModule,
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -20,7 +20,7 @@
 	// readTimeout bounds reads of the store for an operator.
 	readTimeout = 3 * time.Second
 	// applyTimeout bounds the acceptance of a change.
-	applyTimeout = 10 * time.Second
+	applyTimeout = 5 * time.Second
 	// maxAuthorBytes bounds the name of an operator.
 	maxAuthorBytes = 64
 )
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,42 +4,59 @@
 package settings
 
 import (
-	"bytes"
+	"errors"
 	"os"
 
-	"github.com/rotisserie/eris"
-	"go.yaml.in/yaml/v3"
-
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/strict"
 )
 
-// Settings are the settings of one process.
+// Settings are the settings of one process. docs/SETTINGS.md lists each with its
+// unit, default and range.
 type Settings struct {
 	// Instance names this machine.
-	Instance model.InstanceID `yaml:"instance"`
+	Instance model.InstanceID `yaml:"instance" required:"true"`
 	// Location says where this machine runs.
-	Location model.Location `yaml:"location"`
-	Caller   Caller         `yaml:"caller"`
-	Operator Operator       `yaml:"operator"`
+	Location model.Location `yaml:"location" required:"true"`
+	Caller   Caller         `yaml:"caller" required:"true"`
+	Operator Operator       `yaml:"operator" required:"true"`
 	Peer     Peer           `yaml:"peer"`
-	Platform Platform       `yaml:"platform"`
+	Platform Platform       `yaml:"platform" required:"true"`
 	Events   Events         `yaml:"events"`
 }
 
 // Caller configures the endpoint that callers use.
 type Caller struct {
 	// Listen is the TCP address, such as 10.0.0.1:8080.
-	Listen string `yaml:"listen"`
+	Listen string `yaml:"listen" required:"true"`
+	// TLS is used towards callers if it names files.
+	TLS TLS `yaml:"tls"`
 }
 
 // Operator configures the endpoint that operators use.
 type Operator struct {
 	// Listen is the TCP address.
-	Listen string `yaml:"listen"`
+	Listen string `yaml:"listen" required:"true"`
 	// Token is the bearer token that operators present.
 	Token string `yaml:"token"`
+	// TLS is used towards operators if it names files.
+	TLS TLS `yaml:"tls"`
+	// ClientCA is a PEM file with the authority of client certificates, which
+	// stand for the token. It needs TLS.
+	ClientCA string `yaml:"clientCA"`
+}
+
+// TLS names the files of a server certificate. They are read again when they
+// change and on SIGHUP; connections go on.
+type TLS struct {
+	// Cert and Key are files in PEM form.
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
 }
 
+// Enabled reports whether TLS is to be used.
+func (t TLS) Enabled() bool { return t.Cert != "" }
+
 // Peer configures the inner protocol.
 type Peer struct {
 	// Listen is the UDP address.
@@ -53,18 +70,21 @@
 // Platform says where the platform's services are.
 type Platform struct {
 	// URL is the address of the Object API and the instance list.
-	URL string `yaml:"url"`
+	URL string `yaml:"url" required:"true"`
 }
 
 // Events configures the time line.
 type Events struct {
 	// Keep is the number of events kept in memory.
-	Keep int `yaml:"keep"`
+	Keep int `yaml:"keep" range:"64..1048576"`
 }
 
 const defaultKeptEvents = 8192
 
-// FileError reports a settings file that cannot be used.
+// Default returns the settings that a file starts from.
+func Default() *Settings { return &Settings{Events: Events{Keep: defaultKeptEvents}} }
+
+// FileError reports a settings file that cannot be read.
 type FileError struct {
 	Path  string
 	Cause error
@@ -75,17 +95,39 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Cause }
 
-// Load reads settings from a YAML file. Unknown keys are refused. It returns *FileError.
+// InvalidError reports every mistake of a settings file.
+type InvalidError struct {
+	Path     string
+	Problems strict.Problems
+}
+
+func (e *InvalidError) Error() string {
+	text := "settings can't be used:"
+	for i := range e.Problems {
+		text += "\n" + e.Path + ":" + e.Problems[i].Error()
+	}
+	return text
+}
+
+// Load reads settings from a YAML file. It returns *FileError or *InvalidError.
 func Load(path string) (*Settings, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, &FileError{Path: path, Cause: err}
 	}
-	s := &Settings{Events: Events{Keep: defaultKeptEvents}}
-	dec := yaml.NewDecoder(bytes.NewReader(raw))
-	dec.KnownFields(true)
-	if err := dec.Decode(s); err != nil {
-		return nil, &FileError{Path: path, Cause: eris.Wrap(err, "decode")}
+	s, problems := parse(raw)
+	if len(problems) > 0 {
+		return nil, &InvalidError{Path: path, Problems: problems}
 	}
 	return s, nil
 }
+
+func parse(raw []byte) (*Settings, strict.Problems) {
+	s := Default()
+	places, err := strict.Decode(raw, s)
+	var problems strict.Problems
+	errors.As(err, &problems)
+	problems = append(problems, s.check(places, problems)...)
+	errors.As(problems.Err(), &problems)
+	return s, problems
+}
