Record events without waiting for a reader of the time line

Cause: the ring's lock was held while the time line was copied, so that a request that recorded an event in that moment waited for the whole copy.

Change: a slot is taken by an atomic count and holds an immutable event.

Ruled out: striped rings, which drop the newest events of one stripe while others hold old ones, so that a small ring forgets at random.

--- a/internal/events/ring.go
+++ b/internal/events/ring.go
@@ -1,49 +1,44 @@
 package events
 
 import (
-	"sync"
+	"cmp"
+	"slices"
+	"sync/atomic"
 
 	"redwingpoint.org/redwingpoint/internal/model"
 )
 
-// Ring is a Recorder that keeps the newest events in a fixed amount of memory.
+// Ring is a Recorder that keeps the newest events in a bounded amount of memory.
+// Writers and readers never wait for each other: a writer takes the next slot by
+// an atomic count and stores an immutable event there.
 type Ring struct {
 	instance model.InstanceID
 	clock    *Clock
-
-	mu   sync.Mutex
-	buf  []Event
-	next int
-	full bool
+	next     atomic.Uint64
+	slots    []atomic.Pointer[Event]
 }
 
 // NewRing returns a Ring that keeps size events of the given instance.
 func NewRing(instance model.InstanceID, clock *Clock, size int) *Ring {
-	return &Ring{instance: instance, clock: clock, buf: make([]Event, size)}
+	return &Ring{instance: instance, clock: clock, slots: make([]atomic.Pointer[Event], size)}
 }
 
 // Record implements Recorder.
 func (r *Ring) Record(e Event) {
 	e.Time = r.clock.Now()
 	e.Instance = r.instance
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.buf[r.next] = e
-	r.next++
-	if r.next == len(r.buf) {
-		r.next = 0
-		r.full = true
-	}
+	slot := (r.next.Add(1) - 1) % uint64(len(r.slots))
+	r.slots[slot].Store(&e)
 }
 
 // Snapshot returns the kept events, oldest first.
 func (r *Ring) Snapshot() []Event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.full {
-		return append([]Event(nil), r.buf[:r.next]...)
+	out := make([]Event, 0, len(r.slots))
+	for i := range r.slots {
+		if e := r.slots[i].Load(); e != nil {
+			out = append(out, *e)
+		}
 	}
-	out := make([]Event, 0, len(r.buf))
-	out = append(out, r.buf[r.next:]...)
-	return append(out, r.buf[:r.next]...)
+	slices.SortFunc(out, func(a, b Event) int { return cmp.Compare(a.Time, b.Time) })
+	return out
 }
--- /dev/null
+++ b/internal/events/ring_test.go
@@ -0,0 +1,136 @@
+package events
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+func TestRingKeepsTheNewest(t *testing.T) {
+	clock := NewClock(time.Now)
+	r := NewRing("a", clock, 4)
+	for n := range 10 {
+		r.Record(Event{Kind: TargetPicked, Detail: fmt.Sprint(n)})
+		got := r.Snapshot()
+		if len(got) != min(n+1, 4) || got[len(got)-1].Detail != fmt.Sprint(n) || got[0].Detail != fmt.Sprint(max(0, n-3)) {
+			t.Fatalf("after %d: %v", n, got)
+		}
+	}
+}
+
+func TestRingUnderManyWriters(t *testing.T) {
+	const writers, each, size = 8, 2000, 64
+	clock := NewClock(time.Now)
+	r := NewRing("a", clock, size)
+	var wg sync.WaitGroup
+	for range writers {
+		wg.Go(func() {
+			for range each {
+				r.Record(Event{Kind: TargetPicked})
+			}
+		})
+	}
+	for range 100 {
+		checkOrder(t, r.Snapshot())
+	}
+	wg.Wait()
+	got := r.Snapshot()
+	checkOrder(t, got)
+	if len(got) != size {
+		t.Errorf("kept %d of %d", len(got), size)
+	}
+}
+
+func checkOrder(t *testing.T, list []Event) {
+	t.Helper()
+	if !slices.IsSortedFunc(list, func(a, b Event) int { return int(int64(a.Time) - int64(b.Time)) }) {
+		t.Error("not in the order of time")
+	}
+}
+
+func TestMergeOrdersByTimeThenInstance(t *testing.T) {
+	a := []Event{{Time: 1, Instance: "a"}, {Time: 5, Instance: "a"}}
+	b := []Event{{Time: 1, Instance: "b"}, {Time: 3, Instance: "b"}}
+	var got string
+	for _, e := range Merge(b, a) {
+		got += fmt.Sprint(uint64(e.Time), e.Instance, " ")
+	}
+	if got != "1a 1b 3b 5a " {
+		t.Errorf("got %s", got)
+	}
+}
+
+func TestTextOfAnEvent(t *testing.T) {
+	at := time.Date(2026, 12, 24, 18, 0, 0, 5e6, time.UTC)
+	e := Event{
+		Time: Timestamp(at.UnixMilli()<<logicalBits | 3), Instance: "praha-a-1", Kind: RequestRetried,
+		Request: "r1", Service: "nahled", Target: "t1", Revision: 7, Detail: "connection reset",
+	}
+	const want = "2026-12-24T18:00:00.005Z/3  praha-a-1    request-retried    request=r1 service=nahled target=t1 revision=7  connection reset"
+	if got := e.Text(); got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+}
+
+var sample = Event{Kind: TargetPicked, Request: "4f0c2d1e-0000-4000-8000-000000000000", Service: "nahled", Target: "nahled-praha-a-1"}
+
+func BenchmarkRecord(b *testing.B) {
+	r := NewRing("praha-a-1", NewClock(time.Now), 8192)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Record(sample)
+	}
+}
+
+func BenchmarkRecordParallel(b *testing.B) {
+	r := NewRing("praha-a-1", NewClock(time.Now), 8192)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r.Record(sample)
+		}
+	})
+}
+
+// BenchmarkRecordWhileRead records while the time line is read all the time.
+func BenchmarkRecordWhileRead(b *testing.B) {
+	r := NewRing("praha-a-1", NewClock(time.Now), 8192)
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				r.Snapshot()
+			}
+		}
+	}()
+	for b.Loop() {
+		r.Record(sample)
+	}
+	close(stop)
+	<-done
+}
+
+// BenchmarkRingMemory reports the bytes that a full ring holds for each event.
+func BenchmarkRingMemory(b *testing.B) {
+	const size = 8192
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		r := NewRing("praha-a-1", NewClock(time.Now), size)
+		for range size {
+			r.Record(sample)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(r)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/size, "B/event")
+}
