Reload certificates without a cut, towards callers and operators

Cause: both endpoints spoke plain HTTP only.

Change: caller.tls and operator.tls name files that are read again when they change and on SIGHUP; each handshake takes the configuration of the moment by atomic swap, open connections go on, and files that can't be used leave the old ones in use and are told in log and time line. A client certificate of operator.clientCA stands for the token, and its name for the author of a change. A hangup doesn't end the process. The report of revisions in force reads the fleet's own type now.

--- a/cmd/redwingpoint/serve.go
+++ b/cmd/redwingpoint/serve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
@@ -49,6 +51,8 @@
 	if err != nil {
 		return eris.Wrap(err, "open log")
 	}
+	// A hangup only reloads certificates; without any it must not end the process.
+	signal.Ignore(syscall.SIGHUP)
 	log = log.With(zap.String("instance", string(s.Instance)))
 	app := daemon.New(s, log, fx.Supply(config.Level))
 	if err := app.Start(ctx); err != nil {
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/buildinfo"
+	"redwingpoint.org/redwingpoint/internal/certs"
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/discovery"
 	"redwingpoint.org/redwingpoint/internal/events"
@@ -20,7 +21,7 @@
 
 // operatorModule serves operators and ends exceptions at their expiry.
 var operatorModule = fx.Module("operator",
-	fx.Provide(newApplier, newOperator),
+	fx.Provide(newApplier, newOperator, newReloader),
 	fx.Invoke(serveOperators, expireExceptions),
 )
 
@@ -65,8 +66,15 @@
 	}
 }
 
-func serveOperators(lc fx.Lifecycle, s *settings.Settings, o *operator.Server, log *zap.Logger) {
-	serveHTTP(lc, log.Named("operator"), s.Operator.Listen, o.Handler())
+func serveOperators(lc fx.Lifecycle, s *settings.Settings, o *operator.Server, r *reloader, log *zap.Logger) error {
+	source, err := r.follow(lc, certs.Files{
+		Cert: s.Operator.TLS.Cert, Key: s.Operator.TLS.Key, ClientCA: s.Operator.ClientCA,
+	})
+	if err != nil {
+		return err
+	}
+	serveHTTP(lc, log.Named("operator"), s.Operator.Listen, o.Handler(), source)
+	return nil
 }
 
 func expireExceptions(lc fx.Lifecycle, h *config.Holder, r events.Recorder) {
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -4,6 +4,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"redwingpoint.org/redwingpoint/internal/certs"
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/entry"
 	"redwingpoint.org/redwingpoint/internal/events"
@@ -23,6 +24,11 @@
 	return entry.New(entry.Options{Config: h, Picker: p, Upstream: u, Ledger: l, Recorder: r})
 }
 
-func serveCallers(lc fx.Lifecycle, s *settings.Settings, e *entry.Server, log *zap.Logger) {
-	serveHTTP(lc, log.Named("caller"), s.Caller.Listen, e.Handler())
+func serveCallers(lc fx.Lifecycle, s *settings.Settings, e *entry.Server, r *reloader, log *zap.Logger) error {
+	source, err := r.follow(lc, certs.Files{Cert: s.Caller.TLS.Cert, Key: s.Caller.TLS.Key})
+	if err != nil {
+		return err
+	}
+	serveHTTP(lc, log.Named("caller"), s.Caller.Listen, e.Handler(), source)
+	return nil
 }
--- a/internal/operator/facts.go
+++ b/internal/operator/facts.go
@@ -10,17 +10,6 @@
 	"redwingpoint.org/redwingpoint/internal/operator/api"
 )
 
-// revisionFact is the value of a fleet.FactRevision.
-type revisionFact struct {
-	Revision model.Revision `cbor:"1,keyasint"`
-	Location model.Location `cbor:"2,keyasint"`
-}
-
-func decodeRevision(f fleet.Fact) (revisionFact, bool) {
-	var v revisionFact
-	return v, cbor.Unmarshal(f.Value, &v) == nil
-}
-
 // quarantineFact is the value of a fleet.FactQuarantine.
 type quarantineFact struct {
 	Service model.ServiceName `cbor:"1,keyasint"`
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/subtle"
 	"net/http"
+	"path"
 	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -87,12 +88,14 @@
 
 // author returns the operator's name: that of the certificate if there is one.
 func author(r *http.Request, claimed string) string {
-	if r.TLS != nil && len(r.TLS.VerifiedChains) > 0 {
-		if name := r.TLS.VerifiedChains[0][0].Subject.CommonName; name != "" {
-			return name
-		}
+	if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
+		return claimed
 	}
-	return claimed
+	leaf := r.TLS.VerifiedChains[0][0]
+	if len(leaf.URIs) > 0 {
+		return path.Base(leaf.URIs[0].Path)
+	}
+	return leaf.Subject.CommonName
 }
 
 const problemTypePrefix = "urn:redwingpoint:problem:"
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -104,11 +104,14 @@
 	server.StartTLS()
 	t.Cleanup(server.Close)
 	roots := server.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs
-	status := func(certificates ...tls.Certificate) error {
+	newClient := func(certificates ...tls.Certificate) *client.Client {
 		config := &tls.Config{RootCAs: roots, GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
 			return &append(certificates, tls.Certificate{})[0], nil
 		}}
-		_, err := client.New(server.URL, "", config).Status(t.Context())
+		return client.New(server.URL, "", config)
+	}
+	status := func(certificates ...tls.Certificate) error {
+		_, err := newClient(certificates...).Status(t.Context())
 		return err
 	}
 	if err := status(newCertificate(t, ca)); err != nil {
@@ -120,6 +123,13 @@
 	if status(newCertificate(t, stranger)) == nil {
 		t.Error("served a certificate of another authority")
 	}
+	c := newClient(newCertificate(t, ca))
+	if _, err := c.Apply(t.Context(), api.ApplyRequest{Text: document, Change: "1", Author: "somebody"}); err != nil {
+		t.Fatal(err)
+	}
+	if current, err := c.Config(t.Context(), ""); err != nil || current.Document.Author != "jana" {
+		t.Errorf("author: %+v, %v", current, err)
+	}
 }
 
 func newCertificate(t *testing.T, ca keys.Pair) tls.Certificate {
@@ -206,7 +216,7 @@
 	}
 	s.Config.Apply(d, time.Now())
 	report := func(id string, region model.Region, revision model.Revision) {
-		raw, err := cbor.Marshal(revisionFact{Revision: revision, Location: model.Location{Region: region}})
+		raw, err := cbor.Marshal(fleet.RevisionValue{Revision: revision, Location: model.Location{Region: region}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -70,14 +70,14 @@
 }
 
 // reports returns the newest report of each instance, this one included.
-func (s *Server) reports() map[model.InstanceID]revisionFact {
-	out := make(map[model.InstanceID]revisionFact)
+func (s *Server) reports() map[model.InstanceID]fleet.RevisionValue {
+	out := make(map[model.InstanceID]fleet.RevisionValue)
 	s.Board.Each(fleet.FactRevision, func(f fleet.Fact) {
-		if v, ok := decodeRevision(f); ok {
+		if v, err := fleet.DecodeRevision(f); err == nil {
 			out[model.InstanceID(f.Key)] = v
 		}
 	})
-	out[s.Instance] = revisionFact{Revision: s.Config.Revision(), Location: s.Location}
+	out[s.Instance] = fleet.RevisionValue{Revision: s.Config.Revision(), Location: s.Location}
 	return out
 }
 
