--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"go.uber.org/fx"
+	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/settings"
@@ -15,5 +16,5 @@
 	func(s *settings.Settings, clock *events.Clock) *events.Ring {
 		return events.NewRing(s.Instance, clock, s.Events.Keep)
 	},
-	func(r *events.Ring) events.Recorder { return r },
+	func(r *events.Ring, log *zap.Logger) events.Recorder { return events.NewLogged(r, log.Named("events")) },
 ))
