--- a/cmd/redwingpoint/docs_test.go
+++ b/cmd/redwingpoint/docs_test.go
@@ -169,8 +169,11 @@
 				continue
 			}
 			value := ""
-			if v.Field(i).Kind() == reflect.Int {
-				value = strconv.FormatInt(v.Field(i).Int(), 10)
+			switch set := v.Field(i).Interface().(type) {
+			case int:
+				value = strconv.Itoa(set)
+			case time.Duration:
+				value = set.String()
 			}
 			checkRow(t, "SETTINGS.md", at, described[at], value, field.Tag.Get("range"))
 			delete(described, at)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"os"
 	"slices"
+	"strconv"
 
 	"redwingpoint.org/redwingpoint/internal/strict"
 )
@@ -27,6 +28,9 @@
 	c.address("caller.listen", s.Caller.Listen)
 	c.address("operator.listen", s.Operator.Listen)
 	c.address("peer.listen", s.Peer.Listen)
+	for i, seed := range s.Peer.Seeds {
+		c.address("peer.seeds["+strconv.Itoa(i)+"]", seed)
+	}
 	c.url("platform.url", s.Platform.URL)
 	c.pair("caller.tls", s.Caller.TLS)
 	c.pair("operator.tls", s.Operator.TLS)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"os"
+	"time"
 
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/strict"
@@ -23,6 +24,7 @@
 	Peer     Peer           `yaml:"peer"`
 	Platform Platform       `yaml:"platform" required:"true"`
 	Events   Events         `yaml:"events"`
+	Leave    Leave          `yaml:"leave"`
 }
 
 // Caller configures the endpoint that callers use.
@@ -31,6 +33,8 @@
 	Listen string `yaml:"listen" required:"true"`
 	// TLS is used towards callers if it names files.
 	TLS TLS `yaml:"tls"`
+	// IdentityHeader names the header that names the caller; empty means Caller-Id.
+	IdentityHeader string `yaml:"identityHeader"`
 }
 
 // Operator configures the endpoint that operators use.
@@ -65,6 +69,16 @@
 	CA   string `yaml:"ca"`
 	Cert string `yaml:"cert"`
 	Key  string `yaml:"key"`
+	// Seeds are UDP addresses of other instances, to be asked while the
+	// platform's instance list can't be read.
+	Seeds []string `yaml:"seeds"`
+}
+
+// Leave configures the stopping of an instance.
+type Leave struct {
+	// Lag is how long the platform's balancer may go on sending requests after
+	// the instance has stopped being ready.
+	Lag time.Duration `yaml:"lag" range:"0s..5m"`
 }
 
 // Platform says where the platform's services are.
@@ -79,10 +93,18 @@
 	Keep int `yaml:"keep" range:"64..1048576"`
 }
 
-const defaultKeptEvents = 8192
+const (
+	defaultKeptEvents = 8192
+	defaultLeaveLag   = 5 * time.Second
+)
 
 // Default returns the settings that a file starts from.
-func Default() *Settings { return &Settings{Events: Events{Keep: defaultKeptEvents}} }
+func Default() *Settings {
+	return &Settings{
+		Events: Events{Keep: defaultKeptEvents},
+		Leave:  Leave{Lag: defaultLeaveLag},
+	}
+}
 
 // FileError reports a settings file that cannot be read.
 type FileError struct {
--- a/internal/strict/scalar.go
+++ b/internal/strict/scalar.go
@@ -36,6 +36,14 @@
 		}
 		return ""
 	}
+	if d, ok := v.Addr().Interface().(*time.Duration); ok {
+		parsed, err := time.ParseDuration(node.Value)
+		if err != nil {
+			return describe(node.Value, v, err)
+		}
+		*d = parsed
+		return ""
+	}
 	switch v.Kind() {
 	case reflect.String:
 		v.SetString(node.Value)
