Count events by kind and report revision, members and measuring as metrics

Change: redwingpoint_events_total by kind covers retries, hedges, ejections and claims by outcome without a counter at each place; gauges for revision in force, exceptions, members, quarantined requests, readiness and the measuring budget are read at the moment of the call.

--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -16,5 +17,8 @@
 	func(s *settings.Settings, clock *events.Clock) *events.Ring {
 		return events.NewRing(s.Instance, clock, s.Events.Keep)
 	},
-	func(r *events.Ring, log *zap.Logger) events.Recorder { return events.NewLogged(r, log.Named("events")) },
+	metrics.NewSet,
+	func(r *events.Ring, set *metrics.Set, log *zap.Logger) events.Recorder {
+		return events.NewCounted(events.NewLogged(r, log.Named("events")), set)
+	},
 ))
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -13,6 +14,7 @@
 	"redwingpoint.org/redwingpoint/internal/discovery"
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/fleet"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/operator"
 	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/routing"
@@ -42,6 +44,8 @@
 	Board    fleet.Board
 	Members  *fleet.Members
 	Watcher  *discovery.Watcher
+	Metrics  *metrics.Set
+	Budget   *limit.Measuring
 	LogLevel zap.AtomicLevel `optional:"true"`
 }
 
@@ -62,7 +66,10 @@
 		Board:    d.Board,
 		Members:  d.Members,
 		LogLevel: d.LogLevel,
-		Ready:    d.Watcher.Ready,
+		Metrics:  d.Metrics,
+
+		Measuring: d.Budget,
+		Ready:     d.Watcher.Ready,
 	}
 }
 
--- a/internal/events/ring_test.go
+++ b/internal/events/ring_test.go
@@ -7,6 +7,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
 )
 
 func TestRingKeepsTheNewest(t *testing.T) {
@@ -95,6 +98,16 @@
 	})
 }
 
+// BenchmarkRecordCountedAndLogged records through all recorders of an instance.
+func BenchmarkRecordCountedAndLogged(b *testing.B) {
+	r := NewRing("praha-a-1", NewClock(time.Now), 8192)
+	all := NewCounted(NewLogged(r, zap.NewNop()), metrics.NewSet())
+	b.ReportAllocs()
+	for b.Loop() {
+		all.Record(sample)
+	}
+}
+
 // BenchmarkRecordWhileRead records while the time line is read all the time.
 func BenchmarkRecordWhileRead(b *testing.B) {
 	r := NewRing("praha-a-1", NewClock(time.Now), 8192)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -15,6 +15,7 @@
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/fleet"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/operator/api"
 	"redwingpoint.org/redwingpoint/internal/routing"
@@ -35,6 +36,10 @@
 	Table    *routing.Table
 	Board    fleet.Board
 	Members  *fleet.Members
+	// Metrics are those of this instance besides the process's; may be nil.
+	Metrics *metrics.Set
+	// Measuring is the budget that is reported; may be nil.
+	Measuring *limit.Measuring
 	// LogLevel is the level of the process's log.
 	LogLevel zap.AtomicLevel
 	// Ready reports whether this instance may receive requests.
@@ -55,7 +60,7 @@
 	private.GET(api.PathTimeline, s.getTimeline)
 	private.GET(api.PathQuarantine, s.getQuarantine)
 	private.DELETE(api.PathQuarantine+"/:fingerprint", s.liftQuarantine)
-	private.GET(api.PathMetrics, func(c *gin.Context) { metrics.WritePrometheus(c.Writer, true) })
+	private.GET(api.PathMetrics, s.getMetrics)
 	private.GET(api.PathLogLevel, s.getLogLevel)
 	private.PUT(api.PathLogLevel, s.putLogLevel)
 	return engine
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -12,12 +13,14 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/keys"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/operator/api"
 	"redwingpoint.org/redwingpoint/internal/operator/client"
@@ -291,3 +294,33 @@
 		t.Error("lifted what is not quarantined")
 	}
 }
+
+func TestMetricsShowRevisionBudgetAndEvents(t *testing.T) {
+	s := newServer(t)
+	s.Metrics = metrics.NewSet()
+	s.Measuring = limit.NewMeasuring(2048, time.Now)
+	s.Measuring.Take(100, limit.PriorityMembership)
+	events.NewCounted(s.Ring, s.Metrics).Record(events.Event{Kind: events.TargetEjected})
+	d, err := config.Parse([]byte("revision: 3" + document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Config.Apply(d, time.Now())
+	_, address := start(t, s)
+	req, _ := http.NewRequest(http.MethodGet, address+api.PathMetrics, nil)
+	req.Header.Set("Authorization", "Bearer secret")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, _ := io.ReadAll(resp.Body)
+	for _, want := range []string{
+		"redwingpoint_config_revision 3\n", "redwingpoint_measuring_bytes_total 100\n", "redwingpoint_ready 1\n",
+		"redwingpoint_fleet_members 1\n", `redwingpoint_events_total{kind="target-ejected"} 1` + "\n",
+	} {
+		if !strings.Contains(string(raw), want) {
+			t.Errorf("no %q in\n%s", want, raw)
+		}
+	}
+}
