Parse and merge documents without looking up tags again and again

Cause: the tags of a struct were read anew for each value, and a merge compared each exception with all others in canonical form.

Change: tags are read once per type; the merge keeps a set.

--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -85,7 +85,7 @@
 }
 
 func (e *StaleReadError) Error() string {
-	return fmt.Sprintf("the store answers with revision %d although %d was accepted", e.Read, e.Known)
+	return fmt.Sprintf("the store answers with revision %d although %d is in force or was given as the start of the edit", e.Read, e.Known)
 }
 
 // NotAppliedError reports an edit that certainly did not take effect.
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -16,8 +16,15 @@
 type leaf struct {
 	// text is the value's canonical form, for comparison.
 	text string
-	// put stores the value in another document.
-	put func(*Document)
+	// put stores the value in the document that is being merged.
+	put func(*merger)
+}
+
+// merger builds a document out of leaves.
+type merger struct {
+	document *Document
+	// exceptions are the canonical forms of those that the document has.
+	exceptions map[string]bool
 }
 
 // flatten returns the leaves of a document by path. An exception is one unit,
@@ -27,29 +34,29 @@
 	out := make(map[string]leaf)
 	for _, field := range d.Defaults.names() {
 		value := d.Defaults.value(field)
-		out["defaults."+field] = leaf{canonical(value.Interface()), func(to *Document) {
-			to.Defaults.value(field).Set(value)
+		out["defaults."+field] = leaf{canonical(value.Interface()), func(to *merger) {
+			to.document.Defaults.value(field).Set(value)
 		}}
 	}
 	for name, service := range d.Services {
-		out["services."+string(name)] = leaf{canonical(service), func(to *Document) {
-			to.Services[name] = service
+		out["services."+string(name)] = leaf{canonical(service), func(to *merger) {
+			to.document.Services[name] = service
 		}}
 	}
 	for i := range d.Exceptions {
 		e := d.Exceptions[i]
 		text := canonical(e)
 		for _, field := range e.Set.names() {
-			out[exceptionPath(e.Scope, field)] = leaf{text, func(to *Document) { to.putException(e, text) }}
+			out[exceptionPath(e.Scope, field)] = leaf{text, func(to *merger) { to.putException(e, text) }}
 		}
 	}
 	return out
 }
 
-func (d *Document) putException(e Exception, text string) {
-	known := func(other Exception) bool { return canonical(other) == text }
-	if !slices.ContainsFunc(d.Exceptions, known) {
-		d.Exceptions = append(d.Exceptions, e)
+func (m *merger) putException(e Exception, text string) {
+	if !m.exceptions[text] {
+		m.exceptions[text] = true
+		m.document.Exceptions = append(m.document.Exceptions, e)
 	}
 }
 
@@ -84,14 +91,15 @@
 func merge(base, stored, edited *Document) (*Document, []PathConflict) {
 	was, theirs, ours := base.flatten(), stored.flatten(), edited.flatten()
 	merged := &Document{Services: make(map[model.ServiceName]Service)}
+	to := &merger{document: merged, exceptions: make(map[string]bool)}
 	var conflicts []PathConflict
 	for _, path := range paths(was, theirs, ours) {
 		b, s, e := was[path].text, theirs[path].text, ours[path].text
 		switch {
 		case s == e || e == b:
-			put(merged, theirs, path)
+			put(to, theirs, path)
 		case s == b:
-			put(merged, ours, path)
+			put(to, ours, path)
 		default:
 			conflicts = append(conflicts, PathConflict{Path: path, Base: b, Stored: s, Edited: e})
 		}
@@ -102,7 +110,7 @@
 	return merged, conflicts
 }
 
-func put(to *Document, leaves map[string]leaf, path string) {
+func put(to *merger, leaves map[string]leaf, path string) {
 	if l, ok := leaves[path]; ok {
 		l.put(to)
 	}
--- a/internal/strict/decode.go
+++ b/internal/strict/decode.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"go.yaml.in/yaml/v3"
 )
@@ -103,7 +104,7 @@
 		return
 	}
 	d.pairs(node, path, func(key, value *yaml.Node, at string) {
-		field, ok := fieldOf(v.Type(), key.Value)
+		field, ok := shapeOf(v.Type()).fields[key.Value]
 		if !ok {
 			d.fail(key, at, "unknown key; "+suggest(key.Value, Keys(v.Type())))
 			return
@@ -114,8 +115,9 @@
 }
 
 func (d *decoder) required(node *yaml.Node, path string, v reflect.Value) {
-	for _, field := range reflect.VisibleFields(v.Type()) {
-		at := Join(path, name(field))
+	s := shapeOf(v.Type())
+	for _, key := range s.keys {
+		field, at := s.fields[key], Join(path, key)
 		if field.Tag.Get("required") != "true" || d.given(at, v.FieldByIndex(field.Index)) || d.reported(at) {
 			continue
 		}
@@ -183,29 +185,30 @@
 }
 
 // Keys returns the keys of a struct type in the order of its fields.
-func Keys(t reflect.Type) []string {
-	var keys []string
-	for _, field := range reflect.VisibleFields(t) {
-		if key := name(field); key != "" {
-			keys = append(keys, key)
-		}
-	}
-	return keys
+func Keys(t reflect.Type) []string { return shapeOf(t).keys }
+
+// shape is what the tags of a struct type say.
+type shape struct {
+	keys   []string
+	fields map[string]reflect.StructField
 }
 
-func fieldOf(t reflect.Type, key string) (reflect.StructField, bool) {
+// shapes caches the shape of each reflect.Type.
+var shapes sync.Map
+
+func shapeOf(t reflect.Type) *shape {
+	if known, ok := shapes.Load(t); ok {
+		return known.(*shape)
+	}
+	s := &shape{fields: make(map[string]reflect.StructField)}
 	for _, field := range reflect.VisibleFields(t) {
-		if key != "" && name(field) == key {
-			return field, true
+		key, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+		if key == "" || key == "-" {
+			continue
 		}
+		s.keys = append(s.keys, key)
+		s.fields[key] = field
 	}
-	return reflect.StructField{}, false
-}
-
-func name(field reflect.StructField) string {
-	key, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
-	if key == "-" {
-		return ""
-	}
-	return key
+	shapes.Store(t, s)
+	return s
 }
