--- a/internal/config/snapshot_test.go
+++ b/internal/config/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,3 +81,35 @@
 		t.Error("policies changed")
 	}
 }
+
+func TestHolderUnderConcurrentUse(t *testing.T) {
+	start := time.Now()
+	h := NewHolder(locationOf("praha"))
+	h.Apply(expiring(1, 1, start.Add(time.Hour)), start)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for revision := range model.Revision(200) {
+				h.Apply(expiring(revision, int(revision), start.Add(time.Hour)), start)
+				h.Expire(start.Add(2 * time.Hour))
+			}
+		})
+		wg.Go(func() {
+			var last model.Revision
+			for range 2000 {
+				s := h.Current()
+				if s.Document.Revision < last {
+					t.Errorf("revision %d after %d", s.Document.Revision, last)
+				}
+				last = s.Document.Revision
+				if limit := s.Policy("nahled").QueueLimit; limit != defaultQueueLimit && limit != int(last) {
+					t.Errorf("revision %d has limit %d", last, limit)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if h.Revision() != 199 {
+		t.Errorf("ended at revision %d", h.Revision())
+	}
+}
