--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/fx"
+	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/settings"
@@ -15,5 +17,8 @@
 	func(s *settings.Settings, clock *events.Clock) *events.Ring {
 		return events.NewRing(s.Instance, clock, s.Events.Keep)
 	},
-	func(r *events.Ring) events.Recorder { return r },
+	metrics.NewSet,
+	func(r *events.Ring, set *metrics.Set, log *zap.Logger) events.Recorder {
+		return events.NewCounted(events.NewLogged(r, log.Named("events")), set)
+	},
 ))
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -4,14 +4,17 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/buildinfo"
+	"redwingpoint.org/redwingpoint/internal/certs"
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/discovery"
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/fleet"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/operator"
 	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/routing"
@@ -20,7 +23,7 @@
 
 // operatorModule serves operators and ends exceptions at their expiry.
 var operatorModule = fx.Module("operator",
-	fx.Provide(newApplier, newOperator),
+	fx.Provide(newApplier, newOperator, newReloader),
 	fx.Invoke(serveOperators, expireExceptions),
 )
 
@@ -41,6 +44,8 @@
 	Board    fleet.Board
 	Members  *fleet.Members
 	Watcher  *discovery.Watcher
+	Metrics  *metrics.Set
+	Budget   *limit.Measuring
 	LogLevel zap.AtomicLevel `optional:"true"`
 }
 
@@ -61,12 +66,22 @@
 		Board:    d.Board,
 		Members:  d.Members,
 		LogLevel: d.LogLevel,
-		Ready:    d.Watcher.Ready,
+		Metrics:  d.Metrics,
+
+		Measuring: d.Budget,
+		Ready:     d.Watcher.Ready,
 	}
 }
 
-func serveOperators(lc fx.Lifecycle, s *settings.Settings, o *operator.Server, log *zap.Logger) {
-	serveHTTP(lc, log.Named("operator"), s.Operator.Listen, o.Handler())
+func serveOperators(lc fx.Lifecycle, s *settings.Settings, o *operator.Server, r *reloader, log *zap.Logger) error {
+	source, err := r.follow(lc, certs.Files{
+		Cert: s.Operator.TLS.Cert, Key: s.Operator.TLS.Key, ClientCA: s.Operator.ClientCA,
+	})
+	if err != nil {
+		return err
+	}
+	serveHTTP(lc, log.Named("operator"), s.Operator.Listen, o.Handler(), source)
+	return nil
 }
 
 func expireExceptions(lc fx.Lifecycle, h *config.Holder, r events.Recorder) {
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -4,6 +4,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"redwingpoint.org/redwingpoint/internal/certs"
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/entry"
 	"redwingpoint.org/redwingpoint/internal/events"
@@ -51,8 +52,12 @@
 	return s
 }
 
-func serveCallers(lc fx.Lifecycle, s *settings.Settings, e *entry.Server, log *zap.Logger) *callers {
+func serveCallers(lc fx.Lifecycle, s *settings.Settings, e *entry.Server, r *reloader, log *zap.Logger) (*callers, error) {
+	source, err := r.follow(lc, certs.Files{Cert: s.Caller.TLS.Cert, Key: s.Caller.TLS.Key})
+	if err != nil {
+		return nil, err
+	}
 	c := new(callers)
-	c.server = serveHTTP(lc, log.Named("caller"), s.Caller.Listen, c.wrap(e.Handler()))
-	return c
+	c.server = serveHTTP(lc, log.Named("caller"), s.Caller.Listen, c.wrap(e.Handler()), source)
+	return c, nil
 }
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -12,12 +13,14 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/keys"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/operator/api"
 	"redwingpoint.org/redwingpoint/internal/operator/client"
@@ -104,11 +107,14 @@
 	server.StartTLS()
 	t.Cleanup(server.Close)
 	roots := server.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs
-	status := func(certificates ...tls.Certificate) error {
+	newClient := func(certificates ...tls.Certificate) *client.Client {
 		config := &tls.Config{RootCAs: roots, GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
 			return &append(certificates, tls.Certificate{})[0], nil
 		}}
-		_, err := client.New(server.URL, "", config).Status(t.Context())
+		return client.New(server.URL, "", config)
+	}
+	status := func(certificates ...tls.Certificate) error {
+		_, err := newClient(certificates...).Status(t.Context())
 		return err
 	}
 	if err := status(newCertificate(t, ca)); err != nil {
@@ -120,6 +126,13 @@
 	if status(newCertificate(t, stranger)) == nil {
 		t.Error("served a certificate of another authority")
 	}
+	c := newClient(newCertificate(t, ca))
+	if _, err := c.Apply(t.Context(), api.ApplyRequest{Text: document, Change: "1", Author: "somebody"}); err != nil {
+		t.Fatal(err)
+	}
+	if current, err := c.Config(t.Context(), ""); err != nil || current.Document.Author != "jana" {
+		t.Errorf("author: %+v, %v", current, err)
+	}
 }
 
 func newCertificate(t *testing.T, ca keys.Pair) tls.Certificate {
@@ -206,7 +219,7 @@
 	}
 	s.Config.Apply(d, time.Now())
 	report := func(id string, region model.Region, revision model.Revision) {
-		raw, err := cbor.Marshal(revisionFact{Revision: revision, Location: model.Location{Region: region}})
+		raw, err := cbor.Marshal(fleet.RevisionValue{Revision: revision, Location: model.Location{Region: region}})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -281,3 +294,33 @@
 		t.Error("lifted what is not quarantined")
 	}
 }
+
+func TestMetricsShowRevisionBudgetAndEvents(t *testing.T) {
+	s := newServer(t)
+	s.Metrics = metrics.NewSet()
+	s.Measuring = limit.NewMeasuring(2048, time.Now)
+	s.Measuring.Take(100, limit.PriorityMembership)
+	events.NewCounted(s.Ring, s.Metrics).Record(events.Event{Kind: events.TargetEjected})
+	d, err := config.Parse([]byte("revision: 3" + document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Config.Apply(d, time.Now())
+	_, address := start(t, s)
+	req, _ := http.NewRequest(http.MethodGet, address+api.PathMetrics, nil)
+	req.Header.Set("Authorization", "Bearer secret")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, _ := io.ReadAll(resp.Body)
+	for _, want := range []string{
+		"redwingpoint_config_revision 3\n", "redwingpoint_measuring_bytes_total 100\n", "redwingpoint_ready 1\n",
+		"redwingpoint_fleet_members 1\n", `redwingpoint_events_total{kind="target-ejected"} 1` + "\n",
+	} {
+		if !strings.Contains(string(raw), want) {
+			t.Errorf("no %q in\n%s", want, raw)
+		}
+	}
+}
