--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -44,7 +44,7 @@
 		Prober:    probe.NewHTTP(),
 		Members:   members,
 		Measuring: m,
-		Region:    s.Location.Region,
+		Location:  s.Location,
 	}
 }
 
--- a/internal/health/checker.go
+++ b/internal/health/checker.go
@@ -56,7 +56,7 @@
 	Prober    Prober
 	Members   *fleet.Members
 	Measuring *limit.Measuring
-	Region    model.Region
+	Location  model.Location
 }
 
 // Run checks until ctx ends and waits for the probes under way.
@@ -94,7 +94,7 @@
 
 // Due returns the targets to probe now; each has been paid for.
 func (c *Checker) Due() []model.Target {
-	c.Table.Routing.SetInstances(c.regionSize())
+	c.Table.Routing.SetPlace(c.place())
 	var due []model.Target
 	c.Table.Routing.Snapshot().Each(func(_ model.ServiceName, pool *routing.Pool) {
 		for _, e := range pool.Endpoints {
@@ -106,19 +106,33 @@
 	return due
 }
 
-func (c *Checker) regionSize() int {
-	n := 0
+// place returns where this instance stands among the live members of its region.
+func (c *Checker) place() routing.Place {
+	var at routing.Place
 	for _, member := range c.Members.Live() {
-		if member.Location.Region == c.Region {
-			n++
+		distance := c.Location.DistanceTo(member.Location)
+		if member.Leaving || distance == model.OtherRegion {
+			continue
 		}
+		before := member.ID < c.Table.Self
+		count(&at.Index, &at.Instances, before)
+		if distance == model.SameDomain {
+			count(&at.DomainIndex, &at.DomainInstances, before)
+		}
+	}
+	return at
+}
+
+func count(index, total *int, before bool) {
+	*total++
+	if before {
+		*index++
 	}
-	return n
 }
 
 // mine reports whether this instance checks a target, and pays for the probe.
 func (c *Checker) mine(id model.TargetID) (mine, paid bool) {
-	if !c.Members.Mine("check/"+string(id), checkersPerTarget, c.Region) {
+	if !c.Members.Mine("check/"+string(id), checkersPerTarget, c.Location.Region) {
 		return false, false
 	}
 	return true, c.Measuring.Take(ProbeBytes, limit.PriorityProbe)
--- a/internal/health/fleet_test.go
+++ b/internal/health/fleet_test.go
@@ -81,7 +81,7 @@
 	})
 	list := fleet.NewMembers(self)
 	list.Set(members)
-	in.checker = &Checker{Table: in.table, Prober: f, Members: list, Measuring: in.measuring, Region: praha.Region}
+	in.checker = &Checker{Table: in.table, Prober: f, Members: list, Measuring: in.measuring, Location: praha}
 	ctx, cancel := context.WithCancel(t.Context())
 	var loops sync.WaitGroup
 	loops.Go(func() { in.table.Run(ctx) })
--- a/internal/health/table.go
+++ b/internal/health/table.go
@@ -135,16 +135,16 @@
 func (t *Table) Tick() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.relist()
-	for _, r := range *t.records.Load() {
+	for _, r := range t.relist() {
 		t.settle(r)
 	}
 }
 
-// relist brings the records in step with the listed targets.
-func (t *Table) relist() {
+// relist brings the records in step with the listed targets and returns them.
+func (t *Table) relist() []*record {
 	known := *t.records.Load()
 	listed := make(map[model.TargetID]*record, len(known))
+	order := make([]*record, 0, len(known))
 	t.Routing.Snapshot().Each(func(_ model.ServiceName, pool *routing.Pool) {
 		for _, e := range pool.Endpoints {
 			r := known[e.Target.ID]
@@ -152,9 +152,11 @@
 				r = t.newRecord(e)
 			}
 			listed[e.Target.ID] = r
+			order = append(order, r)
 		}
 	})
 	t.records.Store(&listed)
+	return order
 }
 
 // newRecord returns a record that starts from the standing in the routing table.
--- a/internal/routing/cost_test.go
+++ b/internal/routing/cost_test.go
@@ -27,7 +27,7 @@
 func newFixture(targets ...model.Target) *fixture {
 	f := &fixture{Table: NewInstanceTable("praha-a-1", prahaA), now: time.Hour}
 	f.picker = NewCostPicker(f.Table, func() time.Duration { return f.now })
-	f.SetInstances(6)
+	f.SetPlace(Place{Instances: 6, DomainInstances: 3})
 	f.SetTargets(letters, targets)
 	return f
 }
@@ -168,7 +168,7 @@
 	dialled := make(map[model.TargetID]int)
 	for i := range instances {
 		table := NewInstanceTable(model.InstanceID(fmt.Sprintf("i%d", i)), prahaA)
-		table.SetInstances(instances)
+		table.SetPlace(Place{Index: i, Instances: instances, DomainIndex: i, DomainInstances: instances})
 		table.SetTargets(letters, list)
 		homes := table.Snapshot().Pool(letters).homes[regionUsable]
 		if len(homes) != perInstance {
@@ -185,6 +185,19 @@
 	}
 }
 
+func TestInstancesBeginAtDifferentTargets(t *testing.T) {
+	first := make(map[model.TargetID]int)
+	for i := range 6 {
+		table := NewInstanceTable(model.InstanceID(fmt.Sprintf("i%d", i)), prahaA)
+		table.SetPlace(Place{Index: i, Instances: 6, DomainIndex: i, DomainInstances: 6})
+		table.SetTargets(letters, manyTargets(letters, 6))
+		first[table.Snapshot().Pool(letters).homes[regionUsable][0].Target.ID]++
+	}
+	if len(first) != 6 {
+		t.Errorf("six instances prefer %v of six targets", first)
+	}
+}
+
 func TestHomesAreStableWhenTargetsChange(t *testing.T) {
 	list := manyTargets(letters, 1000)
 	f := newFixture(list...)
@@ -221,7 +234,7 @@
 // cityTable is a table of 220 services with 17 targets each and one of 3,700.
 func cityTable() *Table {
 	table := NewInstanceTable("praha-a-1", prahaA)
-	table.SetInstances(6)
+	table.SetPlace(Place{Instances: 6, DomainInstances: 3})
 	for i := range 220 {
 		service := model.ServiceName(fmt.Sprintf("s%d", i))
 		table.SetTargets(service, manyTargets(service, 17))
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -48,8 +48,16 @@
 	homes [tierCount][]*Endpoint
 }
 
+// Place is where an instance stands among the live instances of its region,
+// ordered by ID, and among those of its failure domain. Instances that know their
+// places prefer different targets; a place that is out of date costs latency only.
+type Place struct {
+	Index, Instances             int
+	DomainIndex, DomainInstances int
+}
+
 // newPool sorts endpoints into tiers and keeps the home targets of each.
-func newPool(endpoints []*Endpoint, instances int) *Pool {
+func newPool(endpoints []*Endpoint, at Place) *Pool {
 	p := &Pool{Endpoints: endpoints}
 	for _, e := range endpoints {
 		if e.Standing != Draining {
@@ -59,7 +67,10 @@
 	}
 	for t, list := range p.homes {
 		slices.SortFunc(list, nearer)
-		p.homes[t] = slices.Clip(list[:homeCount(list, instances)])
+		p.homes[t] = slices.Clip(list[:homeCount(list, at.Instances)])
+		if len(p.homes[t]) == len(list) {
+			takeTurns(list, at)
+		}
 	}
 	p.homes[regionUsable] = merge(p.homes[regionProven], p.homes[regionUnproven])
 	p.homes[remoteUsable] = merge(p.homes[remoteProven], p.homes[remoteUnproven])
@@ -87,12 +98,40 @@
 	return cmp.Or(cmp.Compare(a.Distance, b.Distance), cmp.Compare(a.rank, b.rank))
 }
 
+// takeTurns orders a list of which every target is a home: each group of one
+// distance by ID, beginning at a different target for each instance.
+func takeTurns(list []*Endpoint, at Place) {
+	for len(list) > 0 {
+		n := 1
+		for n < len(list) && list[n].Distance == list[0].Distance {
+			n++
+		}
+		index, instances := at.Index, at.Instances
+		if list[0].Distance == model.SameDomain {
+			index, instances = at.DomainIndex, at.DomainInstances
+		}
+		if instances > 1 {
+			slices.SortFunc(list[:n], byID)
+			rotate(list[:n], index*n/instances)
+		}
+		list = list[n:]
+	}
+}
+
+func byID(a, b *Endpoint) int { return cmp.Compare(a.Target.ID, b.Target.ID) }
+
+// rotate moves the first k elements to the end.
+func rotate(list []*Endpoint, k int) {
+	copy(list, slices.Concat(list[k:], list[:k]))
+}
+
+// merge joins two lists; of each distance, those of a come first.
 func merge(a, b []*Endpoint) []*Endpoint {
 	if len(b) == 0 {
 		return a
 	}
 	list := slices.Concat(a, b)
-	slices.SortFunc(list, nearer)
+	slices.SortStableFunc(list, func(a, b *Endpoint) int { return cmp.Compare(a.Distance, b.Distance) })
 	return list
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -32,10 +32,10 @@
 	self    model.Location
 	current atomic.Pointer[Snapshot]
 
-	mu        sync.Mutex
-	instances int
-	targets   map[model.ServiceName][]model.Target
-	states    map[model.TargetID]*state
+	mu      sync.Mutex
+	place   Place
+	targets map[model.ServiceName][]model.Target
+	states  map[model.TargetID]*state
 }
 
 // state is what outlives the snapshots of one target.
@@ -115,15 +115,15 @@
 	t.publish(service)
 }
 
-// SetInstances tells how many instances of this region share its targets; with
-// it the number of connections per target is bounded.
-func (t *Table) SetInstances(n int) {
+// SetPlace tells where this instance stands among those that share its targets.
+// It bounds the number of connections per target and spreads the load.
+func (t *Table) SetPlace(at Place) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.instances == n {
+	if t.place == at {
 		return
 	}
-	t.instances = n
+	t.place = at
 	pools := make(map[model.ServiceName]*Pool, len(t.targets))
 	for service, list := range t.targets {
 		pools[service] = t.build(list)
@@ -152,7 +152,7 @@
 	for _, target := range list {
 		endpoints = append(endpoints, t.endpoint(target, sharers))
 	}
-	return newPool(endpoints, t.instances)
+	return newPool(endpoints, t.place)
 }
 
 // sharers estimates how many instances of this region use one target of a list.
@@ -164,9 +164,9 @@
 		}
 	}
 	if own <= maxHomes {
-		return t.instances
+		return t.place.Instances
 	}
-	return max(1, t.instances*maxHomes/own)
+	return max(1, t.place.Instances*maxHomes/own)
 }
 
 func (t *Table) endpoint(target model.Target, sharers int) *Endpoint {
