--- a/internal/health/checker_test.go
+++ b/internal/health/checker_test.go
@@ -68,6 +68,10 @@
 	return requests, probes, bytes
 }
 
+// grown allows for the order in which loops that tick at the same instant run; it
+// moves single probes. A cost that followed the load would be ten times as high.
+func grown(got, before int) bool { return got*100 > before*105 }
+
 func TestMeasuringDoesNotGrowWithLoad(t *testing.T) {
 	quietRequests, quietProbes, quietBytes := monthEnd(t, 300*time.Millisecond)
 	requests, probes, bytes := monthEnd(t, 30*time.Millisecond)
@@ -76,7 +80,7 @@
 	if requests < 9*quietRequests {
 		t.Fatalf("the load rose from %d to %d requests only", quietRequests, requests)
 	}
-	if probes > quietProbes || bytes > quietBytes {
+	if grown(probes, quietProbes) || grown(bytes, quietBytes) {
 		t.Errorf("ten times the load raised probes from %d to %d or bytes from %d to %d", quietProbes, probes, quietBytes, bytes)
 	}
 	if budget := 6 * 4 * 60 * limit.MeasuringBytesPerSecond; bytes > budget {
