--- a/internal/health/share.go
+++ b/internal/health/share.go
@@ -8,6 +8,7 @@
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/limit"
+	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
 
@@ -42,13 +43,13 @@
 	if f, ok := t.fresh(fleet.FactTargetDrain, r, &r.heardDrain); ok {
 		var drain DrainFact
 		if cbor.Unmarshal(f.Value, &drain) == nil {
-			t.takeDrain(r, drain, now)
+			t.takeDrain(r, drain, f.Origin, now)
 		}
 	}
 	if f, ok := t.fresh(fleet.FactTargetHealth, r, &r.heardHealth); ok {
 		var health HealthFact
 		if cbor.Unmarshal(f.Value, &health) == nil {
-			t.takeHealth(r, health, now)
+			t.takeHealth(r, health, f.Origin, now)
 		}
 	}
 }
@@ -63,7 +64,7 @@
 	return f, f.Origin != t.Self
 }
 
-func (t *Table) takeDrain(r *record, f DrainFact, now time.Time) {
+func (t *Table) takeDrain(r *record, f DrainFact, from model.InstanceID, now time.Time) {
 	if !f.Draining {
 		r.drainAt.Store(0)
 		r.drainSaid.Store(false)
@@ -75,11 +76,11 @@
 	}
 	r.toldAt = now
 	if r.standing != routing.Draining {
-		t.apply(r, routing.Draining, now)
+		t.follow(r, routing.Draining, from, now)
 	}
 }
 
-func (t *Table) takeHealth(r *record, f HealthFact, now time.Time) {
+func (t *Table) takeHealth(r *record, f HealthFact, from model.InstanceID, now time.Time) {
 	switch {
 	case f.Standing == routing.Ejected && (r.standing == routing.Proven || r.standing == routing.Unproven):
 		if r.answeredSince(now.Add(-recentAnswer)) && history(r.history.Load()).failures() == 0 {
@@ -90,14 +91,27 @@
 		}
 		r.hold = min(time.Duration(f.HoldMillis)*time.Millisecond, maxHold)
 		r.hearsay = true
-		t.apply(r, routing.Ejected, now)
+		t.follow(r, routing.Ejected, from, now)
 	case f.Standing == routing.Proven && (r.standing == routing.Unproven || r.standing == routing.Ejected && r.hearsay):
 		if history(r.history.Load()).failures() == 0 {
-			t.apply(r, routing.Proven, now)
+			t.follow(r, routing.Proven, from, now)
 		}
 	}
 }
 
+// follow gives a target the standing that a peer told of.
+func (t *Table) follow(r *record, s routing.Standing, from model.InstanceID, now time.Time) {
+	t.apply(r, s, now)
+	kind := events.TargetReadmitted
+	switch s {
+	case routing.Draining:
+		kind = events.TargetDraining
+	case routing.Ejected:
+		kind = events.TargetEjected
+	}
+	t.Recorder.Record(events.Event{Kind: kind, Service: r.service, Target: r.id, Member: from, Detail: s.String() + ", told by a peer"})
+}
+
 // tell publishes a standing that this instance vouches for, once it has changed
 // and the measuring budget allows it. What can't be told now is told at a later tick.
 func (t *Table) tell(r *record, now time.Time) {
--- a/internal/routing/cost_test.go
+++ b/internal/routing/cost_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -149,6 +150,22 @@
 	idle.mustPick(t, model.Upload, "a")
 }
 
+func TestPickLeavesAStragglerAlone(t *testing.T) {
+	f := newFixture(target("a", prahaA), target("b", prahaA), target("c", prahaA))
+	straggler, _ := f.pick(model.NonIdempotent)
+	straggler.Load.BeginAt(f.now)
+	for range 100 {
+		f.now += time.Millisecond
+		e, err := f.pick(model.NonIdempotent)
+		if err != nil || e == straggler {
+			t.Fatalf("picked %v, %v while a request hangs there", e, err)
+		}
+		e.Load.BeginAt(f.now)
+		e.Load.ReportAt(1, f.now)
+		e.Load.EndAt(f.now)
+	}
+}
+
 func TestPickLetsSecondAttemptsPassTheShare(t *testing.T) {
 	f := newFixture(target("a", prahaA), target("b", prahaA))
 	first, _ := f.pick(model.Idempotent)
@@ -295,6 +312,22 @@
 	})
 }
 
+// BenchmarkTable reports the memory of a table and its snapshot.
+func BenchmarkTable(b *testing.B) {
+	const targets = 220*17 + 3700
+	var tables []*Table
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for b.Loop() {
+		tables = append(tables, cityTable())
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(tables)*targets), "B/target")
+	runtime.KeepAlive(tables)
+}
+
 func BenchmarkPublish(b *testing.B) {
 	for _, service := range []model.ServiceName{letters, "s17"} {
 		b.Run("service="+string(service), func(b *testing.B) {
