--- a/internal/routing/cost_test.go
+++ b/internal/routing/cost_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 func newFixture(targets ...model.Target) *fixture {
 	f := &fixture{Table: NewInstanceTable("praha-a-1", prahaA), now: time.Hour}
 	f.picker = NewCostPicker(f.Table, func() time.Duration { return f.now })
-	f.SetInstances(6)
+	f.SetPlace(Place{Instances: 6, DomainInstances: 3})
 	f.SetTargets(letters, targets)
 	return f
 }
@@ -149,6 +150,22 @@
 	idle.mustPick(t, model.Upload, "a")
 }
 
+func TestPickLeavesAStragglerAlone(t *testing.T) {
+	f := newFixture(target("a", prahaA), target("b", prahaA), target("c", prahaA))
+	straggler, _ := f.pick(model.NonIdempotent)
+	straggler.Load.BeginAt(f.now)
+	for range 100 {
+		f.now += time.Millisecond
+		e, err := f.pick(model.NonIdempotent)
+		if err != nil || e == straggler {
+			t.Fatalf("picked %v, %v while a request hangs there", e, err)
+		}
+		e.Load.BeginAt(f.now)
+		e.Load.ReportAt(1, f.now)
+		e.Load.EndAt(f.now)
+	}
+}
+
 func TestPickLetsSecondAttemptsPassTheShare(t *testing.T) {
 	f := newFixture(target("a", prahaA), target("b", prahaA))
 	first, _ := f.pick(model.Idempotent)
@@ -168,7 +185,7 @@
 	dialled := make(map[model.TargetID]int)
 	for i := range instances {
 		table := NewInstanceTable(model.InstanceID(fmt.Sprintf("i%d", i)), prahaA)
-		table.SetInstances(instances)
+		table.SetPlace(Place{Index: i, Instances: instances, DomainIndex: i, DomainInstances: instances})
 		table.SetTargets(letters, list)
 		homes := table.Snapshot().Pool(letters).homes[regionUsable]
 		if len(homes) != perInstance {
@@ -185,6 +202,19 @@
 	}
 }
 
+func TestInstancesBeginAtDifferentTargets(t *testing.T) {
+	first := make(map[model.TargetID]int)
+	for i := range 6 {
+		table := NewInstanceTable(model.InstanceID(fmt.Sprintf("i%d", i)), prahaA)
+		table.SetPlace(Place{Index: i, Instances: 6, DomainIndex: i, DomainInstances: 6})
+		table.SetTargets(letters, manyTargets(letters, 6))
+		first[table.Snapshot().Pool(letters).homes[regionUsable][0].Target.ID]++
+	}
+	if len(first) != 6 {
+		t.Errorf("six instances prefer %v of six targets", first)
+	}
+}
+
 func TestHomesAreStableWhenTargetsChange(t *testing.T) {
 	list := manyTargets(letters, 1000)
 	f := newFixture(list...)
@@ -221,7 +251,7 @@
 // cityTable is a table of 220 services with 17 targets each and one of 3,700.
 func cityTable() *Table {
 	table := NewInstanceTable("praha-a-1", prahaA)
-	table.SetInstances(6)
+	table.SetPlace(Place{Instances: 6, DomainInstances: 3})
 	for i := range 220 {
 		service := model.ServiceName(fmt.Sprintf("s%d", i))
 		table.SetTargets(service, manyTargets(service, 17))
@@ -282,6 +312,22 @@
 	})
 }
 
+// BenchmarkTable reports the memory of a table and its snapshot.
+func BenchmarkTable(b *testing.B) {
+	const targets = 220*17 + 3700
+	var tables []*Table
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for b.Loop() {
+		tables = append(tables, cityTable())
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(tables)*targets), "B/target")
+	runtime.KeepAlive(tables)
+}
+
 func BenchmarkPublish(b *testing.B) {
 	for _, service := range []model.ServiceName{letters, "s17"} {
 		b.Run("service="+string(service), func(b *testing.B) {
