--- a/cmd/redwingpoint/session_test.go
+++ b/cmd/redwingpoint/session_test.go
@@ -58,7 +58,8 @@
 }
 
 // writeSettings writes the settings of instance N in a region's first failure
-// domain: settings N REGION.
+// domain: settings N REGION [peers]. With peers it takes part in a fleet by the
+// certificates that the session has made.
 func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
 	n, region, ip := args[0], args[1], ts.Getenv("IP")
 	text := fmt.Sprintf(`instance: %[2]s-a-%[1]s
@@ -66,7 +67,11 @@
 caller: {listen: "%[3]s:808%[1]s"}
 operator: {listen: "%[3]s:909%[1]s", token: session-token}
 platform: {url: "http://%[3]s:7000"}
+leave: {lag: 0s}
 `, n, region, ip)
+	if len(args) > 2 {
+		text += fmt.Sprintf("peer: {listen: \"%[3]s:710%[1]s\", ca: ca.crt, cert: %[2]s-a-%[1]s.crt, key: %[2]s-a-%[1]s.key}\n", n, region, ip)
+	}
 	ts.Check(os.WriteFile(ts.MkAbs(n+".yaml"), []byte(text), 0o600))
 }
 
