--- a/cmd/redwingpoint/apply.go
+++ b/cmd/redwingpoint/apply.go
@@ -156,6 +156,8 @@
 		}
 		state := "no"
 		switch {
+		case region.CutOff && (region.Live == 0 || reached < region.Live):
+			state = fmt.Sprintf("cut off; last heard revision %d", last)
 		case region.Live == 0:
 			state = fmt.Sprintf("not reached; last heard revision %d", last)
 		case reached == region.Live:
--- a/cmd/redwingpoint/remote_test.go
+++ b/cmd/redwingpoint/remote_test.go
@@ -86,6 +86,7 @@
 		"/config": api.ApplyResponse{Revision: 8, Previous: 7, Changes: []config.Change{{Service: "nahled", Field: "deadline", From: "2s", To: "3s"}}},
 		"/config/status": api.InForce{Accepted: 8, Regions: []api.RegionRevision{
 			{Region: "brno", Instances: []api.InstanceRevision{at("brno-a-1", 7, false)}},
+			{Region: "morava", CutOff: true, Live: 1, Revision: 7, Instances: []api.InstanceRevision{at("m1", 7, true)}},
 			{Region: "ostrava", Live: 2, Revision: 7, Instances: []api.InstanceRevision{at("o1", 7, true), at("o2", 8, true)}},
 			{Region: "praha", Live: 1, Revision: 8, Instances: []api.InstanceRevision{at("p1", 8, true)}},
 		}},
@@ -93,13 +94,14 @@
 	var out bytes.Buffer
 	r := &remote{output: outputText, out: &out}
 	err := r.apply(t.Context(), client.New(server.URL, "t", nil), api.ApplyRequest{}, 10*time.Millisecond)
-	if exitCode(err) != exitNotInForce || !strings.Contains(err.Error(), "not in force in brno, ostrava;") {
+	if exitCode(err) != exitNotInForce || !strings.Contains(err.Error(), "not in force in brno, morava, ostrava;") {
 		t.Errorf("got %v", err)
 	}
 	const want = `accepted as revision 8
   nahled  deadline                            2s -> 3s
 region    in force                            instances
 brno      not reached; last heard revision 7  0 of 0 live
+morava    cut off; last heard revision 7      0 of 1 live
 ostrava   no                                  1 of 2 live
 praha     revision 8                          1 of 1 live
 `
--- a/internal/fleet/value.go
+++ b/internal/fleet/value.go
@@ -48,6 +48,12 @@
 	Cut  bool         `cbor:"3,keyasint"`
 }
 
+// DecodeCut reads the value of a FactCut.
+func DecodeCut(f Fact) (CutValue, error) {
+	var v CutValue
+	return v, peer.Decode(f.Value, &v)
+}
+
 // DecodeRevision reads the value of a FactRevision.
 func DecodeRevision(f Fact) (RevisionValue, error) {
 	var v RevisionValue
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -127,8 +127,10 @@
 	Region model.Region `json:"region"`
 	// Revision is the lowest that a live instance reported; zero if one reported
 	// none or if no instance of the region is live.
-	Revision  model.Revision     `json:"revision"`
-	Live      int                `json:"live"`
+	Revision model.Revision `json:"revision"`
+	Live     int            `json:"live"`
+	// CutOff is set while the answering instance's region can't reach this one.
+	CutOff    bool               `json:"cutOff,omitempty"`
 	Instances []InstanceRevision `json:"instances"`
 }
 
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -246,6 +246,14 @@
 	if answer, _ = c.InForce(t.Context()); answer.Reached(3) || answer.Regions[1].Revision != 3 {
 		t.Errorf("reached without brno: %+v", answer)
 	}
+	raw, err := cbor.Marshal(fleet.CutValue{From: "praha", To: "brno", Cut: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Board.Publish(fleet.FactCut, "praha>brno", raw, 0)
+	if answer, _ = c.InForce(t.Context()); !answer.Regions[0].CutOff || answer.Regions[1].CutOff {
+		t.Errorf("cut: %+v", answer.Regions)
+	}
 	s.Members.Set(append(s.Members.Live(), fleet.Member{ID: "brno-a-1", Location: model.Location{Region: "brno"}}))
 	report("brno-a-1", "brno", 4)
 	if answer, _ = c.InForce(t.Context()); !answer.Reached(3) || answer.Reached(4) {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -47,15 +47,28 @@
 	for id, report := range reports {
 		add(report.Location.Region, api.InstanceRevision{Instance: id, Revision: report.Revision})
 	}
+	cut := s.cutOff()
 	out := make([]api.RegionRevision, 0, len(byRegion))
 	for _, r := range byRegion {
 		summarize(r)
+		r.CutOff = cut[r.Region]
 		out = append(out, *r)
 	}
 	slices.SortFunc(out, func(a, b api.RegionRevision) int { return cmp.Compare(a.Region, b.Region) })
 	return out
 }
 
+// cutOff returns the regions that this instance's region can't reach.
+func (s *Server) cutOff() map[model.Region]bool {
+	out := make(map[model.Region]bool)
+	s.Board.Each(fleet.FactCut, func(f fleet.Fact) {
+		if v, err := fleet.DecodeCut(f); err == nil && v.From == s.Location.Region {
+			out[v.To] = v.Cut
+		}
+	})
+	return out
+}
+
 func summarize(r *api.RegionRevision) {
 	slices.SortFunc(r.Instances, func(a, b api.InstanceRevision) int { return cmp.Compare(a.Instance, b.Instance) })
 	for _, i := range r.Instances {
