--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -17,6 +17,7 @@
 	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/operator"
 	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/settings"
 )
@@ -37,13 +38,13 @@
 
 	Settings *settings.Settings
 	Ring     *events.Ring
-	Recorder events.Recorder
 	Config   *config.Holder
 	Applier  *config.Applier
 	Table    *routing.Table
 	Board    fleet.Board
 	Members  *fleet.Members
 	Watcher  *discovery.Watcher
+	Requests *quarantine.List
 	Metrics  *metrics.Set
 	Budget   *limit.Measuring
 	LogLevel zap.AtomicLevel `optional:"true"`
@@ -59,7 +60,6 @@
 		Version:  buildinfo.Version(),
 		Token:    d.Settings.Operator.Token,
 		Ring:     d.Ring,
-		Recorder: d.Recorder,
 		Config:   d.Config,
 		Applier:  d.Applier,
 		Table:    d.Table,
@@ -68,8 +68,9 @@
 		LogLevel: d.LogLevel,
 		Metrics:  d.Metrics,
 
-		Measuring: d.Budget,
-		Ready:     d.Watcher.Ready,
+		Measuring:  d.Budget,
+		Quarantine: d.Requests,
+		Ready:      d.Watcher.Ready,
 	}
 }
 
--- a/internal/operator/control.go
+++ b/internal/operator/control.go
@@ -1,32 +1,42 @@
 package operator
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 
 	"github.com/gin-gonic/gin"
 	"go.uber.org/zap/zapcore"
 
-	"redwingpoint.org/redwingpoint/internal/events"
-	"redwingpoint.org/redwingpoint/internal/fleet"
+	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/operator/api"
 )
 
 func (s *Server) getQuarantine(c *gin.Context) {
-	c.JSON(http.StatusOK, api.Quarantine{Requests: quarantined(s.Board)})
+	c.JSON(http.StatusOK, api.Quarantine{Requests: s.quarantined()})
+}
+
+func (s *Server) quarantined() []api.Quarantined {
+	out := []api.Quarantined{}
+	for _, e := range s.Quarantine.Entries() {
+		targets := []model.TargetID{e.First, e.Second}
+		slices.Sort(targets)
+		out = append(out, api.Quarantined{
+			Fingerprint: e.Fingerprint, Service: e.Service, Request: e.Request, Targets: targets, Until: e.Until.UTC(),
+		})
+	}
+	slices.SortFunc(out, func(a, b api.Quarantined) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
 }
 
 func (s *Server) liftQuarantine(c *gin.Context) {
 	fingerprint := c.Param("fingerprint")
-	if _, ok := s.Board.Lookup(fleet.FactQuarantine, fingerprint); !ok {
+	if _, ok := s.Quarantine.Find(fingerprint); !ok {
 		fail(c, http.StatusNotFound, api.CodeNotFound, "no request with fingerprint "+fingerprint+" is quarantined")
 		return
 	}
-	if err := lift(s.Board, fingerprint); err != nil {
-		fail(c, http.StatusInternalServerError, api.CodeBadRequest, err.Error())
-		return
-	}
-	s.Recorder.Record(events.Event{Kind: events.QuarantineLifted, Detail: "by an operator: " + fingerprint})
-	c.JSON(http.StatusOK, api.Quarantine{Requests: quarantined(s.Board)})
+	s.Quarantine.Lift(fingerprint)
+	s.getQuarantine(c)
 }
 
 func (s *Server) getLogLevel(c *gin.Context) {
--- a/internal/operator/metrics.go
+++ b/internal/operator/metrics.go
@@ -24,7 +24,7 @@
 	gauge("redwingpoint_config_revision", float64(s.Config.Revision()))
 	gauge("redwingpoint_config_exceptions", float64(len(s.exceptions())))
 	gauge("redwingpoint_fleet_members", float64(len(s.Members.Live())))
-	gauge("redwingpoint_quarantined_requests", float64(len(quarantined(s.Board))))
+	gauge("redwingpoint_quarantined_requests", float64(len(s.quarantined())))
 	ready := 0.0
 	if s.Ready() {
 		ready = 1
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -18,6 +18,7 @@
 	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/operator/api"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
 
@@ -28,14 +29,15 @@
 	Location model.Location
 	Version  string
 	// Token is the bearer token; an empty one is never accepted.
-	Token    string
-	Ring     *events.Ring
-	Recorder events.Recorder
-	Config   *config.Holder
-	Applier  *config.Applier
-	Table    *routing.Table
-	Board    fleet.Board
-	Members  *fleet.Members
+	Token   string
+	Ring    *events.Ring
+	Config  *config.Holder
+	Applier *config.Applier
+	Table   *routing.Table
+	Board   fleet.Board
+	Members *fleet.Members
+	// Quarantine is the list that callers' requests are checked against.
+	Quarantine *quarantine.List
 	// Metrics are those of this instance besides the process's; may be nil.
 	Metrics *metrics.Set
 	// Measuring is the budget that is reported; may be nil.
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -25,6 +25,7 @@
 	"redwingpoint.org/redwingpoint/internal/operator/api"
 	"redwingpoint.org/redwingpoint/internal/operator/client"
 	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/standin"
 
@@ -45,22 +46,23 @@
 	clock := events.NewClock(time.Now)
 	ring := events.NewRing("praha-a-1", clock, 64)
 	holder := config.NewHolder(praha)
+	board := fleet.NewFacts("praha-a-1", clock, time.Now)
 	return &Server{
 		Instance: "praha-a-1",
 		Location: praha,
 		Token:    "secret",
 		Ring:     ring,
-		Recorder: ring,
 		Config:   holder,
 		Applier: &config.Applier{
 			Store: platform.NewClient(platform.ClientOptions{BaseURL: store.URL}),
 			Known: holder.Revision, Now: time.Now, Recorder: ring,
 		},
-		Table:    routing.NewTable(praha),
-		Board:    fleet.NewFacts("praha-a-1", clock, time.Now),
-		Members:  fleet.NewMembers(fleet.Member{ID: "praha-a-1", Location: praha}),
-		LogLevel: zap.NewAtomicLevel(),
-		Ready:    func() bool { return true },
+		Table:      routing.NewTable(praha),
+		Board:      board,
+		Quarantine: quarantine.New(board, ring),
+		Members:    fleet.NewMembers(fleet.Member{ID: "praha-a-1", Location: praha}),
+		LogLevel:   zap.NewAtomicLevel(),
+		Ready:      func() bool { return true },
 	}
 }
 
@@ -286,7 +288,7 @@
 func TestQuarantineIsListedAndLifted(t *testing.T) {
 	s := newServer(t)
 	c, _ := start(t, s)
-	raw, err := cbor.Marshal(quarantineFact{Service: "nahled", Request: "r1", First: "t1", Second: "t2"})
+	raw, err := cbor.Marshal(quarantine.Entry{Service: "nahled", Request: "r1", First: "t1", Second: "t2"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -103,7 +103,7 @@
 		Revision:    s.Config.Revision(),
 		Members:     []api.Member{},
 		Services:    s.services(),
-		Quarantined: len(quarantined(s.Board)),
+		Quarantined: len(s.quarantined()),
 		Exceptions:  s.exceptions(),
 	}
 	for _, m := range s.Members.Live() {
--- a/internal/standin/cmd/standin/main.go
+++ b/internal/standin/cmd/standin/main.go
@@ -44,11 +44,23 @@
 	id := flags.String("id", "target", "target ID")
 	slots := flags.Int("slots", 2, "requests run at once")
 	work := flags.Duration("work", 10*time.Millisecond, "duration of a request")
+	crashOn := flags.String("crash-on", "", "path of a request that crashes the target: its connection ends without an answer")
 	return &ffcli.Command{Name: "target", FlagSet: flags, Exec: func(context.Context, []string) error {
-		return serve(*listen, standin.NewTarget(*id, *slots, *work))
+		return serve(*listen, crashing(*crashOn, standin.NewTarget(*id, *slots, *work)))
 	}}
 }
 
+// crashing returns a handler that crashes on the requests of one path.
+func crashing(path string, target *standin.Target) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == path {
+			standin.Crash(w, r)
+			return
+		}
+		target.ServeHTTP(w, r)
+	})
+}
+
 func serve(addr string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
