Count instances that nobody heard; run the quick start as one fleet by the command line

Cause: an instance that had just started reported a change as in force everywhere although it knew no member but itself. The quick start wrote its configuration by hand and printed three time lines.

Change: instances that the platform lists as live and that aren't members are counted for their region; a region that has only such counts as not reached. The list is read at most every two seconds. The quick start makes keys, waits for three members, applies a document and prints status and one time line.

--- a/cmd/redwingpoint/apply.go
+++ b/cmd/redwingpoint/apply.go
@@ -19,7 +19,7 @@
 	// inForceWait is the default time to wait for all regions.
 	inForceWait = 30 * time.Second
 	// inForcePoll is the pause between two looks at the regions.
-	inForcePoll = 100 * time.Millisecond
+	inForcePoll = 200 * time.Millisecond
 	// settleTries is the number of times that an edit of unknown outcome is sent.
 	settleTries = 3
 )
@@ -163,7 +163,11 @@
 		case reached == region.Live:
 			state = fmt.Sprintf("revision %d", region.Revision)
 		}
-		row(w, region.Region, state, fmt.Sprintf("%d of %d live", reached, region.Live))
+		count := fmt.Sprintf("%d of %d live", reached, region.Live)
+		if region.Unheard > 0 {
+			count += fmt.Sprintf(", %d not heard", region.Unheard)
+		}
+		row(w, region.Region, state, count)
 	}
 }
 
--- a/cmd/redwingpoint/status.go
+++ b/cmd/redwingpoint/status.go
@@ -51,7 +51,11 @@
 	}
 	for _, e := range s.Exceptions {
 		row(w, "")
-		row(w, fmt.Sprintf("exception for %s by %s, until %s: %s", e.Scope, orNone(e.Author), formatTime(e.Expires), e.Reason))
+		end := "without end"
+		if e.Expires != nil {
+			end = "until " + formatTime(e.Expires)
+		}
+		row(w, fmt.Sprintf("exception for %s by %s, %s: %s", e.Scope, orNone(e.Author), end, e.Reason))
 	}
 }
 
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -45,6 +45,7 @@
 	Members  *fleet.Members
 	Watcher  *discovery.Watcher
 	Requests *quarantine.List
+	Lister   platform.InstanceLister
 	Metrics  *metrics.Set
 	Budget   *limit.Measuring
 	LogLevel zap.AtomicLevel `optional:"true"`
@@ -70,6 +71,7 @@
 
 		Measuring:  d.Budget,
 		Quarantine: d.Requests,
+		Lister:     d.Lister,
 		Ready:      d.Watcher.Ready,
 	}
 }
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -129,6 +129,9 @@
 	// none or if no instance of the region is live.
 	Revision model.Revision `json:"revision"`
 	Live     int            `json:"live"`
+	// Unheard is the number of instances that the platform lists as live and that
+	// the answering instance doesn't know as members.
+	Unheard int `json:"unheard,omitempty"`
 	// CutOff is set while the answering instance's region can't reach this one.
 	CutOff    bool               `json:"cutOff,omitempty"`
 	Instances []InstanceRevision `json:"instances"`
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -18,6 +18,7 @@
 	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/operator/api"
+	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
@@ -44,8 +45,12 @@
 	Measuring *limit.Measuring
 	// LogLevel is the level of the process's log.
 	LogLevel zap.AtomicLevel
+	// Lister is asked for instances that the fleet hasn't heard of; may be nil.
+	Lister platform.InstanceLister
 	// Ready reports whether this instance may receive requests.
 	Ready func() bool
+
+	listed listed
 }
 
 // Handler returns the HTTP interface.
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
@@ -244,6 +245,17 @@
 	if string(got) != want {
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
+	s.Lister = lister{
+		{ID: "praha-a-1", Location: praha, State: platform.InstanceLive},
+		{ID: "praha-a-9", Location: praha, State: platform.InstanceLive},
+		{ID: "praha-a-8", Location: praha, State: platform.InstanceLeaving},
+		{ID: "ostrava-a-1", Location: model.Location{Region: "ostrava"}, State: platform.InstanceLive},
+	}
+	s.listed = listed{}
+	if answer, _ = c.InForce(t.Context()); len(answer.Regions) != 3 || answer.Regions[1].Unheard != 1 || answer.Regions[2].Unheard != 1 {
+		t.Errorf("not heard: %+v", answer.Regions)
+	}
+	s.Lister, s.listed = nil, listed{}
 	report("praha-b-1", "praha", 3)
 	if answer, _ = c.InForce(t.Context()); answer.Reached(3) || answer.Regions[1].Revision != 3 {
 		t.Errorf("reached without brno: %+v", answer)
@@ -334,3 +346,7 @@
 		}
 	}
 }
+
+type lister []platform.Instance
+
+func (l lister) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -20,7 +20,7 @@
 func (s *Server) getInForce(c *gin.Context) {
 	ctx, cancel := context.WithTimeout(c.Request.Context(), readTimeout)
 	defer cancel()
-	answer := api.InForce{Instance: s.Instance, Regions: s.regions()}
+	answer := api.InForce{Instance: s.Instance, Regions: s.regions(ctx)}
 	revision, err := s.Applier.StoredRevision(ctx)
 	if err != nil {
 		answer.StoreError = err.Error()
@@ -31,7 +31,7 @@
 
 // regions returns what each instance reported. Instances that reported once and
 // are not live any more are kept as such, so that a region that is cut off is shown.
-func (s *Server) regions() []api.RegionRevision {
+func (s *Server) regions(ctx context.Context) []api.RegionRevision {
 	reports := s.reports()
 	byRegion := make(map[model.Region]*api.RegionRevision)
 	add := func(region model.Region, r api.InstanceRevision) {
@@ -47,6 +47,7 @@
 	for id, report := range reports {
 		add(report.Location.Region, api.InstanceRevision{Instance: id, Revision: report.Revision})
 	}
+	s.countUnheard(ctx, byRegion)
 	cut := s.cutOff()
 	out := make([]api.RegionRevision, 0, len(byRegion))
 	for _, r := range byRegion {
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # Starts stand-ins of the platform and of three services' targets and three entry
-# instances on loopback, sends one preview, one print batch and one upload, prints
-# answers, picks and time line, and stops everything that it started.
+# instances on loopback that work as one fleet, applies a first configuration, sends
+# one preview, one print batch and one upload, prints answers, status and the time
+# line of all instances, and stops everything that it started.
 set -eu
 bin=${BIN:-bin}
 work=$(mktemp -d)
@@ -32,18 +33,47 @@
 	done
 	put "targets/$service" "[$list]"
 done
-put config/current '{"revision":1,"defaults":{"deadline":"2s"},"services":{"nahled":{"class":"idempotent"},"odeslani":{"class":"nonIdempotent"},"prijem":{"class":"upload"}}}'
 
+"$bin/redwingpoint" keys ca --fleet quickstart --out "$work" >/dev/null
+instances=
 for i in 1 2 3; do
+	name=praha-a-$i
+	location='{"region":"praha","failureDomain":"praha-a"}'
+	instances="$instances${instances:+,}{\"id\":\"$name\",\"location\":$location,\"peerAddr\":\"127.7.1.$i:7100\",\"operatorAddr\":\"127.7.1.$i:9090\",\"state\":\"live\"}"
+	"$bin/redwingpoint" keys instance --ca "$work/ca.crt" --ca-key "$work/ca.key" --instance "$name" --out "$work" >/dev/null
 	cat >"$work/$i.yaml" <<YAML
-instance: praha-a-$i
+instance: $name
 location: {region: praha, failureDomain: praha-a}
 caller: {listen: "127.7.1.$i:8080"}
 operator: {listen: "127.7.1.$i:9090", token: quickstart}
+peer: {listen: "127.7.1.$i:7100", ca: "$work/ca.crt", cert: "$work/$name.crt", key: "$work/$name.key"}
 platform: {url: "http://$platform"}
+leave: {lag: 0s}
 YAML
-	run "$bin/redwingpoint" serve --settings "$work/$i.yaml"
 done
+call --method PUT --body "[$instances]" "http://$platform/v1/instances" >/dev/null
+for i in 1 2 3; do run "$bin/redwingpoint" serve --settings "$work/$i.yaml"; done
+
+export REDWINGPOINT_OPERATOR=http://127.7.1.1:9090 REDWINGPOINT_TOKEN=quickstart
+tries=100
+until [ "$("$bin/redwingpoint" status 2>/dev/null | grep -c ' live ')" = 3 ] || [ $tries = 0 ]; do
+	tries=$((tries - 1))
+	sleep 0.1
+done
+cat >"$work/fleet.yaml" <<YAML
+defaults:
+  deadline: 2s
+services:
+  nahled: {class: idempotent}
+  odeslani: {class: nonIdempotent}
+  prijem: {class: upload}
+exceptions:
+- scope: {service: nahled}
+  set: {queueLimit: 64}
+  reason: previews that wait long are asked for again anyway
+YAML
+echo '== the first configuration, in force at all instances'
+"$bin/redwingpoint" config apply --author "${USER:-operator}" "$work/fleet.yaml" | sed -n '1p;/^region/,$p'
 for i in 1 2 3; do call --wait 10s "http://127.7.1.$i:9090/ready" >/dev/null; done
 
 echo '== a preview, at instance 1'
@@ -54,8 +84,7 @@
 echo '== an upload, at instance 3'
 head -c 3000000 /dev/zero >"$work/addresses.csv"
 call --method PUT --header 'Request-Id=upload-1' --file "$work/addresses.csv" http://127.7.1.3:8080/prijem/lists/december
-echo '== the time line'
-for i in 1 2 3; do
-	call --header 'Authorization=Bearer quickstart' "http://127.7.1.$i:9090/timeline"
-	echo
-done
+echo '== the fleet at a glance'
+"$bin/redwingpoint" status
+echo '== the time line of all instances: what happened to the print batch'
+"$bin/redwingpoint" timeline --service odeslani
