--- a/cmd/redwingpoint/docs_test.go
+++ b/cmd/redwingpoint/docs_test.go
@@ -138,13 +138,46 @@
 		return true
 	})
 	for kind := range described {
-		t.Errorf("OPERATIONS.md describes %s, which doesn't exist", kind)
+		if !strings.HasPrefix(kind, metricPrefix) {
+			t.Errorf("OPERATIONS.md describes %s, which doesn't exist", kind)
+		}
 	}
 	if kinds == 0 {
 		t.Error("found no kinds")
 	}
 }
 
+const metricPrefix = "redwingpoint_"
+
+func TestEveryMetricHasAnEntry(t *testing.T) {
+	described := rows(t, "OPERATIONS.md")
+	name := regexp.MustCompile("[\"`](" + metricPrefix + "[a-z_]+)[\"{]")
+	named := make(map[string]bool)
+	err := filepath.WalkDir("../../internal", func(path string, entry os.DirEntry, err error) error {
+		if err != nil || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		raw, err := os.ReadFile(path)
+		for _, m := range name.FindAllStringSubmatch(string(raw), -1) {
+			named[m[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for metric := range named {
+		if strings.Count(described[metric], "|") != 2 {
+			t.Errorf("OPERATIONS.md has no whole entry for %s", metric)
+		}
+	}
+	for key := range described {
+		if strings.HasPrefix(key, metricPrefix) && !named[key] {
+			t.Errorf("OPERATIONS.md describes %s, which doesn't exist", key)
+		}
+	}
+}
+
 func TestEveryConfigurationFieldIsDescribed(t *testing.T) {
 	described := rows(t, "CONFIGURATION.md")
 	bare := &config.Document{Services: map[model.ServiceName]config.Service{"s": {}}}
