--- a/cmd/redwingpoint/apply.go
+++ b/cmd/redwingpoint/apply.go
@@ -137,6 +137,7 @@
 	if !answer.Unchanged {
 		printChanges(w, answer.Changes)
 	}
+	printWarnings(w, answer.Warnings)
 	if f != nil {
 		printRegions(w, f, answer.Revision)
 	}
--- a/cmd/redwingpoint/config.go
+++ b/cmd/redwingpoint/config.go
@@ -126,9 +126,16 @@
 	return r.show(answer, func(w *tabwriter.Writer) {
 		row(w, fmt.Sprintf("would change on top of revision %d:", answer.Previous))
 		printChanges(w, answer.Changes)
+		printWarnings(w, answer.Warnings)
 	})
 }
 
+func printWarnings(w io.Writer, warnings []string) {
+	for _, text := range warnings {
+		_, _ = fmt.Fprintln(w, "warning: "+text)
+	}
+}
+
 func printChanges(w io.Writer, changes []config.Change) {
 	if len(changes) == 0 {
 		row(w, "  no effective change")
--- a/internal/config/apply_test.go
+++ b/internal/config/apply_test.go
@@ -246,6 +246,7 @@
 				name := fmt.Sprint("op", i)
 				operators = append(operators, &operator{edit: Edit{Document: drawEdit(rt, base), Change: name, Author: name}})
 			}
+			store.age = rapid.IntRange(1, 3).Draw(rt, "age")
 			calls := 0
 			store.next = func() fault {
 				if calls++; calls > 300 {
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -97,6 +97,8 @@
 	Rebased   bool            `json:"rebased,omitempty"`
 	Unchanged bool            `json:"unchanged,omitempty"`
 	Changes   []config.Change `json:"changes"`
+	// Warnings name what is valid and yet has no effect now.
+	Warnings []string `json:"warnings,omitempty"`
 }
 
 // Revision is one entry of the history.
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -89,6 +89,7 @@
 		Rebased:   accepted.Rebased,
 		Unchanged: accepted.Unchanged,
 		Changes:   config.Changes(accepted.Previous, accepted.Document, time.Now()),
+		Warnings:  s.warnings(ctx, accepted.Document),
 	}
 	if req.DryRun {
 		answer.Revision = answer.Previous
@@ -96,6 +97,25 @@
 	c.JSON(http.StatusOK, answer)
 }
 
+// warnings names exceptions of regions that nobody has heard of, which are
+// probably misspelt, and exceptions that have ended.
+func (s *Server) warnings(ctx context.Context, d *config.Document) []string {
+	known := make(map[model.Region]bool)
+	for _, r := range s.regions(ctx) {
+		known[r.Region] = true
+	}
+	var out []string
+	for _, e := range d.Exceptions {
+		if e.Scope.Region != "" && !known[e.Scope.Region] {
+			out = append(out, "exception for "+e.Scope.String()+": no instance of region "+string(e.Scope.Region)+" is known")
+		}
+		if e.Expires != nil && !time.Now().Before(*e.Expires) {
+			out = append(out, "exception for "+e.Scope.String()+": it has expired and can be removed")
+		}
+	}
+	return out
+}
+
 // failApply turns an error of config.Parse or config.Applier into an answer.
 func failApply(c *gin.Context, err error) {
 	p := &api.Problem{Status: http.StatusConflict, Detail: err.Error()}
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -350,3 +351,23 @@
 type lister []platform.Instance
 
 func (l lister) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
+
+func TestApplyWarnsOfExceptionsWithoutEffect(t *testing.T) {
+	c, _ := start(t, newServer(t))
+	const text = document + `
+exceptions:
+- {scope: {region: brmo}, set: {queueLimit: 1}, reason: a misspelt region}
+- {scope: {service: nahled, region: praha}, set: {queueLimit: 2}, reason: long over already, expires: 2020-01-01T00:00:00Z}
+`
+	answer, err := c.Apply(t.Context(), api.ApplyRequest{Text: text, Change: "1", Author: "jana", DryRun: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{
+		"exception for region=brmo: no instance of region brmo is known",
+		"exception for service=nahled,region=praha: it has expired and can be removed",
+	}
+	if !slices.Equal(answer.Warnings, want) {
+		t.Errorf("got %q", answer.Warnings)
+	}
+}
