--- a/cmd/redwingpoint/apply.go
+++ b/cmd/redwingpoint/apply.go
@@ -19,7 +19,7 @@
 	// inForceWait is the default time to wait for all regions.
 	inForceWait = 30 * time.Second
 	// inForcePoll is the pause between two looks at the regions.
-	inForcePoll = 100 * time.Millisecond
+	inForcePoll = 200 * time.Millisecond
 	// settleTries is the number of times that an edit of unknown outcome is sent.
 	settleTries = 3
 )
@@ -137,6 +137,7 @@
 	if !answer.Unchanged {
 		printChanges(w, answer.Changes)
 	}
+	printWarnings(w, answer.Warnings)
 	if f != nil {
 		printRegions(w, f, answer.Revision)
 	}
@@ -156,12 +157,18 @@
 		}
 		state := "no"
 		switch {
+		case region.CutOff && (region.Live == 0 || reached < region.Live):
+			state = fmt.Sprintf("cut off; last heard revision %d", last)
 		case region.Live == 0:
 			state = fmt.Sprintf("not reached; last heard revision %d", last)
 		case reached == region.Live:
 			state = fmt.Sprintf("revision %d", region.Revision)
 		}
-		row(w, region.Region, state, fmt.Sprintf("%d of %d live", reached, region.Live))
+		count := fmt.Sprintf("%d of %d live", reached, region.Live)
+		if region.Unheard > 0 {
+			count += fmt.Sprintf(", %d not heard", region.Unheard)
+		}
+		row(w, region.Region, state, count)
 	}
 }
 
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -97,6 +97,8 @@
 	Rebased   bool            `json:"rebased,omitempty"`
 	Unchanged bool            `json:"unchanged,omitempty"`
 	Changes   []config.Change `json:"changes"`
+	// Warnings name what is valid and yet has no effect now.
+	Warnings []string `json:"warnings,omitempty"`
 }
 
 // Revision is one entry of the history.
@@ -127,8 +129,13 @@
 	Region model.Region `json:"region"`
 	// Revision is the lowest that a live instance reported; zero if one reported
 	// none or if no instance of the region is live.
-	Revision  model.Revision     `json:"revision"`
-	Live      int                `json:"live"`
+	Revision model.Revision `json:"revision"`
+	Live     int            `json:"live"`
+	// Unheard is the number of instances that the platform lists as live and that
+	// the answering instance doesn't know as members.
+	Unheard int `json:"unheard,omitempty"`
+	// CutOff is set while the answering instance's region can't reach this one.
+	CutOff    bool               `json:"cutOff,omitempty"`
 	Instances []InstanceRevision `json:"instances"`
 }
 
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
@@ -9,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -25,6 +27,7 @@
 	"redwingpoint.org/redwingpoint/internal/operator/api"
 	"redwingpoint.org/redwingpoint/internal/operator/client"
 	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/standin"
 
@@ -45,22 +48,23 @@
 	clock := events.NewClock(time.Now)
 	ring := events.NewRing("praha-a-1", clock, 64)
 	holder := config.NewHolder(praha)
+	board := fleet.NewFacts("praha-a-1", clock, time.Now)
 	return &Server{
 		Instance: "praha-a-1",
 		Location: praha,
 		Token:    "secret",
 		Ring:     ring,
-		Recorder: ring,
 		Config:   holder,
 		Applier: &config.Applier{
 			Store: platform.NewClient(platform.ClientOptions{BaseURL: store.URL}),
 			Known: holder.Revision, Now: time.Now, Recorder: ring,
 		},
-		Table:    routing.NewTable(praha),
-		Board:    fleet.NewFacts("praha-a-1", clock, time.Now),
-		Members:  fleet.NewMembers(fleet.Member{ID: "praha-a-1", Location: praha}),
-		LogLevel: zap.NewAtomicLevel(),
-		Ready:    func() bool { return true },
+		Table:      routing.NewTable(praha),
+		Board:      board,
+		Quarantine: quarantine.New(board, ring),
+		Members:    fleet.NewMembers(fleet.Member{ID: "praha-a-1", Location: praha}),
+		LogLevel:   zap.NewAtomicLevel(),
+		Ready:      func() bool { return true },
 	}
 }
 
@@ -242,10 +246,29 @@
 	if string(got) != want {
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
+	s.Lister = lister{
+		{ID: "praha-a-1", Location: praha, State: platform.InstanceLive},
+		{ID: "praha-a-9", Location: praha, State: platform.InstanceLive},
+		{ID: "praha-a-8", Location: praha, State: platform.InstanceLeaving},
+		{ID: "ostrava-a-1", Location: model.Location{Region: "ostrava"}, State: platform.InstanceLive},
+	}
+	s.listed = listed{}
+	if answer, _ = c.InForce(t.Context()); len(answer.Regions) != 3 || answer.Regions[1].Unheard != 1 || answer.Regions[2].Unheard != 1 {
+		t.Errorf("not heard: %+v", answer.Regions)
+	}
+	s.Lister, s.listed = nil, listed{}
 	report("praha-b-1", "praha", 3)
 	if answer, _ = c.InForce(t.Context()); answer.Reached(3) || answer.Regions[1].Revision != 3 {
 		t.Errorf("reached without brno: %+v", answer)
 	}
+	raw, err := cbor.Marshal(fleet.CutValue{From: "praha", To: "brno", Cut: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Board.Publish(fleet.FactCut, "praha>brno", raw, 0)
+	if answer, _ = c.InForce(t.Context()); !answer.Regions[0].CutOff || answer.Regions[1].CutOff {
+		t.Errorf("cut: %+v", answer.Regions)
+	}
 	s.Members.Set(append(s.Members.Live(), fleet.Member{ID: "brno-a-1", Location: model.Location{Region: "brno"}}))
 	report("brno-a-1", "brno", 4)
 	if answer, _ = c.InForce(t.Context()); !answer.Reached(3) || answer.Reached(4) {
@@ -278,7 +301,7 @@
 func TestQuarantineIsListedAndLifted(t *testing.T) {
 	s := newServer(t)
 	c, _ := start(t, s)
-	raw, err := cbor.Marshal(quarantineFact{Service: "nahled", Request: "r1", First: "t1", Second: "t2"})
+	raw, err := cbor.Marshal(quarantine.Entry{Service: "nahled", Request: "r1", First: "t1", Second: "t2"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -324,3 +347,27 @@
 		}
 	}
 }
+
+type lister []platform.Instance
+
+func (l lister) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
+
+func TestApplyWarnsOfExceptionsWithoutEffect(t *testing.T) {
+	c, _ := start(t, newServer(t))
+	const text = document + `
+exceptions:
+- {scope: {region: brmo}, set: {queueLimit: 1}, reason: a misspelt region}
+- {scope: {service: nahled, region: praha}, set: {queueLimit: 2}, reason: long over already, expires: 2020-01-01T00:00:00Z}
+`
+	answer, err := c.Apply(t.Context(), api.ApplyRequest{Text: text, Change: "1", Author: "jana", DryRun: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{
+		"exception for region=brmo: no instance of region brmo is known",
+		"exception for service=nahled,region=praha: it has expired and can be removed",
+	}
+	if !slices.Equal(answer.Warnings, want) {
+		t.Errorf("got %q", answer.Warnings)
+	}
+}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -20,7 +20,7 @@
 func (s *Server) getInForce(c *gin.Context) {
 	ctx, cancel := context.WithTimeout(c.Request.Context(), readTimeout)
 	defer cancel()
-	answer := api.InForce{Instance: s.Instance, Regions: s.regions()}
+	answer := api.InForce{Instance: s.Instance, Regions: s.regions(ctx)}
 	revision, err := s.Applier.StoredRevision(ctx)
 	if err != nil {
 		answer.StoreError = err.Error()
@@ -31,7 +31,7 @@
 
 // regions returns what each instance reported. Instances that reported once and
 // are not live any more are kept as such, so that a region that is cut off is shown.
-func (s *Server) regions() []api.RegionRevision {
+func (s *Server) regions(ctx context.Context) []api.RegionRevision {
 	reports := s.reports()
 	byRegion := make(map[model.Region]*api.RegionRevision)
 	add := func(region model.Region, r api.InstanceRevision) {
@@ -47,15 +47,29 @@
 	for id, report := range reports {
 		add(report.Location.Region, api.InstanceRevision{Instance: id, Revision: report.Revision})
 	}
+	s.countUnheard(ctx, byRegion)
+	cut := s.cutOff()
 	out := make([]api.RegionRevision, 0, len(byRegion))
 	for _, r := range byRegion {
 		summarize(r)
+		r.CutOff = cut[r.Region]
 		out = append(out, *r)
 	}
 	slices.SortFunc(out, func(a, b api.RegionRevision) int { return cmp.Compare(a.Region, b.Region) })
 	return out
 }
 
+// cutOff returns the regions that this instance's region can't reach.
+func (s *Server) cutOff() map[model.Region]bool {
+	out := make(map[model.Region]bool)
+	s.Board.Each(fleet.FactCut, func(f fleet.Fact) {
+		if v, err := fleet.DecodeCut(f); err == nil && v.From == s.Location.Region {
+			out[v.To] = v.Cut
+		}
+	})
+	return out
+}
+
 func summarize(r *api.RegionRevision) {
 	slices.SortFunc(r.Instances, func(a, b api.InstanceRevision) int { return cmp.Compare(a.Instance, b.Instance) })
 	for _, i := range r.Instances {
@@ -90,7 +104,7 @@
 		Revision:    s.Config.Revision(),
 		Members:     []api.Member{},
 		Services:    s.services(),
-		Quarantined: len(quarantined(s.Board)),
+		Quarantined: len(s.quarantined()),
 		Exceptions:  s.exceptions(),
 	}
 	for _, m := range s.Members.Live() {
