Keep hedges in their region, and test the permission to send further

Trials that took one mechanism out at a time showed that no test failed when a print batch went over a reused connection, when it was sent without the claim's permission, or when a target shed it after the deadline; three tests now do. A hedge no longer crosses regions. A cut answer that is not relayed is an event.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -147,6 +147,7 @@
 		m, err := x.receive(buf[n:])
 		n += m
 		if err != nil && err != io.EOF {
+			x.s.record(x.r, events.AnswerTruncated, x.e.Target.ID, err.Error())
 			return asCallError(x.e, err)
 		}
 	}
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -167,15 +167,23 @@
 	return h.s.exchange(ctx, h.r, call)
 }
 
+// none reports whether a pick failed because there is no other target.
+func none(err error) bool {
+	var missing *routing.NoTargetError
+	return errors.As(err, &missing)
+}
+
 // second chooses where the hedge goes. If there is no other target, the first
 // one is asked again on a fresh connection once the old one seems silent.
 func (h *race) second(ctx context.Context) (*routing.Endpoint, time.Duration) {
 	e, err := h.s.pick(h.r, []model.TargetID{h.primary.Target.ID}, 0)
-	if err == nil {
+	if err == nil && e.Distance <= max(h.primary.Distance, model.SameRegion) {
 		return e, provenMaxIdle
 	}
-	var none *routing.NoTargetError
-	if !errors.As(err, &none) {
+	if err == nil {
+		// A hedge is not worth the volume between regions.
+		h.s.release(h.r, e)
+	} else if !none(err) {
 		return nil, 0
 	}
 	h.listening.Store(true)
--- a/internal/entry/hedge_test.go
+++ b/internal/entry/hedge_test.go
@@ -14,6 +14,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/fleet"
+	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/standin"
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
@@ -105,6 +106,30 @@
 	})
 }
 
+func TestHedgeStaysInItsRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		far := 0
+		b := newBench(testDocument, func(o *Options) {
+			o.Upstream = scripted(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
+				if call.Endpoint.Target.ID == "far" {
+					far++
+				}
+				if err := pause(ctx, call, 10*time.Second); err != nil {
+					return nil, err
+				}
+				return answerWith(http.StatusOK, ""), nil
+			})
+		})
+		b.table.SetTargets("nahled", []model.Target{
+			{ID: "near", Service: "nahled", Location: praha, Slots: 4},
+			{ID: "far", Service: "nahled", Location: model.Location{Region: "brno"}, Slots: 4},
+		})
+		if w := b.do(get("/nahled/1")); w.Code != http.StatusOK || far != 0 {
+			t.Errorf("%d, %d hedges to another region", w.Code, far)
+		}
+	})
+}
+
 // An answer that comes although its exchange was given up reaches nobody.
 func TestLateAnswerIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -233,3 +234,68 @@
 }
 
 var _ ledger.Ledger = (*memoryLedger)(nil)
+
+// A target that hangs up on every connection that was used before gets each
+// batch over a fresh one.
+func TestPrintBatchUsesFreshConnections(t *testing.T) {
+	b := newBench(testDocument, nil)
+	target := b.serveTargets(t, "odeslani", 1)[0]
+	var used sync.Map
+	target.SetBehavior(func(w http.ResponseWriter, r *http.Request) {
+		if _, again := used.LoadOrStore(r.RemoteAddr, true); again {
+			standin.HangUp(w, r)
+		}
+	})
+	for _, key := range []string{"a", "b", "c", "d"} {
+		if w := b.do(post("/odeslani/batches", key, "letters")); w.Code != http.StatusOK {
+			t.Errorf("batch %s: %d %s", key, w.Code, w.Body)
+		}
+	}
+}
+
+// givenUpLedger returns claims that were given up by someone else.
+type givenUpLedger struct{}
+
+func (givenUpLedger) Begin(_ context.Context, req ledger.Request) (ledger.Decision, error) {
+	claim := &receiptClaim{deadline: req.Deadline}
+	claim.Abandon()
+	return ledger.Decision{State: ledger.Fresh, Claim: claim}, nil
+}
+
+func TestNothingIsSentWithoutThePermissionOfTheClaim(t *testing.T) {
+	b := newBench(testDocument, func(o *Options) { o.Ledger = givenUpLedger{} })
+	target := b.serveTargets(t, "odeslani", 1)[0]
+	w := b.do(post("/odeslani/batches", "k", "letters"))
+	wantProblem(t, w, http.StatusGatewayTimeout, CodeDeadlinePassed, NotRun)
+	if got := target.Received(); got != 0 {
+		t.Errorf("%d requests were sent", got)
+	}
+}
+
+// A target that sheds a request after its deadline doesn't cause another attempt.
+func TestLateShedIsNotSentElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		committed := 0
+		b := newBench(testDocument, func(o *Options) {
+			o.Upstream = scripted(func(_ context.Context, call upstream.Call) (*upstream.Result, error) {
+				if !call.Commit() {
+					return nil, &upstream.CallError{Reason: upstream.NotCommitted, Cause: upstream.NotCommittedError{}}
+				}
+				committed++
+				time.Sleep(31 * time.Second)
+				answer := answerWith(http.StatusServiceUnavailable, "")
+				answer.Shed = true
+				return answer, nil
+			})
+		})
+		b.listTargets("odeslani", 2, 2)
+		w := b.do(post("/odeslani/batches", "k", "letters"))
+		wantProblem(t, w, http.StatusGatewayTimeout, CodeDeadlinePassed, MayHaveRun)
+		if err := b.Settle(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if state := b.ledger.state(); committed != 1 || state != "not-run" {
+			t.Errorf("sent %d times, ledger says %q", committed, state)
+		}
+	})
+}
