Free a target's slot with the end of its answer, not of the relay

Cause: an exchange was counted until the caller had taken the answer, so that a slow caller held a slot on which others waited (TestSlowCallerDoesNotHoldASlot: a waiting request was refused after 30 s; now it is served at once).

The queue lets the first request of up to three callers try, so that a retry that may not use the free target does not hold up others.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -132,7 +132,9 @@
 	}
 	switch {
 	case err == io.EOF:
+		// The target's slot is free, however long the caller takes.
 		x.whole = true
+		x.close()
 	case err != nil:
 		x.outcome = outcomes[asCallError(x.e, err).Reason]
 	}
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -189,6 +189,36 @@
 	}
 }
 
+// stuckWriter is a caller that does not take its answer until released.
+type stuckWriter struct {
+	*httptest.ResponseRecorder
+	release chan struct{}
+}
+
+func (w stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return w.ResponseRecorder.Write(p)
+}
+
+func TestSlowCallerDoesNotHoldASlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, _ := slotBench(testDocument)
+		b.upstream = scripted(func(context.Context, upstream.Call) (*upstream.Result, error) {
+			return answerWith(http.StatusOK, "preview"), nil
+		})
+		release := make(chan struct{})
+		for range 4 {
+			go b.Handler().ServeHTTP(stuckWriter{httptest.NewRecorder(), release}, get("/nahled/1"))
+		}
+		synctest.Wait()
+		start := time.Now()
+		if w := b.do(get("/nahled/1")); w.Code != http.StatusOK || time.Since(start) != 0 {
+			t.Errorf("%d after %v", w.Code, time.Since(start))
+		}
+		close(release)
+	})
+}
+
 func TestMetricsAreExported(t *testing.T) {
 	b := newBench(testDocument, nil)
 	b.serveTargets(t, "nahled", 1)
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,8 @@
 	// repollInterval is how often the head of the queue tries again without a
 	// signal, because other instances free slots too.
 	repollInterval = 2 * time.Millisecond
+	// maxHeads is the number of callers whose first request tries in one turn.
+	maxHeads = 3
 	// minRetryAfter is the shortest advice to a refused caller.
 	minRetryAfter = time.Second
 	// intervalWeight is the weight of a new sample in the moving average of the
@@ -200,20 +203,29 @@
 	q.serve()
 }
 
-// serve lets waiting requests try in turns until one has to go on waiting. The
-// caller holds q.mu.
+// serve lets waiting requests try in turns until none of the next callers'
+// requests can be served. The caller holds q.mu.
 func (q *Queue) serve() {
-	for len(q.order) > 0 {
-		b := q.order[0]
+	for q.serveOne() {
+	}
+}
+
+// serveOne serves the first request of one of the next callers. A request that
+// may not use every target must not hold up the others for long. The caller
+// holds q.mu.
+func (q *Queue) serveOne() bool {
+	for i, b := range q.order[:min(len(q.order), maxHeads)] {
 		w := b.waiters[0]
 		if !w.try() {
-			return
+			continue
 		}
-		q.order = append(q.order[1:], b)
+		q.order = append(slices.Delete(q.order, i, i+1), b)
 		q.remove(b, 0)
 		q.measure()
 		w.done <- nil
+		return true
 	}
+	return false
 }
 
 // measure updates the moving average of the time between two served requests.
--- a/internal/limit/queue_test.go
+++ b/internal/limit/queue_test.go
@@ -226,3 +226,19 @@
 		}
 	}
 }
+
+// A retry that may not use the free target does not hold up another caller.
+func TestPickyRequestDoesNotBlockOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		q := NewQueue()
+		hold(ctx, q, "picky", 1)
+		start := time.Now()
+		if err := q.Wait(ctx, "clerk", 10, func() bool { return true }); err != nil || time.Since(start) != 0 {
+			t.Errorf("%v after %v", err, time.Since(start))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
