Keep a target's signals from layers above, relay the last failure

A relayed Load-Shed: unstarted would have told a layer above that its own target had not started a request; the Load-* fields now stay behind, and a request that was shed everywhere is a typed not-run. A failed answer is kept until the next target is chosen, so that with no target left the caller gets the failure itself instead of no-target. Two Idempotency-Key fields are refused. Expect stays on its connection.

Tests: a batch that crashes targets is quarantined while keys that were sent stay of unknown outcome; a running hedge answers for a broken attempt. Bubbles now end with virtual time for what still runs: a hedge that outlived its test failed it.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -22,6 +22,9 @@
 	if key == "" {
 		return ledger.Decision{}, refuse(http.StatusBadRequest, CodeKeyMissing, NotRun, "Idempotency-Key is required")
 	}
+	if len(r.http.Header[upstream.HeaderIdempotencyKey]) > 1 {
+		return ledger.Decision{}, refuse(http.StatusBadRequest, CodeKeyInvalid, NotRun, "there is more than one Idempotency-Key")
+	}
 	decision, err := s.ledger.Begin(ctx, ledger.Request{
 		ID:          r.id,
 		Service:     r.policy.Service,
--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -186,8 +186,8 @@
 	if !x.whole {
 		return deliveryEnd{large: x, target: x.e.Target.ID}
 	}
-	header := x.result.Header.Clone()
-	dropHopByHop(header)
+	header := make(http.Header, len(x.result.Header))
+	copyHeader(header, x.result.Header)
 	answer := &ledger.Answer{Status: x.result.Status, Header: header, Body: bytes.Clone(x.head)}
 	x.close()
 	d.recordDone(answer)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -164,6 +164,9 @@
 	}
 }
 
+// settle lets what still runs in a bubble end, in virtual time.
+func settle() { time.Sleep(time.Hour) }
+
 // eventually waits until a condition holds; the test's own timeout bounds it.
 func eventually(t testing.TB, what string, holds func() bool) {
 	t.Helper()
--- a/internal/entry/hedge_test.go
+++ b/internal/entry/hedge_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,7 @@
 
 func TestStragglerIsHedged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		var slow atomic.Bool
 		var cancelled atomic.Int64
 		b := newBench(testDocument, func(o *Options) { o.Upstream = straggling(&slow, &cancelled) })
@@ -81,6 +83,7 @@
 
 func TestHedgesStayWithinBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		const requests = 1000
 		var calls atomic.Int64
 		b := newBench(testDocument, func(o *Options) {
@@ -108,6 +111,7 @@
 
 func TestHedgeStaysInItsRegion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		far := 0
 		b := newBench(testDocument, func(o *Options) {
 			o.Upstream = scripted(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
@@ -133,6 +137,7 @@
 // An answer that comes although its exchange was given up reaches nobody.
 func TestLateAnswerIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		issued, closed := 0, 0
 		var calls atomic.Int64
 		var warm atomic.Bool
@@ -293,3 +298,67 @@
 		t.Errorf("%d events", got)
 	}
 }
+
+// A print batch that crashes targets: no key is sent twice, a third key is not
+// run, and the keys that were sent stay of unknown outcome.
+func TestCrashingBatchIsQuarantinedTruthfully(t *testing.T) {
+	b := newBench(testDocument, nil)
+	targets := b.serveTargets(t, "odeslani", 8)
+	for _, target := range targets {
+		target.SetBehavior(standin.Crash)
+	}
+	reached := func() (n int64) {
+		for _, target := range targets {
+			n += target.Received()
+		}
+		return n
+	}
+	sent := 0
+	for ; b.quarantine.Empty(); sent++ {
+		w := b.do(post("/odeslani/batches", "key-"+strconv.Itoa(sent), "poison"))
+		wantProblem(t, w, http.StatusBadGateway, CodeOutcomeUnknown, MayHaveRun)
+		// The quarantine is published by another goroutine.
+		time.Sleep(time.Millisecond)
+	}
+	w := b.do(post("/odeslani/batches", "key-new", "poison"))
+	wantProblem(t, w, http.StatusUnprocessableEntity, CodeQuarantined, NotRun)
+	w = b.do(post("/odeslani/batches", "key-0", "poison"))
+	wantProblem(t, w, http.StatusBadGateway, CodeOutcomeUnknown, MayHaveRun)
+	if got := reached(); got != int64(sent) {
+		t.Errorf("%d receipts were sent %d times", sent, got)
+	}
+}
+
+// A hedge that runs already answers for a first attempt that breaks.
+func TestHedgeAnswersForBrokenAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer settle()
+		var warm atomic.Bool
+		var calls atomic.Int64
+		b := newBench(testDocument, func(o *Options) {
+			o.Upstream = scripted(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
+				if warm.Load() && call.Endpoint.Target.ID == "nahled-a" {
+					time.Sleep(12 * time.Millisecond)
+					return nil, brokenAt(call)
+				}
+				if err := pause(ctx, call, varied(calls.Add(1))); err != nil {
+					return nil, err
+				}
+				return answerWith(http.StatusOK, "preview"), nil
+			})
+		})
+		b.listTargets("nahled", 2, 2)
+		for range 200 {
+			b.do(get("/nahled/1"))
+		}
+		warm.Store(true)
+		for range 8 {
+			if w := b.do(get("/nahled/1")); w.Code != http.StatusOK {
+				t.Errorf("%d %s", w.Code, w.Body)
+			}
+		}
+		if retries := b.count(events.RequestRetried); retries != 0 {
+			t.Errorf("%d retries although a hedge was running", retries)
+		}
+	})
+}
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -48,42 +48,38 @@
 	buf := aheadBuffers.Get().(*[aheadBytes]byte)
 	defer aheadBuffers.Put(buf)
 	var t tries
+	var x *exchange
 	for {
-		x, problem := s.attempt(ctx, r, body, &t, buf[:])
-		if problem != nil {
+		e, problem := s.choose(ctx, r, t.targets)
+		switch {
+		case problem != nil && len(t.targets) == 0:
 			return problem
+		case problem != nil:
+			return s.giveUp(c, r, x, &t)
+		case x != nil:
+			x.close()
 		}
+		x = s.attempt(ctx, r, e, body, &t, buf[:])
 		if x != nil && !failedAnswer(x) {
 			s.relay(c, r, x)
 			return nil
 		}
-		if s.mayRetry(ctx, r, x, &t) {
-			if x != nil {
-				x.close()
-			}
-			continue
+		if !s.mayRetry(ctx, r, x, &t) {
+			return s.giveUp(c, r, x, &t)
 		}
-		return s.giveUp(c, r, x, &t)
 	}
 }
 
-// attempt chooses a target and runs one attempt there, hedged if need be. It
-// returns nil for an attempt without a whole answer, which is noted in t.
-func (s *Server) attempt(ctx context.Context, r *request, body []byte, t *tries, buf []byte) (*exchange, *Problem) {
-	e, problem := s.choose(ctx, r, t.targets)
-	if problem != nil {
-		if t.sent {
-			problem.Ran = MayHaveRun
-		}
-		return nil, problem
-	}
+// attempt runs one attempt at a chosen target, hedged if need be. It returns nil
+// for an attempt without a whole answer, which is noted in t.
+func (s *Server) attempt(ctx context.Context, r *request, e *routing.Endpoint, body []byte, t *tries, buf []byte) *exchange {
 	retry := len(t.targets) > 0
 	t.targets = append(t.targets, e.Target.ID)
 	x, err := s.runHedged(ctx, r, e, body, retry)
 	if err == nil {
 		t.sent = t.sent || !x.result.Shed
 		if err = x.readAhead(buf); err == nil {
-			return x, nil
+			return x
 		}
 		x.close()
 	}
@@ -92,7 +88,7 @@
 	if err.Crashed {
 		s.crashed(r, err, r.fingerprint(body))
 	}
-	return nil, nil
+	return nil
 }
 
 // call describes one attempt of a request whose body is held.
@@ -143,15 +139,19 @@
 
 // giveUp answers with the last failure, marked so that layers above don't retry it.
 func (s *Server) giveUp(c *gin.Context, r *request, x *exchange, t *tries) *Problem {
+	ran := NotRun
+	if t.sent {
+		ran = MayHaveRun
+	}
+	if x != nil && x.result.Shed {
+		x.close()
+		return refuse(http.StatusServiceUnavailable, CodeOverLimit, ran, "targets shed the request").after(time.Second)
+	}
 	if x != nil {
 		c.Header(upstream.HeaderRetried, "true")
 		s.relay(c, r, x)
 		return nil
 	}
-	ran := NotRun
-	if t.sent {
-		ran = MayHaveRun
-	}
 	switch t.err.Reason {
 	case upstream.TimedOut:
 		return refuse(http.StatusGatewayTimeout, CodeDeadlinePassed, ran, "no answer came before the deadline")
--- a/internal/entry/idempotent_test.go
+++ b/internal/entry/idempotent_test.go
@@ -144,6 +144,7 @@
 
 func TestDeadlineShrinksAndTravels(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		var deadlines []string
 		b := newBench(testDocument, func(o *Options) {
 			o.Upstream = scripted(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
@@ -201,6 +202,7 @@
 
 func TestCrossRegionVolumeIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		var crossed atomic.Int64
 		b := newBench(strings.Replace(testDocument, `"deadline":"30s"`, `"deadline":"1s","crossRegionBytes":10000`, 1), func(o *Options) {
 			o.Upstream = scripted(func(context.Context, upstream.Call) (*upstream.Result, error) {
@@ -242,3 +244,43 @@
 		t.Errorf("%d %v after %d attempts", w.Code, w.Header(), attempts)
 	}
 }
+
+// What a target says to the instance must not reach a layer above, which would
+// take it for the word of its own target.
+func TestSignalsOfTargetsStayBehind(t *testing.T) {
+	b := newBench(testDocument, nil)
+	for _, service := range []model.ServiceName{"nahled", "odeslani"} {
+		b.serveTargets(t, service, 1)[0].Draining.Store(true)
+	}
+	for _, w := range []*httptest.ResponseRecorder{b.do(get("/nahled/1")), b.do(post("/odeslani/1", "k", "x"))} {
+		if w.Code != http.StatusOK || w.Header().Get(upstream.HeaderDraining) != "" || w.Header().Get(upstream.HeaderInFlight) != "" {
+			t.Errorf("%d %v", w.Code, w.Header())
+		}
+	}
+}
+
+func TestIdempotentShedEverywhereIsNotRun(t *testing.T) {
+	b := newBench(testDocument, nil)
+	for _, target := range b.serveTargets(t, "nahled", 2) {
+		target.Rejecting.Store(true)
+	}
+	w := b.do(get("/nahled/1"))
+	wantProblem(t, w, http.StatusServiceUnavailable, CodeOverLimit, NotRun)
+	if w.Header().Get("Retry-After") == "" || w.Header().Get(upstream.HeaderShed) != "" {
+		t.Errorf("header %v", w.Header())
+	}
+}
+
+// With no target left to try, the caller gets the last failure itself.
+func TestLastFailureIsRelayed(t *testing.T) {
+	b := newBench(testDocument, func(o *Options) {
+		o.Upstream = scripted(func(context.Context, upstream.Call) (*upstream.Result, error) {
+			return answerWith(http.StatusBadGateway, "no connection to the letters"), nil
+		})
+	})
+	b.listTargets("nahled", 2, 2)
+	w := b.do(get("/nahled/1"))
+	if w.Code != http.StatusBadGateway || w.Body.String() != "no connection to the letters" || w.Header().Get(upstream.HeaderRetried) == "" {
+		t.Errorf("%d %s %v", w.Code, w.Body, w.Header())
+	}
+}
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -68,6 +68,7 @@
 
 func TestRequestsWaitForAFreeSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		b, most := slotBench(testDocument)
 		start := time.Now()
 		for _, w := range b.atOnce(40, "housing") {
@@ -86,6 +87,7 @@
 
 func TestFloodIsRefusedWithAdvice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		b, _ := slotBench(strings.Replace(testDocument, `"defaults":{`, `"defaults":{"queueLimit":8,`, 1))
 		served, refused := 0, 0
 		for _, w := range b.atOnce(100, "housing") {
@@ -107,6 +109,7 @@
 
 func TestWaitEndsBeforeTheDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		b := newBench(testDocument, func(o *Options) { o.Picker = fullPicker{} })
 		start := time.Now()
 		w := b.do(post("/odeslani/batches", "k", "letters"))
@@ -202,6 +205,7 @@
 
 func TestSlowCallerDoesNotHoldASlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		b, _ := slotBench(testDocument)
 		b.upstream = scripted(func(context.Context, upstream.Call) (*upstream.Result, error) {
 			return answerWith(http.StatusOK, "preview"), nil
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -96,6 +96,7 @@
 // is recorded, and a later receipt gets the answer.
 func TestOutcomeIsRecordedAfterDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		sent := 0
 		b := newBench(testDocument, func(o *Options) {
 			o.Upstream = scripted(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
@@ -128,6 +129,7 @@
 // the delayed attempt may not send any more.
 func TestNotRunIsTrueForGood(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		b := newBench(testDocument, func(o *Options) {
 			o.Upstream = scripted(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
 				time.Sleep(31 * time.Second)
@@ -275,6 +277,7 @@
 // A target that sheds a request after its deadline doesn't cause another attempt.
 func TestLateShedIsNotSentElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		committed := 0
 		b := newBench(testDocument, func(o *Options) {
 			o.Upstream = scripted(func(_ context.Context, call upstream.Call) (*upstream.Result, error) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -75,9 +75,14 @@
 	s.record(r, events.RequestAnswered, x.e.Target.ID, http.StatusText(x.result.Status))
 }
 
+// copyHeader copies the header of an answer, without what a target says to this
+// instance only: a layer above must not take it for its own target's word.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
 		dst[name] = values
 	}
 	dropHopByHop(dst)
+	delete(dst, upstream.HeaderInFlight)
+	delete(dst, upstream.HeaderDraining)
+	delete(dst, upstream.HeaderShed)
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -203,7 +203,7 @@
 }
 
 var hopByHop = [...]string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -42,6 +42,7 @@
 		{name: "caller with a space", path: "/odeslani/1", key: "k", header: http.Header{DefaultCallerHeader: {"a b"}}, status: 400, code: CodeBadCaller},
 		{name: "long request ID", path: "/odeslani/1", key: "k", header: http.Header{upstream.HeaderRequestID: {strings.Repeat("r", 65)}}, status: 400, code: CodeBadRequestID},
 		{name: "no key", path: "/odeslani/1", status: 400, code: CodeKeyMissing},
+		{name: "two keys", path: "/odeslani/1", header: http.Header{upstream.HeaderIdempotencyKey: {"a", "b"}}, status: 400, code: CodeKeyInvalid},
 		{name: "large body", path: "/odeslani/1", key: "k", body: strings.Repeat("x", maxBufferedBody+1), status: 413, code: CodeBodyTooLarge},
 	}
 	b := newBench(testDocument, nil)
--- a/internal/entry/upload_test.go
+++ b/internal/entry/upload_test.go
@@ -48,6 +48,7 @@
 
 func TestSlowUploadIsNotBoundedInTotal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		var got int64
 		b := uploadBench(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
 			n, err := readBodyOrEnd(ctx, call)
@@ -73,6 +74,7 @@
 
 func TestCallerStallIsTyped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		b := uploadBench(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
 			_, _ = readBodyOrEnd(ctx, call)
 			return nil, brokenAt(call)
@@ -87,6 +89,7 @@
 
 func TestTargetStallIsTyped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		defer settle()
 		b := uploadBench(func(ctx context.Context, call upstream.Call) (*upstream.Result, error) {
 			<-ctx.Done()
 			return nil, &upstream.CallError{Target: call.Endpoint.Target.ID, Reason: upstream.Cancelled, Sent: true, Cause: ctx.Err()}
