--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -132,7 +132,9 @@
 	}
 	switch {
 	case err == io.EOF:
+		// The target's slot is free, however long the caller takes.
 		x.whole = true
+		x.close()
 	case err != nil:
 		x.outcome = outcomes[asCallError(x.e, err).Reason]
 	}
@@ -147,6 +149,7 @@
 		m, err := x.receive(buf[n:])
 		n += m
 		if err != nil && err != io.EOF {
+			x.s.record(x.r, events.AnswerTruncated, x.e.Target.ID, err.Error())
 			return asCallError(x.e, err)
 		}
 	}
