--- /dev/null
+++ b/internal/soak/process_test.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// instance is one place in the fleet, run by one process after another.
+type instance struct {
+	t        *testing.T
+	binary   string
+	dir      string
+	platform string
+	ip       string
+	number   int
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	starts  int
+}
+
+func (i *instance) url() string { return "http://" + i.ip + ":8080" }
+
+// start runs a process with an instance ID that was not used before.
+func (i *instance) start() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.starts++
+	path := filepath.Join(i.dir, fmt.Sprintf("%d.yaml", i.number))
+	text := fmt.Sprintf(`instance: soak-%d-%d
+location: {region: praha, failureDomain: praha-a}
+caller: {listen: "%s:8080"}
+operator: {listen: "%s:9090", token: soak}
+platform: {url: "%s"}
+`, i.number, i.starts, i.ip, i.ip, i.platform)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		i.t.Error(err)
+		return
+	}
+	i.command = exec.Command(i.binary, "serve", "--settings", path)
+	if err := i.command.Start(); err != nil {
+		i.t.Error(err)
+		i.command = nil
+	}
+}
+
+// kill ends the process at once, also a frozen one.
+func (i *instance) kill() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.command == nil {
+		return
+	}
+	_ = i.command.Process.Kill()
+	_ = i.command.Wait()
+	i.command = nil
+}
+
+// freeze stops the process for a while.
+func (i *instance) freeze(d time.Duration) {
+	i.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	i.signal(syscall.SIGCONT)
+}
+
+func (i *instance) signal(s syscall.Signal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.command != nil {
+		_ = i.command.Process.Signal(s)
+	}
+}
+
+// waitReady returns when the instance serves.
+func (i *instance) waitReady() {
+	for i.t.Context().Err() == nil {
+		resp, err := http.Get("http://" + i.ip + ":9090/ready")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
