Open the next slice ahead and let writers share a horizon check

Change: while claims arrive, the objects of the next slice are created a second ahead, and writers that wait for the horizon share one conditional write that begins after all of them asked. Eight shards a slice and at least 42 ms between two writes of a shard keep the writes under 200.

--- a/internal/ledger/committer.go
+++ b/internal/ledger/committer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,11 +17,13 @@
 	// commitTimeout bounds the writing of one batch.
 	commitTimeout = 2 * time.Second
 	// writeInterval is the shortest time between two writes of a shard.
-	writeInterval = 25 * time.Millisecond
+	writeInterval = 42 * time.Millisecond
+	// openAhead is how long before its slice an object is created, while claims arrive.
+	openAhead = time.Second
 	// maxWaiting is the largest number of ops that wait for one shard.
 	maxWaiting = 4096
 	// maxIdleShards is the number of shards kept in memory while nothing waits for them.
-	maxIdleShards = 16
+	maxIdleShards = 32
 	// settleTimeout is how long an outcome is offered to a store that is down.
 	settleTimeout = 30 * time.Second
 )
@@ -79,6 +82,7 @@
 	if err != nil {
 		return Verdict{}, err
 	}
+	c.openNext(place)
 	select {
 	case <-p.done:
 	case <-ctx.Done():
@@ -94,6 +98,25 @@
 	return p.verdict, p.err
 }
 
+// openNext creates the objects of the next slice shortly before it begins, so
+// that its first claims need not wait for them.
+func (c *GroupCommitter) openNext(place Place) {
+	now := c.now()
+	next := sliceOf(now.Add(openAhead))
+	if next != place.Slice+1 || sliceOf(now) != place.Slice {
+		return
+	}
+	shard := place.Object[strings.LastIndexByte(place.Object, '/')+1:]
+	place.Slice = next
+	place.Object = sliceObject(place.Service, next, shard)
+	c.mu.Lock()
+	known := c.shards[place.Object] != nil
+	c.mu.Unlock()
+	if !known {
+		_, _ = c.enqueue(place, Op{Kind: OpOpen})
+	}
+}
+
 // withdraw removes an op that no batch has taken yet.
 func (c *GroupCommitter) withdraw(place Place, p *pending) bool {
 	c.mu.Lock()
--- a/internal/ledger/floor.go
+++ b/internal/ledger/floor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"time"
 
@@ -37,10 +38,27 @@
 
 	mu     sync.Mutex
 	cached map[model.ServiceName]platform.Object
+	// next holds, for each service, the confirmation that has not begun yet.
+	next map[model.ServiceName]*confirmation
+	// turn is held by the confirmation under way, per service.
+	turn map[model.ServiceName]chan struct{}
+}
+
+// confirmation is one reading of a horizon that several writers wait for.
+type confirmation struct {
+	done    chan struct{}
+	horizon floor
+	err     error
 }
 
 func newFloors(store platform.Store, now func() time.Time) *floors {
-	return &floors{store: store, now: now, cached: make(map[model.ServiceName]platform.Object)}
+	return &floors{
+		store:  store,
+		now:    now,
+		cached: make(map[model.ServiceName]platform.Object),
+		next:   make(map[model.ServiceName]*confirmation),
+		turn:   make(map[model.ServiceName]chan struct{}),
+	}
 }
 
 func floorKey(service model.ServiceName) string {
@@ -49,8 +67,45 @@
 
 // confirm returns the horizon as it was after the call began. A read may come
 // from an old replica; the conditional write of the unchanged value proves that
-// it did not. It creates the horizon if there is none.
+// it did not. Callers that wait for their turn share one write.
 func (f *floors) confirm(ctx context.Context, place Place) (floor, error) {
+	c, turn := f.join(place.Service)
+	if turn == nil {
+		select {
+		case <-c.done:
+			return c.horizon, c.err
+		case <-ctx.Done():
+			return floor{}, eris.Wrap(ctx.Err(), "wait for ledger horizon")
+		}
+	}
+	turn <- struct{}{}
+	f.mu.Lock()
+	delete(f.next, place.Service)
+	f.mu.Unlock()
+	c.horizon, c.err = f.readFresh(ctx, place)
+	<-turn
+	close(c.done)
+	return c.horizon, c.err
+}
+
+// join returns the next confirmation of a service. The first to ask for it also
+// gets the turn to carry it out; nobody joins once it has begun.
+func (f *floors) join(service model.ServiceName) (*confirmation, chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.turn[service] == nil {
+		f.turn[service] = make(chan struct{}, 1)
+	}
+	if c := f.next[service]; c != nil {
+		return c, nil
+	}
+	c := &confirmation{done: make(chan struct{})}
+	f.next[service] = c
+	return c, f.turn[service]
+}
+
+// readFresh reads the horizon by writing it, and creates it if there is none.
+func (f *floors) readFresh(ctx context.Context, place Place) (floor, error) {
 	return f.rewrite(ctx, place.Service, func(object platform.Object) (floor, error) {
 		if object.Version == 0 {
 			lowest := min(place.Slice, sliceOf(f.now().Add(-place.Retention)))
@@ -180,7 +235,7 @@
 func (f *floors) removeSlice(ctx context.Context, service model.ServiceName, number int64) (int, error) {
 	deleted := 0
 	for n := range timedShards {
-		key := sliceObject(service, number, n)
+		key := sliceObject(service, number, strconv.Itoa(n))
 		object, err := platform.Read(ctx, f.store, key)
 		if err != nil {
 			return deleted, err
--- a/internal/ledger/op.go
+++ b/internal/ledger/op.go
@@ -18,6 +18,8 @@
 	OpRelease
 	// OpUnknown records that the attempt was sent and its outcome is lost.
 	OpUnknown
+	// OpOpen creates the object of a slice and changes no key.
+	OpOpen
 )
 
 // Op is one change to the record of a key. Applying it twice has the effect of
@@ -66,7 +68,7 @@
 // final reports whether a later state of the shard cannot change the verdict on
 // an op that left the shard as it was.
 func (v Verdict) final(op Op) bool {
-	return op.Kind == OpClaim && v.Kind != Held && v.Kind != Lost
+	return op.Kind == OpOpen || op.Kind == OpClaim && v.Kind != Held && v.Kind != Lost
 }
 
 func (op Op) record(phase recordPhase) record {
--- a/internal/ledger/place.go
+++ b/internal/ledger/place.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -19,7 +20,7 @@
 	slice = 5 * time.Second
 	// timedShards is the number of objects of a slice. Each is written by one
 	// group commit at a time, so that it bounds the store's writes.
-	timedShards = 4
+	timedShards = 8
 	// opaqueShards is the number of objects for keys that carry no time.
 	opaqueShards = 1024
 	// opaqueSlice marks a place of keys that carry no time.
@@ -65,7 +66,7 @@
 		return Place{}, KeyHash{}, &KeyError{Reason: "carries a time in the far future"}
 	}
 	place.Slice = sliceOf(at)
-	place.Object = sliceObject(req.Service, place.Slice, int(shard%timedShards))
+	place.Object = sliceObject(req.Service, place.Slice, strconv.Itoa(int(shard%timedShards)))
 	return place, hash, nil
 }
 
@@ -84,6 +85,6 @@
 
 func sliceOf(at time.Time) int64 { return at.UnixMilli() / slice.Milliseconds() }
 
-func sliceObject(service model.ServiceName, number int64, shard int) string {
-	return fmt.Sprintf("%s%s/time/%d/%d", platform.LedgerPrefix, service, number, shard)
+func sliceObject(service model.ServiceName, number int64, shard string) string {
+	return fmt.Sprintf("%s%s/time/%d/%s", platform.LedgerPrefix, service, number, shard)
 }
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -35,7 +35,8 @@
 	outageMax  = 2 * time.Second
 )
 
-// newWriter expects that the object of a slice of the present does not exist yet.
+// newWriter expects that the object of a slice that has just begun, or will, does
+// not exist yet.
 func newWriter(c *GroupCommitter, place Place) *writer {
 	w := &writer{
 		c:       c,
@@ -43,7 +44,7 @@
 		arrived: make(chan struct{}, 1),
 		outage:  platform.Backoff{Base: outageBase, Max: outageMax},
 	}
-	if place.Slice == sliceOf(c.now()) {
+	if place.Slice >= sliceOf(c.now()) {
 		w.state = new(shard)
 	}
 	return w
@@ -143,13 +144,23 @@
 	verdicts := make([]Verdict, len(batch))
 	changed := false
 	for i, p := range batch {
-		v, mutated := next.apply(p.op)
+		v, mutated := w.applyOne(next, p.op)
 		verdicts[i] = v
 		changed = changed || mutated
 	}
 	return next, verdicts, changed
 }
 
+func (w *writer) applyOne(next *shard, op Op) (Verdict, bool) {
+	if op.Kind != OpOpen {
+		return next.apply(op)
+	}
+	if w.version > 0 {
+		return Verdict{Kind: Given}, false
+	}
+	return Verdict{Kind: Applied}, true
+}
+
 func allFinal(batch []*pending, verdicts []Verdict) bool {
 	for i, v := range verdicts {
 		if !v.final(batch[i].op) {
@@ -228,7 +239,8 @@
 
 // concernsClaim reports whether a verdict rests on a claim in the object.
 func concernsClaim(op Op, v Verdict) bool {
-	return op.Kind == OpClaim && (v.Kind == Applied || v.Kind == Held || v.Kind == Lost)
+	created := op.Kind == OpOpen && v.Kind == Applied
+	return created || op.Kind == OpClaim && (v.Kind == Applied || v.Kind == Held || v.Kind == Lost)
 }
 
 // discard deletes an object that was created again after its slice was swept.
@@ -266,7 +278,7 @@
 	now := w.c.now()
 	var kept []*pending
 	for _, p := range batch {
-		if p.op.Kind != OpClaim && now.Before(p.until) {
+		if p.op.Kind != OpClaim && p.op.Kind != OpOpen && now.Before(p.until) {
 			kept = append(kept, p)
 			continue
 		}
