Keep a part of the call budget for writes

Change: of the 100 calls a second of an instance 30 are kept for writes, 70 for reads. The ledger waits for its budget, so that claims gather in one write, in place of refusing them.

--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -103,6 +103,9 @@
 		if err == nil {
 			return w.deliver(ctx, batch, verdicts)
 		}
+		if overBudget(err) && pause.Wait(ctx) == nil {
+			continue
+		}
 		uncertain = uncertain || platform.Uncertain(err)
 		if !contested(err) {
 			return w.fail(batch, err, uncertain)
@@ -119,6 +122,9 @@
 	pause := platform.Backoff{Base: conflictBase, Max: conflictMax}
 	for {
 		object, err := platform.Read(ctx, w.c.store, w.place.Object)
+		if overBudget(err) && pause.Wait(ctx) == nil {
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -139,6 +145,12 @@
 	}
 }
 
+// overBudget reports a call that was not made. Ops gather while it waits.
+func overBudget(err error) bool {
+	var over *platform.BudgetError
+	return errors.As(err, &over)
+}
+
 func (w *writer) apply(batch []*pending) (*shard, []Verdict, bool) {
 	next := w.state.clone()
 	verdicts := make([]Verdict, len(batch))
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -35,7 +35,10 @@
 	WatchWait time.Duration
 	// CallsPerSecond is the call budget; a watch counts as one call.
 	CallsPerSecond float64
-	// Burst is the number of calls that may be made at once after a pause.
+	// WritesPerSecond is the part of the budget that is kept for writes.
+	WritesPerSecond float64
+	// Burst is the number of reads, and of writes, that may be made at once after
+	// a pause.
 	Burst int
 	// OnState is called when an outage begins and when it has ended.
 	OnState func(up bool)
@@ -45,11 +48,12 @@
 
 // Defaults of ClientOptions.
 const (
-	defaultCallTimeout    = time.Second
-	defaultWatchWait      = 20 * time.Second
-	defaultCallsPerSecond = 100
-	defaultBurst          = 20
-	maxIdleConns          = 64
+	defaultCallTimeout     = time.Second
+	defaultWatchWait       = 20 * time.Second
+	defaultCallsPerSecond  = 100
+	defaultWritesPerSecond = 30
+	defaultBurst           = 20
+	maxIdleConns           = 64
 )
 
 // NewClient returns a client of one platform address.
@@ -60,7 +64,7 @@
 		http:    &http.Client{Transport: o.Transport},
 		timeout: o.CallTimeout,
 		wait:    o.WatchWait,
-		gate:    newGate(o.CallsPerSecond, o.Burst, o.OnState),
+		gate:    newGate(o),
 	}
 }
 
@@ -74,6 +78,9 @@
 	if o.CallsPerSecond == 0 {
 		o.CallsPerSecond = defaultCallsPerSecond
 	}
+	if o.WritesPerSecond == 0 {
+		o.WritesPerSecond = defaultWritesPerSecond
+	}
 	if o.Burst == 0 {
 		o.Burst = defaultBurst
 	}
@@ -223,7 +230,7 @@
 
 // call makes one call within the budget. A watch that probes an outage does not wait.
 func (c *Client) call(ctx context.Context, r request) (*response, error) {
-	probe, err := c.gate.enter(r.op)
+	probe, err := c.gate.enter(r.op, r.method != http.MethodGet)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/gate.go
+++ b/internal/platform/gate.go
@@ -14,11 +14,13 @@
 	probeMax        = 5 * time.Second
 )
 
-// gate bounds the calls of one client. Every call takes one token of the budget.
+// gate bounds the calls of one client. Every call takes one token of the budget;
+// a part of it is kept for writes, so that reads can't use it up.
 // In an outage one call at a time is let through as a probe, after pauses that
 // grow; all others fail at once. It is safe for concurrent use.
 type gate struct {
-	limiter *rate.Limiter
+	reads   *rate.Limiter
+	writes  *rate.Limiter
 	onState func(up bool)
 
 	mu       sync.Mutex
@@ -29,16 +31,17 @@
 	backoff  Backoff
 }
 
-func newGate(callsPerSecond float64, burst int, onState func(up bool)) *gate {
+func newGate(o ClientOptions) *gate {
 	return &gate{
-		limiter: rate.NewLimiter(rate.Limit(callsPerSecond), burst),
-		onState: onState,
+		reads:   rate.NewLimiter(rate.Limit(o.CallsPerSecond-o.WritesPerSecond), o.Burst),
+		writes:  rate.NewLimiter(rate.Limit(o.WritesPerSecond), o.Burst),
+		onState: o.OnState,
 		backoff: Backoff{Base: probeBase, Max: probeMax},
 	}
 }
 
 // enter admits a call and reports whether it is a probe.
-func (g *gate) enter(op string) (probe bool, err error) {
+func (g *gate) enter(op string, write bool) (probe bool, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.down {
@@ -46,7 +49,11 @@
 			return false, &UnavailableError{Op: op, Cause: &OutageError{RetryAfter: max(wait, 0)}}
 		}
 	}
-	if !g.limiter.Allow() {
+	budget := g.reads
+	if write {
+		budget = g.writes
+	}
+	if !budget.Allow() {
 		return false, &BudgetError{Op: op}
 	}
 	g.probing = g.down
