Read a slice's object before the first claim of an instance

Cause: an instance assumed that the object of the present slice did not exist. Now that it is created ahead, that is right only once per slice and shard, and wrong at the other 16 instances: a failed write, a pause, a read and a write.

TestUnconfirmedClaimIsReleased loses answers for as long as it takes the claim, which now follows a read, to reach the store; its checks, that an answer was lost among them, are unchanged.

--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -35,8 +35,7 @@
 	outageMax  = 2 * time.Second
 )
 
-// newWriter expects that the object of a slice that has just begun, or will, does
-// not exist yet.
+// newWriter expects that the object of a slice to come does not exist yet.
 func newWriter(c *GroupCommitter, place Place) *writer {
 	w := &writer{
 		c:       c,
@@ -44,7 +43,7 @@
 		arrived: make(chan struct{}, 1),
 		outage:  platform.Backoff{Base: outageBase, Max: outageMax},
 	}
-	if place.Slice >= sliceOf(c.now()) {
+	if place.Slice > sliceOf(c.now()) {
 		w.state = new(shard)
 	}
 	return w
