--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -91,6 +91,8 @@
 	return v, err
 }
 
+func (r remote) Release(place Place, claim Op) { r.to.Release(place, claim) }
+
 // BenchmarkClaims prints the store's calls and the latency of claims against
 // their rate, in virtual time; every claim is followed by its outcome.
 func BenchmarkClaims(b *testing.B) {
--- a/internal/ledger/committer.go
+++ b/internal/ledger/committer.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"redwingpoint.org/redwingpoint/internal/platform"
 )
 
@@ -28,11 +29,16 @@
 	settleTimeout = 30 * time.Second
 )
 
-// Committer carries ops out on the stored shards. Commit may be called with the
-// same op at several instances. An error of a claim means that it is not known
-// to be held; nothing may be sent.
+// Committer carries ops out on the stored shards. The same op may be committed
+// at several instances.
 type Committer interface {
+	// Commit returns the verdict on an op. An error of a claim means that it is
+	// not known to be held; it is an *UndecidedError if it may be held later.
 	Commit(ctx context.Context, place Place, op Op) (Verdict, error)
+	// Release gives a claim back in the background. Only the instance whose
+	// attempt it is may call it, after it gave up the right to send: elsewhere
+	// the same claim may have been confirmed meanwhile.
+	Release(place Place, claim Op)
 }
 
 // GroupCommitter writes the ops that wait for a shard in one conditional
@@ -75,8 +81,7 @@
 	close(p.done)
 }
 
-// Commit implements Committer. If ctx ends first, a claim that may still be
-// written is released in the background.
+// Commit implements Committer.
 func (c *GroupCommitter) Commit(ctx context.Context, place Place, op Op) (Verdict, error) {
 	p, err := c.enqueue(place, op)
 	if err != nil {
@@ -86,15 +91,11 @@
 	select {
 	case <-p.done:
 	case <-ctx.Done():
-		if op.Kind == OpClaim && !c.withdraw(place, p) {
-			c.release(place, op)
+		if c.withdraw(place, p) {
+			return Verdict{}, eris.Wrap(ctx.Err(), "wait for ledger shard")
 		}
 		return Verdict{}, &UndecidedError{Cause: ctx.Err()}
 	}
-	var undecided *UndecidedError
-	if op.Kind == OpClaim && errors.As(p.err, &undecided) {
-		c.release(place, op)
-	}
 	return p.verdict, p.err
 }
 
@@ -133,9 +134,8 @@
 	return true
 }
 
-// release gives a claim back that may or may not be written. The op follows the
-// claim through the same queue.
-func (c *GroupCommitter) release(place Place, claim Op) {
+// Release implements Committer. The op follows the claim through the same queue.
+func (c *GroupCommitter) Release(place Place, claim Op) {
 	claim.Kind = OpRelease
 	_, _ = c.enqueue(place, claim)
 }
--- a/internal/ledger/errors.go
+++ b/internal/ledger/errors.go
@@ -46,7 +46,7 @@
 func (*AbandonedError) Error() string { return "the attempt was given up" }
 
 // UndecidedError reports a claim whose write was not confirmed in time. The
-// attempt is given up; its claim is released when the store answers.
+// attempt is given up and its claim is released when the store answers.
 type UndecidedError struct{ Cause error }
 
 func (e *UndecidedError) Error() string { return "claim not confirmed: " + e.Cause.Error() }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -370,3 +370,32 @@
 		}
 	})
 }
+
+// TestOnlyTheOriginReleasesAClaim commits one claim at two instances. The first
+// gives up waiting; the second has it confirmed, and it must stay.
+func TestOnlyTheOriginReleasesAClaim(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, p *standin.Platform) {
+		a, b := newLedger("a", p), newLedger("b", p)
+		req := receipt(timedKey(time.Now()), "letters")
+		place, key, err := locate(req, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		op := a.newClaim(req, key, time.Now())
+		short, cancel := context.WithTimeout(t.Context(), 3*oneWay)
+		defer cancel()
+		var undecided *UndecidedError
+		if _, err := b.commits.Commit(short, place, op); !errors.As(err, &undecided) {
+			t.Fatalf("given up while it is being written: %v", err)
+		}
+		v, err := a.commits.Commit(t.Context(), place, op)
+		if err != nil || v.Kind != Applied {
+			t.Fatalf("the same claim at its origin: %+v, %v", v, err)
+		}
+		time.Sleep(10 * time.Second)
+		req.Deadline = time.Now().Add(2 * time.Second)
+		if d := begin(t, newLedger("c", p), req); d.State == Fresh {
+			t.Error("a confirmed claim was released by another instance")
+		}
+	})
+}
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -95,6 +96,10 @@
 	}
 	l.live.Delete(op.Attempt)
 	if err != nil {
+		var undecided *UndecidedError
+		if errors.As(err, &undecided) {
+			l.commits.Release(place, op)
+		}
 		err = &UnavailableError{Cause: err}
 		l.refused(req, err)
 		return Decision{}, err
