--- a/internal/ledger/committer.go
+++ b/internal/ledger/committer.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"redwingpoint.org/redwingpoint/internal/platform"
 )
 
@@ -16,20 +18,27 @@
 	// commitTimeout bounds the writing of one batch.
 	commitTimeout = 2 * time.Second
 	// writeInterval is the shortest time between two writes of a shard.
-	writeInterval = 25 * time.Millisecond
+	writeInterval = 42 * time.Millisecond
+	// openAhead is how long before its slice an object is created, while claims arrive.
+	openAhead = time.Second
 	// maxWaiting is the largest number of ops that wait for one shard.
 	maxWaiting = 4096
 	// maxIdleShards is the number of shards kept in memory while nothing waits for them.
-	maxIdleShards = 16
+	maxIdleShards = 32
 	// settleTimeout is how long an outcome is offered to a store that is down.
 	settleTimeout = 30 * time.Second
 )
 
-// Committer carries ops out on the stored shards. Commit may be called with the
-// same op at several instances. An error of a claim means that it is not known
-// to be held; nothing may be sent.
+// Committer carries ops out on the stored shards. The same op may be committed
+// at several instances.
 type Committer interface {
+	// Commit returns the verdict on an op. An error of a claim means that it is
+	// not known to be held; it is an *UndecidedError if it may be held later.
 	Commit(ctx context.Context, place Place, op Op) (Verdict, error)
+	// Release gives a claim back in the background. Only the instance whose
+	// attempt it is may call it, after it gave up the right to send: elsewhere
+	// the same claim may have been confirmed meanwhile.
+	Release(place Place, claim Op)
 }
 
 // GroupCommitter writes the ops that wait for a shard in one conditional
@@ -72,28 +81,43 @@
 	close(p.done)
 }
 
-// Commit implements Committer. If ctx ends first, a claim that may still be
-// written is released in the background.
+// Commit implements Committer.
 func (c *GroupCommitter) Commit(ctx context.Context, place Place, op Op) (Verdict, error) {
 	p, err := c.enqueue(place, op)
 	if err != nil {
 		return Verdict{}, err
 	}
+	c.openNext(place)
 	select {
 	case <-p.done:
 	case <-ctx.Done():
-		if op.Kind == OpClaim && !c.withdraw(place, p) {
-			c.release(place, op)
+		if c.withdraw(place, p) {
+			return Verdict{}, eris.Wrap(ctx.Err(), "wait for ledger shard")
 		}
 		return Verdict{}, &UndecidedError{Cause: ctx.Err()}
 	}
-	var undecided *UndecidedError
-	if op.Kind == OpClaim && errors.As(p.err, &undecided) {
-		c.release(place, op)
-	}
 	return p.verdict, p.err
 }
 
+// openNext creates the objects of the next slice shortly before it begins, so
+// that its first claims need not wait for them.
+func (c *GroupCommitter) openNext(place Place) {
+	now := c.now()
+	next := sliceOf(now.Add(openAhead))
+	if next != place.Slice+1 || sliceOf(now) != place.Slice {
+		return
+	}
+	shard := place.Object[strings.LastIndexByte(place.Object, '/')+1:]
+	place.Slice = next
+	place.Object = sliceObject(place.Service, next, shard)
+	c.mu.Lock()
+	known := c.shards[place.Object] != nil
+	c.mu.Unlock()
+	if !known {
+		_, _ = c.enqueue(place, Op{Kind: OpOpen})
+	}
+}
+
 // withdraw removes an op that no batch has taken yet.
 func (c *GroupCommitter) withdraw(place Place, p *pending) bool {
 	c.mu.Lock()
@@ -110,9 +134,8 @@
 	return true
 }
 
-// release gives a claim back that may or may not be written. The op follows the
-// claim through the same queue.
-func (c *GroupCommitter) release(place Place, claim Op) {
+// Release implements Committer. The op follows the claim through the same queue.
+func (c *GroupCommitter) Release(place Place, claim Op) {
 	claim.Kind = OpRelease
 	_, _ = c.enqueue(place, claim)
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -22,14 +22,15 @@
 
 const oneWay = 12 * time.Millisecond
 
+// newLedger returns a ledger whose call budget is no limit.
 func newLedger(self model.InstanceID, p *standin.Platform) *StoreLedger {
-	client := platform.NewClient(platform.ClientOptions{
-		BaseURL:        "http://platform",
-		CallsPerSecond: 1000,
-		Burst:          1000,
-		Transport:      &standin.Transport{Handler: p.Handler(), Delay: oneWay},
-	})
-	return New(Options{Self: self, Store: client, Recorder: events.Discard})
+	return ledgerOver(self, p, platform.ClientOptions{CallsPerSecond: 2000, WritesPerSecond: 1000, Burst: 1000})
+}
+
+func ledgerOver(self model.InstanceID, p *standin.Platform, o platform.ClientOptions) *StoreLedger {
+	o.BaseURL = "http://platform"
+	o.Transport = &standin.Transport{Handler: p.Handler(), Delay: oneWay}
+	return New(Options{Self: self, Store: platform.NewClient(o), Recorder: events.Discard})
 }
 
 func receipt(key, body string) Request {
@@ -219,7 +220,7 @@
 	inVirtualTime(t, func(t *testing.T, p *standin.Platform) {
 		a := newLedger("a", p)
 		p.Inject(standin.Script{Steps: []standin.Step{
-			{For: config.Duration(20 * time.Millisecond), Faults: standin.Faults{LoseAnswers: 1}},
+			{For: config.Duration(4 * oneWay), Faults: standin.Faults{LoseAnswers: 1}},
 			{For: config.Duration(5 * time.Second), Faults: standin.Faults{Down: true}},
 		}})
 		req := receipt(timedKey(time.Now()), "letters")
@@ -315,7 +316,7 @@
 	s := new(shard)
 	body := bytes.Repeat([]byte("x"), maxAnswerBytes)
 	for range 2000 {
-		op := Op{Kind: OpClaim, Attempt: uuid.New(), Holder: "a", At: time.Now().UnixMilli()}
+		op := Op{Kind: OpClaim, Attempt: Attempt(uuid.New()), Holder: "a", At: time.Now().UnixMilli()}
 		op.Key = KeyHash(uuid.New())
 		s.apply(op)
 		op.Kind = OpDone
@@ -336,7 +337,7 @@
 		t.Errorf("%d records past their retention", len(s.Records))
 	}
 	for range 20000 {
-		s.apply(Op{Kind: OpClaim, Key: KeyHash(uuid.New()), Attempt: uuid.New(), Holder: "praha-a-1"})
+		s.apply(Op{Kind: OpClaim, Key: KeyHash(uuid.New()), Attempt: Attempt(uuid.New()), Holder: "praha-a-1"})
 	}
 	var full *FullError
 	if _, err := s.encode("ledger/x"); !errors.As(err, &full) {
@@ -369,3 +370,32 @@
 		}
 	})
 }
+
+// TestOnlyTheOriginReleasesAClaim commits one claim at two instances. The first
+// gives up waiting; the second has it confirmed, and it must stay.
+func TestOnlyTheOriginReleasesAClaim(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, p *standin.Platform) {
+		a, b := newLedger("a", p), newLedger("b", p)
+		req := receipt(timedKey(time.Now()), "letters")
+		place, key, err := locate(req, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		op := a.newClaim(req, key, time.Now())
+		short, cancel := context.WithTimeout(t.Context(), 3*oneWay)
+		defer cancel()
+		var undecided *UndecidedError
+		if _, err := b.commits.Commit(short, place, op); !errors.As(err, &undecided) {
+			t.Fatalf("given up while it is being written: %v", err)
+		}
+		v, err := a.commits.Commit(t.Context(), place, op)
+		if err != nil || v.Kind != Applied {
+			t.Fatalf("the same claim at its origin: %+v, %v", v, err)
+		}
+		time.Sleep(10 * time.Second)
+		req.Deadline = time.Now().Add(2 * time.Second)
+		if d := begin(t, newLedger("c", p), req); d.State == Fresh {
+			t.Error("a confirmed claim was released by another instance")
+		}
+	})
+}
--- a/internal/ledger/op.go
+++ b/internal/ledger/op.go
@@ -1,11 +1,12 @@
 package ledger
 
 import (
-	"github.com/google/uuid"
-
 	"redwingpoint.org/redwingpoint/internal/model"
 )
 
+// Attempt identifies one attempt to run a request; it is a random UUID.
+type Attempt [16]byte
+
 // OpKind is what an Op does.
 type OpKind uint8
 
@@ -18,6 +19,8 @@
 	OpRelease
 	// OpUnknown records that the attempt was sent and its outcome is lost.
 	OpUnknown
+	// OpOpen creates the object of a slice and changes no key.
+	OpOpen
 )
 
 // Op is one change to the record of a key. Applying it twice has the effect of
@@ -26,7 +29,7 @@
 	Kind        OpKind           `cbor:"1,keyasint"`
 	Key         KeyHash          `cbor:"2,keyasint"`
 	Fingerprint [16]byte         `cbor:"3,keyasint"`
-	Attempt     uuid.UUID        `cbor:"4,keyasint"`
+	Attempt     Attempt          `cbor:"4,keyasint"`
 	Holder      model.InstanceID `cbor:"5,keyasint"`
 	At          int64            `cbor:"6,keyasint"`
 	Window      int64            `cbor:"7,keyasint"`
@@ -57,7 +60,7 @@
 type Verdict struct {
 	Kind    VerdictKind      `cbor:"1,keyasint"`
 	Answer  *Answer          `cbor:"2,keyasint,omitempty"`
-	Attempt uuid.UUID        `cbor:"3,keyasint"`
+	Attempt Attempt          `cbor:"3,keyasint"`
 	Holder  model.InstanceID `cbor:"4,keyasint,omitempty"`
 	At      int64            `cbor:"5,keyasint,omitempty"`
 	Window  int64            `cbor:"6,keyasint,omitempty"`
@@ -66,7 +69,7 @@
 // final reports whether a later state of the shard cannot change the verdict on
 // an op that left the shard as it was.
 func (v Verdict) final(op Op) bool {
-	return op.Kind == OpClaim && v.Kind != Held && v.Kind != Lost
+	return op.Kind == OpOpen || op.Kind == OpClaim && v.Kind != Held && v.Kind != Lost
 }
 
 func (op Op) record(phase recordPhase) record {
@@ -97,6 +100,7 @@
 	}
 	r.Phase = outcomePhase(op.Kind)
 	r.Answer = op.Answer
+	r.raw = nil
 	return Verdict{Kind: Applied}, true
 }
 
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -95,6 +96,10 @@
 	}
 	l.live.Delete(op.Attempt)
 	if err != nil {
+		var undecided *UndecidedError
+		if errors.As(err, &undecided) {
+			l.commits.Release(place, op)
+		}
 		err = &UnavailableError{Cause: err}
 		l.refused(req, err)
 		return Decision{}, err
@@ -114,7 +119,7 @@
 		Kind:        OpClaim,
 		Key:         key,
 		Fingerprint: [16]byte(req.Fingerprint[:16]),
-		Attempt:     uuid.New(),
+		Attempt:     Attempt(uuid.New()),
 		Holder:      l.self,
 		At:          now.UnixMilli(),
 		Window:      req.Deadline.Sub(now).Milliseconds(),
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -35,7 +35,7 @@
 	outageMax  = 2 * time.Second
 )
 
-// newWriter expects that the object of a slice of the present does not exist yet.
+// newWriter expects that the object of a slice to come does not exist yet.
 func newWriter(c *GroupCommitter, place Place) *writer {
 	w := &writer{
 		c:       c,
@@ -43,7 +43,7 @@
 		arrived: make(chan struct{}, 1),
 		outage:  platform.Backoff{Base: outageBase, Max: outageMax},
 	}
-	if place.Slice == sliceOf(c.now()) {
+	if place.Slice > sliceOf(c.now()) {
 		w.state = new(shard)
 	}
 	return w
@@ -102,6 +102,9 @@
 		if err == nil {
 			return w.deliver(ctx, batch, verdicts)
 		}
+		if overBudget(err) && pause.Wait(ctx) == nil {
+			continue
+		}
 		uncertain = uncertain || platform.Uncertain(err)
 		if !contested(err) {
 			return w.fail(batch, err, uncertain)
@@ -118,6 +121,9 @@
 	pause := platform.Backoff{Base: conflictBase, Max: conflictMax}
 	for {
 		object, err := platform.Read(ctx, w.c.store, w.place.Object)
+		if overBudget(err) && pause.Wait(ctx) == nil {
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -138,18 +144,34 @@
 	}
 }
 
+// overBudget reports a call that was not made. Ops gather while it waits.
+func overBudget(err error) bool {
+	var over *platform.BudgetError
+	return errors.As(err, &over)
+}
+
 func (w *writer) apply(batch []*pending) (*shard, []Verdict, bool) {
 	next := w.state.clone()
 	verdicts := make([]Verdict, len(batch))
 	changed := false
 	for i, p := range batch {
-		v, mutated := next.apply(p.op)
+		v, mutated := w.applyOne(next, p.op)
 		verdicts[i] = v
 		changed = changed || mutated
 	}
 	return next, verdicts, changed
 }
 
+func (w *writer) applyOne(next *shard, op Op) (Verdict, bool) {
+	if op.Kind != OpOpen {
+		return next.apply(op)
+	}
+	if w.version > 0 {
+		return Verdict{Kind: Given}, false
+	}
+	return Verdict{Kind: Applied}, true
+}
+
 func allFinal(batch []*pending, verdicts []Verdict) bool {
 	for i, v := range verdicts {
 		if !v.final(batch[i].op) {
@@ -228,7 +250,8 @@
 
 // concernsClaim reports whether a verdict rests on a claim in the object.
 func concernsClaim(op Op, v Verdict) bool {
-	return op.Kind == OpClaim && (v.Kind == Applied || v.Kind == Held || v.Kind == Lost)
+	created := op.Kind == OpOpen && v.Kind == Applied
+	return created || op.Kind == OpClaim && (v.Kind == Applied || v.Kind == Held || v.Kind == Lost)
 }
 
 // discard deletes an object that was created again after its slice was swept.
@@ -266,7 +289,7 @@
 	now := w.c.now()
 	var kept []*pending
 	for _, p := range batch {
-		if p.op.Kind != OpClaim && now.Before(p.until) {
+		if p.op.Kind != OpClaim && p.op.Kind != OpOpen && now.Before(p.until) {
 			kept = append(kept, p)
 			continue
 		}
