--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -151,6 +151,11 @@
 	if status != http.StatusOK {
 		t.Errorf("an instance that started during an outage answered %d", status)
 	}
+	c.board.Publish(fleet.FactTargetDrain, "odeslani-1", nil, time.Minute)
+	eventually(t, "a drain did not spread during the outage", func() bool {
+		_, ok := a.board.Lookup(fleet.FactTargetDrain, "odeslani-1")
+		return ok
+	})
 	if err := c.app.Stop(context.Background()); err != nil {
 		t.Error(err)
 	}
