Share links evenly in the view

Cause: with successors on a ring some members were linked to by up to nine others; the busiest of 100 sent 1889 B/s where the mean was 888.

Change: links to another domain and to other regions are shared out as in consistent hashing with bounded loads, worked out alike by every chooser.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,10 +15,9 @@
 const (
 	// localLinks is the number of links that an instance opens within its region,
 	// one within its failure domain and one to another one, so that a lost domain
-	// leaves witnesses; farLinks go to other regions. About as many are opened by
-	// others towards it.
+	// leaves witnesses. One more goes to another region. About as many are opened
+	// by others towards it.
 	localLinks = 2
-	farLinks   = 1
 
 	// unwantedLife is how long a link stays open after it left the view.
 	unwantedLife = 10 * time.Second
@@ -63,25 +65,65 @@
 	var view []model.InstanceID
 	self := e.o.Self.Location
 	near := func(k *known) bool { return k.member.Location.Region == self.Region }
-	view = e.successor(view, domainRing, now, func(k *known) bool { return k.member.Location == self })
-	view = e.successor(view, regionRing, now, func(k *known) bool { return near(k) && k.member.Location != self })
+	sameDomain := func(k *known) bool { return k.member.Location == self }
+	otherDomain := func(k *known) bool { return near(k) && k.member.Location != self }
+	far := func(k *known) bool { return !near(k) }
+	view = e.successor(view, domainRing, now, sameDomain)
+	view = e.share(view, regionRing, now, sameDomain, otherDomain, 1)
 	for len(view) < localLinks {
 		n := len(view)
 		if view = e.successor(view, regionRing, now, near); len(view) == n {
 			break
 		}
 	}
-	local := len(view)
-	for len(view) < local+farLinks {
-		n := len(view)
-		view = e.successor(view, farRing, now, func(k *known) bool { return !near(k) })
-		if len(view) == n {
-			break
+	return e.share(view, farRing, now, near, far, 0)
+}
+
+// place is an instance's position on one ring.
+type place struct {
+	at uint64
+	id model.InstanceID
+}
+
+// share appends the instance that this one links to when all choosers take a
+// successor among the candidates in turn, and a candidate takes an even share of
+// them and some slack. Every chooser works out the same, so that no candidate
+// gets many links.
+func (e *Engine) share(view []model.InstanceID, ring int, now time.Time, choosers, candidates func(*known) bool, slack int) []model.InstanceID {
+	takers := []place{{e.places[ring], e.o.Self.ID}}
+	var givers []place
+	for id, k := range e.others {
+		if candidates(k) && e.linkable(k, now) {
+			givers = append(givers, place{k.places[ring], id})
+		}
+		if choosers(k) && k.live() {
+			takers = append(takers, place{k.places[ring], id})
+		}
+	}
+	if len(givers) == 0 {
+		return view
+	}
+	sortPlaces(takers)
+	sortPlaces(givers)
+	limit := (len(takers)+len(givers)-1)/len(givers) + slack
+	load := make([]int, len(givers))
+	for _, taker := range takers {
+		i := sort.Search(len(givers), func(i int) bool { return givers[i].at >= taker.at }) % len(givers)
+		for load[i] >= limit {
+			i = (i + 1) % len(givers)
+		}
+		load[i]++
+		if taker.id == e.o.Self.ID {
+			return append(view, givers[i].id)
 		}
 	}
 	return view
 }
 
+func sortPlaces(list []place) {
+	slices.SortFunc(list, func(a, b place) int { return cmp.Compare(a.at, b.at) })
+}
+
 // successor appends the next instance on a ring that may be linked to.
 func (e *Engine) successor(view []model.InstanceID, ring int, now time.Time, match func(*known) bool) []model.InstanceID {
 	var best *known
