Forget the dead once their tombstones expire

Change: the dead are dropped with their tombstones, unless the platform still lists them. The end of a cut is a member event, not one of the request path.

Test: go test ./internal/fleet -run ForgetsTheDead.

--- a/internal/fleet/cut.go
+++ b/internal/fleet/cut.go
@@ -131,7 +131,7 @@
 		switch {
 		case !v.Cut:
 			if c.inForce {
-				e.record(events.RegionCrossed, "", "region "+string(v.To)+" is reachable again")
+				e.record(events.MemberJoined, "", "region "+string(v.To)+" is reachable again")
 			}
 			e.heal(v.To, c)
 		case c.proposedAt.IsZero():
--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -259,7 +259,8 @@
 		e.flushDue(now)
 		if now.Sub(e.lastExpire) >= expireInterval {
 			e.lastExpire = now
-			e.do(func() { e.o.Board.forget(func(*Fact) bool { return false }) })
+			e.o.Board.forget(func(*Fact) bool { return false })
+			e.dropForgotten()
 		}
 		e.publishMembers()
 	})
@@ -330,6 +331,19 @@
 	return k
 }
 
+// dropForgotten drops the dead whose tombstones have expired, unless the
+// platform still lists them.
+func (e *Engine) dropForgotten() {
+	for id, k := range e.others {
+		if !k.dead || k.listed || e.links[id] != nil {
+			continue
+		}
+		if _, ok := e.o.Board.Lookup(FactMember, string(id)); !ok {
+			e.drop(id)
+		}
+	}
+}
+
 func (e *Engine) drop(id model.InstanceID) {
 	delete(e.byAddr, e.others[id].member.PeerAddr)
 	delete(e.others, id)
--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -142,3 +143,25 @@
 	s.changed()
 	checkSpread(t, "loss of a failure domain", s.spread(patience, func(n *simNode) bool { return len(n.members.Live()) == 60-lost }))
 }
+
+// TestForgetsTheDead checks that replaced instances leave nothing behind.
+func TestForgetsTheDead(t *testing.T) {
+	s := newColdSim(1, 1)
+	n := s.nodes[0]
+	n.start()
+	for i := range 100 {
+		m := Member{ID: model.InstanceID(fmt.Sprint("praha-a-gone-", i)), Location: n.self.Location}
+		n.board.Merge(Fact{
+			Kind: FactMember, Key: string(m.ID), Origin: m.ID, Stamp: n.board.clock.Now(),
+			Expires: s.now.Add(tombstoneLife).UnixMilli(), Value: m.value(MemberLeft),
+		})
+	}
+	if got := len(n.engine.others); got != 100 {
+		t.Errorf("%d of 100 tombstones are known", got)
+	}
+	s.now = s.now.Add(tombstoneLife)
+	n.engine.Tick()
+	if others, facts := len(n.engine.others), n.board.Len(); others != 0 || facts != 1 {
+		t.Errorf("%d instances and %d facts are remembered", others, facts)
+	}
+}
