--- a/internal/health/probe/http.go
+++ b/internal/health/probe/http.go
@@ -10,9 +10,6 @@
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
-// Path is the health endpoint of every target.
-const Path = "/healthz"
-
 // HTTP is a health.Prober. Each probe takes a new connection, so that it shows
 // whether the target still accepts any.
 type HTTP struct{ transport *http.Transport }
@@ -24,7 +21,7 @@
 
 // Probe implements health.Prober.
 func (p *HTTP) Probe(ctx context.Context, target model.Target) health.ProbeResult {
-	url := "http://" + target.Addr.String() + Path
+	url := "http://" + target.Addr.String() + upstream.HealthPath
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return health.ProbeFailed
--- a/internal/health/probe/http_test.go
+++ b/internal/health/probe/http_test.go
@@ -25,7 +25,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			mux := http.NewServeMux()
-			mux.HandleFunc(Path, test.handler)
+			mux.HandleFunc(upstream.HealthPath, test.handler)
 			server := httptest.NewServer(mux)
 			defer server.Close()
 			target := model.Target{Addr: netip.MustParseAddrPort(server.Listener.Addr().String())}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -57,6 +57,10 @@
 
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == upstream.HealthPath {
+		t.health(w)
+		return
+	}
 	t.received.Add(1)
 	held := t.inFlight.Add(1)
 	defer t.inFlight.Add(-1)
@@ -75,6 +79,14 @@
 	t.run(w, r)
 }
 
+// health answers probes; the endpoint knows of drains and calls everything else healthy.
+func (t *Target) health(w http.ResponseWriter) {
+	if t.Draining.Load() {
+		w.Header().Set(upstream.HeaderDraining, "true")
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
 func (t *Target) run(w http.ResponseWriter, r *http.Request) {
 	t.slots <- struct{}{}
 	defer func() { <-t.slots }()
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -23,4 +23,6 @@
 	HeaderShed = "Load-Shed"
 	// ShedUnstarted is the value of HeaderShed.
 	ShedUnstarted = "unstarted"
+	// HealthPath is the health endpoint of a target.
+	HealthPath = "/healthz"
 )
