--- a/internal/routing/cost_test.go
+++ b/internal/routing/cost_test.go
@@ -300,6 +300,7 @@
 
 func benchmarkPick(b *testing.B, picker Picker, service func(int) model.ServiceName) {
 	b.ReportAllocs()
+	b.ResetTimer()
 	b.RunParallel(func(pb *testing.PB) {
 		for i := 0; pb.Next(); i++ {
 			e, err := picker.Pick(Request{Service: service(i)})
