Reload certificates that change before the watch begins

Cause: the certificate watch took its first look when its goroutine began; files replaced between reading and that look were never reloaded, and the test waited for ten minutes. Ruled out: the listener (it takes the current configuration at each handshake). Change: the files' times are taken before they are read; a test changes them before the watch.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -32,11 +32,18 @@
 type Source struct {
 	files   Files
 	current atomic.Pointer[tls.Config]
+	// seen is the files' stamp before they were read last; it belongs to Load,
+	// then to Watch.
+	seen stamp
 }
 
+// stamp holds the modification times of the files.
+type stamp [3]time.Time
+
 // Load reads the files.
 func Load(files Files) (*Source, error) {
 	s := &Source{files: files}
+	s.seen = s.stamp()
 	if err := s.Reload(); err != nil {
 		return nil, err
 	}
@@ -87,31 +94,33 @@
 	})
 }
 
-// Watch reloads when a file changes, looked for at the given interval, or when
-// signal delivers, and reports each reload, until ctx ends.
+// Watch reloads when a file has changed since it was read, looked for at the
+// given interval, or when signal delivers, and reports each reload, until ctx
+// ends. It is called once.
 func (s *Source) Watch(ctx context.Context, interval time.Duration, signal <-chan os.Signal, report func(error)) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	seen := s.stamp()
 	for {
+		signalled := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-signal:
-			seen = s.stamp()
+			signalled = true
 		case <-ticker.C:
-			if now := s.stamp(); now == seen {
-				continue
-			}
-			seen = s.stamp()
 		}
+		now := s.stamp()
+		if now == s.seen && !signalled {
+			continue
+		}
+		s.seen = now
 		report(s.Reload())
 	}
 }
 
 // stamp changes when one of the files does.
-func (s *Source) stamp() [3]time.Time {
-	var out [3]time.Time
+func (s *Source) stamp() stamp {
+	var out stamp
 	for i, path := range []string{s.files.Cert, s.files.Key, s.files.ClientCA} {
 		if info, err := os.Stat(path); err == nil {
 			out[i] = info.ModTime()
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -141,3 +141,28 @@
 		<-reports
 	}
 }
+
+// TestReloadOfFilesChangedBeforeTheWatch changes the files after they were read
+// and before anybody watches them.
+func TestReloadOfFilesChangedBeforeTheWatch(t *testing.T) {
+	dir := t.TempDir()
+	source, err := Load(write(t, dir, "first"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, dir, "second")
+	future := time.Now().Add(time.Hour)
+	if err := os.Chtimes(filepath.Join(dir, "k"), future, future); err != nil {
+		t.Fatal(err)
+	}
+	reports := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	go source.Watch(ctx, time.Millisecond, nil, func(err error) { reports <- err })
+	if err := <-reports; err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if got := holder(dial(t, serve(t, source))); got != "second" {
+		t.Errorf("the watch serves the certificate of %s", got)
+	}
+}
