--- a/mk/fleet.mk
+++ b/mk/fleet.mk
@@ -4,5 +4,5 @@
 # the benchmarks of the membership protocol.
 fleet-figures:
 	$(GO) test ./internal/fleet -run TestWireCosts -v -count=1
-	$(GO) test ./internal/fleet -run '^$$' -bench FleetFigures -benchtime 1x -timeout 30m
-	$(GO) test ./internal/fleet -run '^$$' -bench 'MergeFact|Datagram|Tick|Memory'
+	$(GO) test ./internal/fleet -run '^$$' -bench 'FleetFigures|ColdStart' -benchtime 1x -timeout 30m
+	$(GO) test ./internal/fleet -run '^$$' -bench 'MergeFact|Datagram|Tick|Memory|RealFleet' -benchtime 1s
