Pack only the facts that the budget lets go

Cause: with many facts waiting for budget each flush packed all of them; the simulation of 500 members spent minutes on it after one change of the configuration.

Change: messages are filled one at a time, until one is refused.

Test: go test ./internal/fleet.

--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+
 	"redwingpoint.org/redwingpoint/internal/peer"
 	"redwingpoint.org/redwingpoint/internal/platform"
 )
@@ -32,21 +34,16 @@
 	return factOverheadBytes + len(f.Key) + len(f.Origin) + len(f.Value)
 }
 
-// pack splits facts into messages that fit a datagram.
-func pack(facts []Fact) []message {
-	var out []message
-	var m message
-	bytes := 0
-	for _, f := range facts {
-		if bytes += f.wireBytes(); bytes > peer.MaxDatagramBytes && len(m.Facts) > 0 {
-			out = append(out, m)
-			m = message{}
-			bytes = f.wireBytes()
+// fill returns a message with as many of the first facts as a datagram holds,
+// and at least one.
+func fill(facts []Fact) message {
+	n, bytes := 0, 0
+	for n < len(facts) {
+		bytes += facts[n].wireBytes()
+		if n > 0 && bytes > peer.MaxDatagramBytes {
+			break
 		}
-		m.Facts = append(m.Facts, f)
-	}
-	if len(m.Facts) > 0 {
-		out = append(out, m)
+		n++
 	}
-	return out
+	return message{Facts: slices.Clone(facts[:n])}
 }
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -139,14 +139,14 @@
 
 // sendFacts sends facts as far as the budget allows and returns the rest.
 func (e *Engine) sendFacts(to model.InstanceID, facts []Fact, allowed func(bytes int) bool) []Fact {
-	sent := 0
-	for _, m := range pack(facts) {
+	for len(facts) > 0 {
+		m := fill(facts)
 		if !e.sendIf(to, m, allowed) {
 			break
 		}
-		sent += len(m.Facts)
+		facts = facts[len(m.Facts):]
 	}
-	return facts[sent:]
+	return facts
 }
 
 // send sends a message of the membership protocol if the budget allows.
