Commit the claims of a shard at one instance

Ruled out: carrying claims on the links of the membership (bounded views leave most pairs unlinked, and their bytes are paid from the measuring budget, which claims would use up); objects for each instance (a key then has no single place). Change: a routed committer sends the ops of a shard to the instance that the rendezvous order names, over connections opened on demand at the port after the peer port. An instance that doesn't answer within 400 ms is passed over for a second and the same op is committed here; the attempt ID makes the two one. platform.region names the store's region. Tests: histories with even seeds route their ops and lose requests and answers; a silent owner, an owner that refuses, two instances over real connections. Throughput over real processes isn't measured yet.

--- a/cmd/redwingpoint/session_test.go
+++ b/cmd/redwingpoint/session_test.go
@@ -70,7 +70,7 @@
 leave: {lag: 0s}
 `, n, region, ip)
 	if len(args) > 2 {
-		text += fmt.Sprintf("peer: {listen: \"%[3]s:710%[1]s\", ca: ca.crt, cert: %[2]s-a-%[1]s.crt, key: %[2]s-a-%[1]s.key}\n", n, region, ip)
+		text += fmt.Sprintf("peer: {listen: \"%[3]s:71%[1]s0\", ca: ca.crt, cert: %[2]s-a-%[1]s.crt, key: %[2]s-a-%[1]s.key}\n", n, region, ip)
 	}
 	ts.Check(os.WriteFile(ts.MkAbs(n+".yaml"), []byte(text), 0o600))
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -18,6 +18,7 @@
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/keys"
+	"redwingpoint.org/redwingpoint/internal/ledger"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/settings"
@@ -74,6 +75,8 @@
 	board   fleet.Board
 	members *fleet.Members
 	config  *config.Holder
+	claims  *claims
+	ledger  ledger.Ledger
 }
 
 // start runs an instance at a loopback address and lists it at the platform.
@@ -103,7 +106,7 @@
 	}
 	f.list = append(f.list, platform.Instance{ID: id, Location: at, PeerAddr: i.s.Peer.Listen, State: platform.InstanceLive})
 	f.platform.SetInstances(f.list)
-	i.app = New(i.s, zap.NewNop(), fx.Populate(&i.board, &i.members, &i.config))
+	i.app = New(i.s, zap.NewNop(), fx.Populate(&i.board, &i.members, &i.config, &i.claims, &i.ledger))
 	if err := i.app.Start(context.Background()); err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/daemon/storage.go
+++ b/internal/daemon/storage.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/ledger"
 	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/settings"
@@ -18,12 +19,22 @@
 var storageModule = fx.Module("storage", fx.Provide(
 	newPlatformClient,
 	func(c *platform.Client) (platform.Store, platform.InstanceLister) { return c, c },
-	func(s *settings.Settings, store platform.Store, r events.Recorder) *ledger.StoreLedger {
-		return ledger.New(ledger.Options{Self: s.Instance, Store: store, Recorder: r})
-	},
+	newClaims,
+	newLedger,
 	func(l *ledger.StoreLedger) ledger.Ledger { return l },
 ), fx.Invoke(runSweeper))
 
+// newLedger returns the ledger. With peers, one instance commits for each shard.
+func newLedger(s *settings.Settings, store platform.Store, c *claims, m *fleet.Members, r events.Recorder) *ledger.StoreLedger {
+	local := ledger.NewGroupCommitter(store)
+	o := ledger.Options{Self: s.Instance, Store: store, Recorder: r, Commits: local, Presence: present{m}}
+	if c.transport != nil {
+		c.serve(local)
+		o.Commits = ledger.NewRoutedCommitter(local, c)
+	}
+	return ledger.New(o)
+}
+
 // sweepInterval is the pause between two sweeps of the ledger.
 const sweepInterval = 5 * time.Minute
 
--- a/internal/ledger/history_test.go
+++ b/internal/ledger/history_test.go
@@ -90,16 +90,22 @@
 
 	mu      sync.Mutex
 	ledgers map[model.InstanceID]*StoreLedger
-	history []porcupine.Operation
-	kills   int
-	freezes int
+	// committers is set if the instances send ops to each other.
+	committers map[model.InstanceID]*GroupCommitter
+	history    []porcupine.Operation
+	kills      int
+	freezes    int
 }
 
 // instance returns the ledger of an instance, which lives until it is killed.
 func (w *world) instance(id model.InstanceID) *StoreLedger {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.ledgers[id] == nil {
+	switch {
+	case w.ledgers[id] != nil:
+	case w.committers != nil:
+		w.ledgers[id] = w.routed(id)
+	default:
 		w.ledgers[id] = newLedger(id, w.platform)
 	}
 	return w.ledgers[id]
@@ -214,6 +220,7 @@
 }
 
 // simulate lets receipts of a few keys meet at several instances under faults.
+// With even seeds the instances route the ops of a shard to one of them.
 func simulate(t *testing.T, seed uint64) *world {
 	w := &world{
 		t:        t,
@@ -222,6 +229,9 @@
 		start:    time.Now(),
 		ledgers:  make(map[model.InstanceID]*StoreLedger),
 	}
+	if seed%2 == 0 {
+		w.committers = make(map[model.InstanceID]*GroupCommitter)
+	}
 	w.platform.Inject(faultScript(seed))
 	const instances, rounds, copies = 4, 40, 4
 	var wg sync.WaitGroup
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
 
 	"redwingpoint.org/redwingpoint/internal/model"
 )
@@ -17,6 +18,8 @@
 const (
 	// OpObjects reads objects of the platform as a peer knows them.
 	OpObjects Op = iota + 1
+	// OpCommit carries an op of the ledger out on its shard.
+	OpCommit
 )
 
 // Route answers the requests of one Op. It is called from several goroutines.
@@ -40,6 +43,27 @@
 // Handle sets the route of an operation. It must be called before Start.
 func (t *Transport) Handle(op Op, route Route) { t.routes[op] = route }
 
+// CallAt is Call with a connection opened on demand. After a failure of the
+// connection, also one that went silent, the next call opens a new one.
+func (t *Transport) CallAt(ctx context.Context, peer model.InstanceID, addr string, op Op, body, answer any) error {
+	c := t.conn(peer)
+	if c == nil {
+		_, err, _ := t.dials.Do(addr, func() (any, error) { return nil, t.dial(addr) })
+		if err != nil {
+			return &ConnectionError{Peer: peer, Cause: err}
+		}
+		if c = t.conn(peer); c == nil {
+			return &NotLinkedError{Peer: peer}
+		}
+	}
+	err := c.call(ctx, op, body, answer)
+	var broken *ConnectionError
+	if eris.As(err, &broken) {
+		_ = c.CloseWithError(closeUnneeded, "")
+	}
+	return err
+}
+
 // Call sends a request to a peer and reads its answer. It returns
 // *NotLinkedError, *ConnectionError, *RefusedError or *CodecError.
 func (t *Transport) Call(ctx context.Context, peer model.InstanceID, op Op, body, answer any) error {
@@ -47,27 +71,31 @@
 	if c == nil {
 		return &NotLinkedError{Peer: peer}
 	}
+	return c.call(ctx, op, body, answer)
+}
+
+func (c *conn) call(ctx context.Context, op Op, body, answer any) error {
 	raw, err := Encode(body)
 	if err != nil {
 		return err
 	}
 	stream, err := c.OpenStreamSync(ctx)
 	if err != nil {
-		return &ConnectionError{Peer: peer, Cause: err}
+		return &ConnectionError{Peer: c.link.Peer, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { abort(stream) })
 	defer stop()
 	if err := WriteFrame(stream, request{Op: op, Body: raw}); err != nil {
-		return &ConnectionError{Peer: peer, Cause: err}
+		return &ConnectionError{Peer: c.link.Peer, Cause: err}
 	}
 	_ = stream.Close()
 	var r response
 	if err := ReadFrame(stream, &r); err != nil {
 		abort(stream)
-		return &ConnectionError{Peer: peer, Cause: err}
+		return &ConnectionError{Peer: c.link.Peer, Cause: err}
 	}
 	if r.Refusal != "" {
-		return &RefusedError{Peer: peer, Reason: r.Refusal}
+		return &RefusedError{Peer: c.link.Peer, Reason: r.Refusal}
 	}
 	return Decode(r.Body, answer)
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -9,6 +9,7 @@
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/singleflight"
 
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/keys"
@@ -77,6 +78,11 @@
 	MaxLinks int
 	// Protocols replaces the package's Protocols.
 	Protocols []string
+	// Idle, if set, replaces IdleTimeout and ends the keep-alives: connections are
+	// opened by CallAt and closed when they have not been used for this long.
+	Idle time.Duration
+	// MaxStreams bounds the requests that a peer may have open; zero means 8.
+	MaxStreams int64
 }
 
 // Transport holds the connections of one instance to its peers. It is safe for
@@ -90,6 +96,9 @@
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
 
+	// dials joins the connection attempts of concurrent CallAt to one address.
+	dials singleflight.Group
+
 	mu     sync.Mutex
 	links  map[model.InstanceID]*conn
 	routes map[Op]Route
@@ -122,7 +131,7 @@
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.quic = &quic.Transport{Conn: t.socket}
-	t.listener, err = t.quic.Listen(t.tls(), config())
+	t.listener, err = t.quic.Listen(t.tls(), t.quicConfig())
 	if err != nil {
 		_ = socket.Close()
 		return nil, eris.Wrap(err, "listen for peers")
@@ -161,6 +170,19 @@
 	}
 }
 
+// quicConfig returns config with the options of this transport.
+func (t *Transport) quicConfig() *quic.Config {
+	c := config()
+	if t.options.Idle > 0 {
+		c.MaxIdleTimeout = t.options.Idle
+		c.KeepAlivePeriod = 0
+	}
+	if t.options.MaxStreams > 0 {
+		c.MaxIncomingStreams = t.options.MaxStreams
+	}
+	return c
+}
+
 // Addr returns the UDP address in use.
 func (t *Transport) Addr() string { return t.socket.LocalAddr().String() }
 
@@ -216,7 +238,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, DialTimeout)
 	defer cancel()
-	c, err := t.quic.Dial(ctx, remote, t.tls(), config())
+	c, err := t.quic.Dial(ctx, remote, t.tls(), t.quicConfig())
 	if err != nil {
 		return err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,7 +63,7 @@
 
 // Peer configures the inner protocol.
 type Peer struct {
-	// Listen is the UDP address.
+	// Listen is the UDP address. The port after it carries claims between instances.
 	Listen string `yaml:"listen"`
 	// CA, Cert and Key are files in PEM form made by "redwingpoint keys".
 	CA   string `yaml:"ca"`
@@ -85,6 +85,9 @@
 type Platform struct {
 	// URL is the address of the Object API and the instance list.
 	URL string `yaml:"url" required:"true"`
+	// Region is the region of the Object API. Instances there write the claims of
+	// non-idempotent requests for the others; empty means that all regions do.
+	Region model.Region `yaml:"region"`
 }
 
 // Events configures the time line.
