--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -131,8 +131,13 @@
 	}
 }
 
-func TestLossOfAFailureDomainIsKnownToAll(t *testing.T) {
-	s := newSim(60, 11)
+func TestLossOfAFailureDomainIsKnownToAll(t *testing.T) { loseDomain(t, 60) }
+
+// TestLossOfALargeFailureDomainIsKnownToAll loses a sixth of a large fleet.
+func TestLossOfALargeFailureDomainIsKnownToAll(t *testing.T) { loseDomain(t, 500) }
+
+func loseDomain(t *testing.T, size int) {
+	s := newSim(size, 11)
 	lost := 0
 	for _, n := range s.nodes {
 		if n.self.Location.FailureDomain == "brno-a" {
@@ -141,7 +146,7 @@
 		}
 	}
 	s.changed()
-	checkSpread(t, "loss of a failure domain", s.spread(patience, func(n *simNode) bool { return len(n.members.Live()) == 60-lost }))
+	checkSpread(t, "loss of a failure domain", s.spread(patience, func(n *simNode) bool { return len(n.members.Live()) == size-lost }))
 }
 
 // TestForgetsTheDead checks that replaced instances leave nothing behind.
