Never start more exchanges at a target than it has slots

Cause: a pick and the count of its exchange are two steps, so that picks at the same moment overran the last slot (TestRequestsWaitForAFreeSlot under the race detector: 5 exchanges on 4 slots, once in some ten runs of the package). The count is now checked after it was taken, and given back if it is too high.

Retries of all classes pay in one place; budget denials are counters.

--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -104,16 +104,30 @@
 	}
 	if e.Distance == model.OtherRegion {
 		if !r.svc.volume.Open(r.policy.CrossRegionBytes) {
+			r.svc.metrics.crossingsDenied.Inc()
 			s.record(r, events.BudgetExhausted, e.Target.ID, "cross-region volume")
 			return nil, &routing.SaturatedError{Service: r.policy.Service}
 		}
 		s.record(r, events.RegionCrossed, e.Target.ID, "")
 	}
-	e.Load.Begin()
+	if !begin(e) {
+		return nil, &routing.SaturatedError{Service: r.policy.Service}
+	}
 	r.svc.queue.Acquired()
 	return e, nil
 }
 
+// begin counts an exchange at a target. It reports false, and counts none, if
+// picks at the same moment took the last slot.
+func begin(e *routing.Endpoint) bool {
+	e.Load.Begin()
+	if e.Target.Slots > 0 && e.Load.InFlight() > e.Target.Slots {
+		e.Load.End()
+		return false
+	}
+	return true
+}
+
 func saturated(err error) bool {
 	if err == nil {
 		return false
--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -148,18 +148,10 @@
 // which the retry budget has to allow.
 func (d *delivery) shed() (deliveryEnd, bool) {
 	problem := refuse(http.StatusServiceUnavailable, CodeOverLimit, NotRun, "targets shed the request").after(time.Second)
-	last := d.tried[len(d.tried)-1]
-	switch {
-	case len(d.tried) >= maxAttempts:
-		return d.unsent(problem), false
-	case !d.r.svc.retries.Spend(d.r.policy.RetryBudget):
-		d.s.record(d.r, events.BudgetExhausted, last, "retries")
+	if len(d.tried) >= maxAttempts || !d.s.spendRetry(d.r, d.tried[len(d.tried)-1]) {
 		return d.unsent(problem), false
-	default:
-		d.r.svc.metrics.retries.Inc()
-		d.s.record(d.r, events.RequestRetried, last, "shed")
-		return deliveryEnd{problem: problem}, true
 	}
+	return deliveryEnd{problem: problem}, true
 }
 
 // unsent releases the claim of a request of which nothing was started.
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -127,8 +127,14 @@
 	if x != nil && x.result.Header.Get(upstream.HeaderRetried) != "" {
 		return false
 	}
-	last := t.targets[len(t.targets)-1]
+	return s.spendRetry(r, t.targets[len(t.targets)-1])
+}
+
+// spendRetry pays for another attempt after one at the given target, and reports
+// whether the budget allows it.
+func (s *Server) spendRetry(r *request, last model.TargetID) bool {
 	if !r.svc.retries.Spend(r.policy.RetryBudget) {
+		r.svc.metrics.retriesDenied.Inc()
 		s.record(r, events.BudgetExhausted, last, "retries")
 		return false
 	}
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -235,6 +235,7 @@
 		`redwingpoint_retries_total{service="nahled"}`,
 		`redwingpoint_hedges_total{service="nahled"}`,
 		`redwingpoint_queue_depth{service="nahled"}`,
+		`redwingpoint_retry_budget_denials_total{service="nahled"}`,
 		`redwingpoint_refusals_total{code="unknown-service"}`,
 	} {
 		if !strings.Contains(out.String(), name) {
--- a/internal/entry/upload.go
+++ b/internal/entry/upload.go
@@ -86,7 +86,6 @@
 		if !again {
 			return x, problem
 		}
-		u.s.record(u.r, events.RequestRetried, e.Target.ID, "")
 	}
 }
 
@@ -106,10 +105,7 @@
 		problem = refuse(http.StatusBadGateway, CodeTargetFailed, NotRun, "no target took the upload")
 	}
 	problem = u.explain(problem)
-	again = held && u.ctx.Err() == nil && len(u.tried) < maxAttempts && u.r.svc.retries.Spend(u.r.policy.RetryBudget)
-	if again {
-		u.r.svc.metrics.retries.Inc()
-	}
+	again = held && u.ctx.Err() == nil && len(u.tried) < maxAttempts && u.s.spendRetry(u.r, e.Target.ID)
 	return nil, again, problem
 }
 
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -16,7 +16,6 @@
 type Ratio struct {
 	// missing counts the units below a full bucket, so that the zero value is full.
 	missing atomic.Int64
-	denied  atomic.Uint64
 }
 
 // Earn counts one request of which the given share may cause an extra action.
@@ -39,16 +38,11 @@
 	for share > 0 {
 		missing := r.missing.Load()
 		if missing+tokenUnits > ratioBurst*tokenUnits {
-			r.denied.Add(1)
 			return false
 		}
 		if r.missing.CompareAndSwap(missing, missing+tokenUnits) {
 			return true
 		}
 	}
-	r.denied.Add(1)
 	return false
 }
-
-// Denied returns the number of actions that were not allowed.
-func (r *Ratio) Denied() uint64 { return r.denied.Load() }
--- a/internal/limit/volume.go
+++ b/internal/limit/volume.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -14,7 +13,6 @@
 	mu      sync.Mutex
 	balance float64
 	last    time.Time
-	denied  atomic.Uint64
 }
 
 // Open reports whether a transfer may start under a rate in bytes per second.
@@ -22,11 +20,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.refill(bytesPerSecond)
-	if v.balance > 0 {
-		return true
-	}
-	v.denied.Add(1)
-	return false
+	return v.balance > 0
 }
 
 // Charge pays for bytes that were moved.
@@ -36,9 +30,6 @@
 	v.balance -= float64(bytes)
 }
 
-// Denied returns the number of transfers that were not allowed to start.
-func (v *Volume) Denied() uint64 { return v.denied.Load() }
-
 // refill adds what the time since the last call allows, up to one second's worth.
 func (v *Volume) refill(bytesPerSecond int) {
 	now := time.Now()
