Collect garbage less often

An instance holds little and allocates on every request, so that at the default the collector runs all the time.

--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -19,6 +19,7 @@
 // requestModule provides the path of a request and serves callers.
 var requestModule = fx.Module("request",
 	fx.Provide(upstream.NewClient, quarantine.New, newEntry, serveCallers),
+	fx.Invoke(tuneCollector),
 )
 
 // entryParams are the collaborators of the caller side.
