Spread the instances evenly over the targets; let no share hold a request long

Turns by whole positions give three instances over two targets 2 : 1, and ties always fall the same way. And a share that holds requests gives each instance the same throughput, whatever its backlog.

Change: an instance begins its search at a random place of its own part of the circle of targets; the parts cover all targets evenly. A request that was held for 20 ms is no longer bound by the share, only by the slots. In the model all policies now get the same requests: their own draws come from another source (before, they shifted the arrivals and so the luck of the run).

--- a/internal/routing/cost_test.go
+++ b/internal/routing/cost_test.go
@@ -27,7 +27,7 @@
 
 func newFixture(targets ...model.Target) *fixture {
 	f := &fixture{Table: NewInstanceTable("praha-a-1", prahaA), now: time.Hour}
-	f.picker = NewCostPicker(f.Table, func() time.Duration { return f.now })
+	f.picker = NewSeededCostPicker(f.Table, func() time.Duration { return f.now }, func() float32 { return 0 })
 	f.SetPlace(Place{Instances: 6, DomainInstances: 3})
 	f.SetTargets(letters, targets)
 	return f
@@ -75,9 +75,18 @@
 	f := newFixture(target("far", brnoA), target("a", prahaA))
 	f.mustPick(t, model.Upload, "a")
 	f.wantSaturated(t, model.Upload)
-	e, err := f.picker.Pick(Request{Service: letters, Class: model.Upload, Waited: crossAfter})
+	e, err := f.picker.Pick(Request{Service: letters, Class: model.Upload, Waited: holdLimit})
+	if err != nil || e.Target.ID != "a" {
+		t.Fatalf("after a short wait: %v, %v, want a", e, err)
+	}
+	e.Load.BeginAt(f.now)
+	e, err = f.picker.Pick(Request{Service: letters, Class: model.Upload, Waited: crossAfter - 1})
+	if err == nil {
+		t.Errorf("with every slot of the region taken: %v, want *SaturatedError", e)
+	}
+	e, err = f.picker.Pick(Request{Service: letters, Class: model.Upload, Waited: crossAfter})
 	if err != nil || e.Target.ID != "far" {
-		t.Errorf("after a wait: %v, %v, want far", e, err)
+		t.Errorf("after a long wait: %v, %v, want far", e, err)
 	}
 	f.SetStanding(letters, "a", Draining)
 	f.mustPick(t, model.Upload, "far")
@@ -187,7 +196,7 @@
 		table := NewInstanceTable(model.InstanceID(fmt.Sprintf("i%d", i)), prahaA)
 		table.SetPlace(Place{Index: i, Instances: instances, DomainIndex: i, DomainInstances: instances})
 		table.SetTargets(letters, list)
-		homes := table.Snapshot().Pool(letters).homes[regionUsable]
+		homes := table.Snapshot().Pool(letters).homes[regionUsable].near.list
 		if len(homes) != perInstance {
 			t.Fatalf("instance %d has %d home targets, want %d", i, len(homes), perInstance)
 		}
@@ -202,25 +211,33 @@
 	}
 }
 
-func TestInstancesBeginAtDifferentTargets(t *testing.T) {
-	first := make(map[model.TargetID]int)
-	for i := range 6 {
-		table := NewInstanceTable(model.InstanceID(fmt.Sprintf("i%d", i)), prahaA)
-		table.SetPlace(Place{Index: i, Instances: 6, DomainIndex: i, DomainInstances: 6})
-		table.SetTargets(letters, manyTargets(letters, 6))
-		first[table.Snapshot().Pool(letters).homes[regionUsable][0].Target.ID]++
-	}
-	if len(first) != 6 {
-		t.Errorf("six instances prefer %v of six targets", first)
+func TestInstancesCoverTheTargetsEvenly(t *testing.T) {
+	const steps = 120
+	for _, size := range []struct{ targets, instances int }{{6, 6}, {2, 3}, {7, 3}, {4, 6}, {10, 4}} {
+		first := make([]int, size.targets)
+		for i := range size.instances {
+			g := newGroup(make([]*Endpoint, size.targets), true, 0, 1)
+			g.width = float32(size.targets) / float32(size.instances)
+			g.from = g.width * float32(i)
+			for step := range steps {
+				first[g.start((float32(step)+0.5)/steps)]++
+			}
+		}
+		want := steps * size.instances / size.targets
+		for i, n := range first {
+			if n < want*9/10 || n > want*11/10 {
+				t.Errorf("%d instances, %d targets: target %d is first %d times, want about %d", size.instances, size.targets, i, n, want)
+			}
+		}
 	}
 }
 
 func TestHomesAreStableWhenTargetsChange(t *testing.T) {
 	list := manyTargets(letters, 1000)
 	f := newFixture(list...)
-	before := f.Snapshot().Pool(letters).homes[regionUsable]
+	before := f.Snapshot().Pool(letters).homes[regionUsable].near.list
 	f.SetStanding(letters, before[0].Target.ID, Draining)
-	after := f.Snapshot().Pool(letters).homes[regionUsable]
+	after := f.Snapshot().Pool(letters).homes[regionUsable].near.list
 	for i := range before[1:] {
 		if before[i+1].Target.ID != after[i].Target.ID || before[i+1].Load != after[i].Load {
 			t.Fatalf("home %d changed from %s to %s", i, before[i+1].Target.ID, after[i].Target.ID)
--- a/internal/routing/policytable/policies.go
+++ b/internal/routing/policytable/policies.go
@@ -51,7 +51,7 @@
 }
 
 func (in *instance) scored(sample int, score func(i int, e *routing.Endpoint) float64) routing.Picker {
-	return &scored{table: in.table, rand: in.region.rand, sample: sample, score: score}
+	return &scored{table: in.table, rand: in.region.choice, sample: sample, score: score}
 }
 
 func (in *instance) clock() time.Duration { return in.region.now }
@@ -71,7 +71,7 @@
 func (in *instance) homesFirst() routing.Picker {
 	homes := make(map[model.TargetID]bool, 2)
 	list := slices.Clone(in.region.list)
-	in.region.rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	in.region.choice.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	for _, target := range list[:2] {
 		homes[target.ID] = true
 	}
@@ -120,7 +120,7 @@
 		{Name: "load hints of instances", New: (*instance).hinted},
 		{Name: "cost, no late binding", New: func(in *instance) routing.Picker {
 			in.table.SetPlace(routing.Place{})
-			return routing.NewCostPicker(in.table, in.clock)
+			return routing.NewSeededCostPicker(in.table, in.clock, in.region.choice.Float32)
 		}},
 		{Name: "the same without health", NoHealth: true, New: Chosen.New},
 		Chosen,
@@ -130,7 +130,7 @@
 
 // Chosen is the policy that serves requests.
 var Chosen = Policy{Name: "cost and late binding (chosen)", New: func(in *instance) routing.Picker {
-	return routing.NewCostPicker(in.table, in.clock)
+	return routing.NewSeededCostPicker(in.table, in.clock, in.region.choice.Float32)
 }}
 
 // Oracle knows the true number of requests at each target.
--- a/internal/routing/policytable/region.go
+++ b/internal/routing/policytable/region.go
@@ -77,8 +77,11 @@
 // region is one run: targets, entry instances and their requests.
 type region struct {
 	loop
-	run       Run
-	rand      *rand.Rand
+	run Run
+	// rand draws the callers' requests, the same ones for every policy; choice
+	// draws everything else.
+	rand, choice *rand.Rand
+
 	servers   map[model.TargetID]*server
 	list      []model.Target
 	instances []*instance
@@ -143,7 +146,7 @@
 }
 
 func newRegion(run Run) *region {
-	r := &region{run: run, rand: rand.New(rand.NewPCG(run.Seed, 1)), servers: make(map[model.TargetID]*server)}
+	r := &region{run: run, rand: rand.New(rand.NewPCG(run.Seed, 1)), choice: rand.New(rand.NewPCG(run.Seed, 2)), servers: make(map[model.TargetID]*server)}
 	for i := range run.Size.Targets {
 		id := model.TargetID(fmt.Sprintf("t%d", i))
 		r.list = append(r.list, model.Target{ID: id, Service: service, Location: location(i % 2), Slots: run.Size.Slots, MaxConns: 240})
@@ -315,7 +318,7 @@
 
 // try sends a request to a target; it reports false if every target is full.
 func (in *instance) try(q *request) bool {
-	e, err := in.picker.Pick(routing.Request{Service: service, Class: in.region.run.Class, Exclude: q.tried})
+	e, err := in.picker.Pick(routing.Request{Service: service, Class: in.region.run.Class, Exclude: q.tried, Waited: in.region.now - q.arrived})
 	var saturated *routing.SaturatedError
 	if errors.As(err, &saturated) {
 		return false
@@ -333,7 +336,7 @@
 	s := r.servers[e.Target.ID]
 	work := q.work
 	if len(q.attempts) > 0 && r.run.Hedge == HedgeFresh {
-		work = exponential(r.rand, meanService)
+		work = exponential(r.choice, meanService)
 	}
 	q.tried = append(q.tried, e.Target.ID)
 	a := attempt{endpoint: e, server: s, job: &job{work: work}}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -45,9 +45,25 @@
 	Endpoints []*Endpoint
 	// homes are the endpoints that this instance uses, by tier, in the instance's
 	// own stable order.
-	homes [tierCount][]*Endpoint
+	homes [tierCount]homes
 }
 
+// homes are the endpoints of one tier that an instance uses: the near ones are in
+// its own failure domain.
+type homes struct{ near, far group }
+
+// group is a list of equally near endpoints. Instances begin their search at
+// different places: each at a random one of its own part of the circle, so that
+// all parts together cover every endpoint evenly.
+type group struct {
+	list []*Endpoint
+	// from and width bound the part, in positions.
+	from, width float32
+}
+
+// start returns the position at which a search begins, for u in [0, 1).
+func (g *group) start(u float32) int { return min(int(g.from+g.width*u), len(g.list)-1) }
+
 // Place is where an instance stands among the live instances of its region,
 // ordered by ID, and among those of its failure domain. Instances that know their
 // places prefer different targets; a place that is out of date costs latency only.
@@ -59,24 +75,51 @@
 // newPool sorts endpoints into tiers and keeps the home targets of each.
 func newPool(endpoints []*Endpoint, at Place) *Pool {
 	p := &Pool{Endpoints: endpoints}
+	var tiers [tierCount][]*Endpoint
 	for _, e := range endpoints {
 		if e.Standing != Draining {
 			t := tierOf(e)
-			p.homes[t] = append(p.homes[t], e)
+			tiers[t] = append(tiers[t], e)
 		}
 	}
-	for t, list := range p.homes {
+	for t, list := range tiers {
 		slices.SortFunc(list, nearer)
-		p.homes[t] = slices.Clip(list[:homeCount(list, at.Instances)])
-		if len(p.homes[t]) == len(list) {
-			takeTurns(list, at)
-		}
+		tiers[t] = list[:homeCount(list, at.Instances)]
+	}
+	tiers[regionUsable] = merge(tiers[regionProven], tiers[regionUnproven])
+	tiers[remoteUsable] = merge(tiers[remoteProven], tiers[remoteUnproven])
+	for t, list := range tiers {
+		p.homes[t] = newHomes(list, at)
 	}
-	p.homes[regionUsable] = merge(p.homes[regionProven], p.homes[regionUnproven])
-	p.homes[remoteUsable] = merge(p.homes[remoteProven], p.homes[remoteUnproven])
 	return p
 }
 
+// newHomes splits a list, nearest first, by failure domain.
+func newHomes(list []*Endpoint, at Place) homes {
+	near := 0
+	for near < len(list) && list[near].Distance == model.SameDomain {
+		near++
+	}
+	all := len(list) < maxHomes
+	return homes{
+		near: newGroup(slices.Clone(list[:near]), all, at.DomainIndex, at.DomainInstances),
+		far:  newGroup(slices.Clone(list[near:]), all, at.Index, at.Instances),
+	}
+}
+
+// newGroup gives an instance its part of a list. Where not every target of a tier
+// is a home, the instances' lists differ already.
+func newGroup(list []*Endpoint, all bool, index, instances int) group {
+	if !all || instances < 2 {
+		return group{list: list}
+	}
+	slices.SortFunc(list, byID)
+	width := float32(len(list)) / float32(instances)
+	return group{list: list, from: width * float32(index), width: width}
+}
+
+func byID(a, b *Endpoint) int { return cmp.Compare(a.Target.ID, b.Target.ID) }
+
 // tierOf returns the tier of an endpoint that may receive work.
 func tierOf(e *Endpoint) tier {
 	t := regionProven
@@ -98,38 +141,8 @@
 	return cmp.Or(cmp.Compare(a.Distance, b.Distance), cmp.Compare(a.rank, b.rank))
 }
 
-// takeTurns orders a list of which every target is a home: each group of one
-// distance by ID, beginning at a different target for each instance.
-func takeTurns(list []*Endpoint, at Place) {
-	for len(list) > 0 {
-		n := 1
-		for n < len(list) && list[n].Distance == list[0].Distance {
-			n++
-		}
-		index, instances := at.Index, at.Instances
-		if list[0].Distance == model.SameDomain {
-			index, instances = at.DomainIndex, at.DomainInstances
-		}
-		if instances > 1 {
-			slices.SortFunc(list[:n], byID)
-			rotate(list[:n], index*n/instances)
-		}
-		list = list[n:]
-	}
-}
-
-func byID(a, b *Endpoint) int { return cmp.Compare(a.Target.ID, b.Target.ID) }
-
-// rotate moves the first k elements to the end.
-func rotate(list []*Endpoint, k int) {
-	copy(list, slices.Concat(list[k:], list[:k]))
-}
-
 // merge joins two lists; of each distance, those of a come first.
 func merge(a, b []*Endpoint) []*Endpoint {
-	if len(b) == 0 {
-		return a
-	}
 	list := slices.Concat(a, b)
 	slices.SortStableFunc(list, func(a, b *Endpoint) int { return cmp.Compare(a.Distance, b.Distance) })
 	return list
