Leave addresses out of suspicions

Cause: 83 suspicions of about 110 B each used the budget up when a failure domain of a fleet of 500 was lost.

Change: a suspicion carries the state only; what was known of the member stays. A suspect of which nothing else is known counts as dead at once.

--- a/internal/fleet/suspect.go
+++ b/internal/fleet/suspect.go
@@ -49,6 +49,11 @@
 func (e *Engine) learn(id model.InstanceID, v MemberValue, now time.Time) {
 	k := e.other(id)
 	before := *k
+	k.state = v.State
+	if v.State == MemberSuspect {
+		e.suspect(k, &before, now)
+		return
+	}
 	if k.member.PeerAddr != v.PeerAddr {
 		delete(e.byAddr, k.member.PeerAddr)
 		e.byAddr[v.PeerAddr] = id
@@ -60,15 +65,6 @@
 		OperatorAddr: v.OperatorAddr,
 		Leaving:      v.State == MemberLeaving,
 	}
-	k.state = v.State
-	if v.State == MemberSuspect {
-		if before.state != MemberSuspect {
-			k.suspectedAt = now
-			e.suspects[id] = k
-			e.record(events.MemberSuspected, id, "")
-		}
-		return
-	}
 	delete(e.suspects, id)
 	k.dead = v.State == MemberLeft
 	if v.State == MemberAlive && (before.dead || before.state == 0) {
@@ -78,6 +74,20 @@
 	e.recordChange(&before, k)
 }
 
+// suspect starts the time that a member has to contradict. One of which nothing
+// else is known counts as dead until it does.
+func (e *Engine) suspect(k, before *known, now time.Time) {
+	if k.member.PeerAddr == "" {
+		k.dead = true
+		return
+	}
+	if before.state != MemberSuspect {
+		k.suspectedAt = now
+		e.suspects[k.member.ID] = k
+		e.record(events.MemberSuspected, k.member.ID, "")
+	}
+}
+
 func (e *Engine) recordChange(before, after *known) {
 	switch {
 	case !before.live() && after.live():
@@ -117,7 +127,7 @@
 		e.lost[id] = k
 		return
 	}
-	value := k.member.value(MemberSuspect)
+	value := encode(MemberValue{State: MemberSuspect})
 	e.do(func() { e.o.Board.Publish(FactMember, string(id), value, tombstoneLife) })
 }
 
--- a/internal/fleet/value.go
+++ b/internal/fleet/value.go
@@ -20,10 +20,11 @@
 
 // MemberValue is the value of a FactMember.
 type MemberValue struct {
-	State        MemberState    `cbor:"1,keyasint"`
-	Location     model.Location `cbor:"2,keyasint"`
-	PeerAddr     string         `cbor:"3,keyasint"`
-	OperatorAddr string         `cbor:"4,keyasint"`
+	State MemberState `cbor:"1,keyasint"`
+	// The rest is empty in a suspicion, which says nothing else of the member.
+	Location     model.Location `cbor:"2,keyasint,omitzero"`
+	PeerAddr     string         `cbor:"3,keyasint,omitempty"`
+	OperatorAddr string         `cbor:"4,keyasint,omitempty"`
 	// Refutes is set if the statement contradicts a suspicion.
 	Refutes bool `cbor:"5,keyasint,omitempty"`
 }
