Send no hedge while a request waits; hedge after the 0.90 quantile, 30 at once

Cause: the comparison of policies assumes a hedge after the 0.90 quantile, a burst of 30 and no hedge while a request waits for its first attempt; the entry used 0.93, 10 and hedged regardless. Ruled out: raising the burst of retries too (a broken service would see three times as many at once). Change: limit.Ratio has a Burst of its own, hedges use 30; the default quantile is 0.90; a hedge asks the queue first.

--- a/internal/config/resolve.go
+++ b/internal/config/resolve.go
@@ -10,7 +10,7 @@
 const (
 	defaultDeadline         = 2 * time.Second
 	defaultProgressTimeout  = 15 * time.Second
-	defaultHedgeQuantile    = 0.93
+	defaultHedgeQuantile    = 0.90
 	defaultHedgeBudget      = 0.1
 	defaultRetryBudget      = 0.1
 	defaultKeyRetention     = 24 * time.Hour
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -19,6 +19,9 @@
 	// silenceFactor times the hedge delay is how long an attempt at the only
 	// target of a service may stay silent before a fresh connection is tried.
 	silenceFactor = 4
+	// hedgeBurst is the number of hedges that a service may send at once: stragglers
+	// come in bursts.
+	hedgeBurst = 30
 	// minHedgeDelay keeps hedges from being sent at once where latencies are tiny.
 	minHedgeDelay = time.Millisecond
 )
@@ -147,7 +150,8 @@
 }
 
 func (h *race) hedge(ctx context.Context) (*exchange, *upstream.CallError) {
-	if h.winner.Load() != undecided {
+	if h.winner.Load() != undecided || !h.r.svc.queue.Empty() {
+		// A slot that is free belongs to a request that waits for its first attempt.
 		return nil, nil
 	}
 	e, maxIdle := h.second(ctx)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -42,7 +42,7 @@
 	if svc := old[p.Service]; svc != nil {
 		return svc
 	}
-	svc := &service{queue: limit.NewQueue()}
+	svc := &service{queue: limit.NewQueue(), hedges: limit.Ratio{Burst: hedgeBurst}}
 	svc.metrics = newServiceMetrics(p, svc)
 	next := maps.Clone(old)
 	next[p.Service] = svc
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -5,15 +5,18 @@
 const (
 	// tokenUnits is the resolution of a Ratio: one token in units.
 	tokenUnits = 10_000
-	// ratioBurst is the number of tokens that a Ratio holds at most. It lets a
-	// service with little traffic retry at all.
+	// ratioBurst is the default of Ratio.Burst. It lets a service with little
+	// traffic retry at all.
 	ratioBurst = 10
 )
 
 // Ratio allows an extra action, such as a retry, for a share of all requests.
-// Over any run of n requests it allows at most share × n + 10 actions. It takes
+// Over any run of n requests it allows at most share × n + Burst actions. It takes
 // no lock and is safe for concurrent use.
 type Ratio struct {
+	// Burst is the number of actions that are allowed at once after a pause; zero
+	// means 10. It is set before the first use.
+	Burst int64
 	// missing counts the units below a full bucket, so that the zero value is full.
 	missing atomic.Int64
 }
@@ -37,7 +40,7 @@
 func (r *Ratio) Spend(share float64) bool {
 	for share > 0 {
 		missing := r.missing.Load()
-		if missing+tokenUnits > ratioBurst*tokenUnits {
+		if missing+tokenUnits > r.burst()*tokenUnits {
 			return false
 		}
 		if r.missing.CompareAndSwap(missing, missing+tokenUnits) {
@@ -46,3 +49,10 @@
 	}
 	return false
 }
+
+func (r *Ratio) burst() int64 {
+	if r.Burst == 0 {
+		return ratioBurst
+	}
+	return r.Burst
+}
