--- a/internal/standin/cmd/standin/main.go
+++ b/internal/standin/cmd/standin/main.go
@@ -117,8 +117,13 @@
 		return err
 	}
 	if resp.StatusCode >= 300 {
-		return fmt.Errorf("%s %s: %s %s", method, url, resp.Status, answer)
+		return &refusedError{call: method + " " + url, status: resp.Status, answer: string(answer)}
 	}
 	fmt.Printf("%s %s", resp.Status, answer)
 	return nil
 }
+
+// refusedError reports a call that was answered with another status than 2xx.
+type refusedError struct{ call, status, answer string }
+
+func (e *refusedError) Error() string { return e.call + ": " + e.status + " " + e.answer }
