--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -68,7 +68,7 @@
 
 func serviceName(i int) string { return "s" + strconv.Itoa(i) }
 
-// entry is the process under test.
+// entry is the process under test: the real binary, started by this tool alone.
 type entry struct {
 	caller, operator string
 	process          *exec.Cmd
