Let an instant end before the queue's slots are counted

Cause: TestHeldBackCallerFindsNewSlots looked at the running exchanges at an instant of virtual time at which some end; whether their slots were handed on already depended on the order of goroutines. Ruled out: slots left unused (the slots are taken within the same instant). Change: the test waits until the instant is over; its bound stays.

--- a/internal/limit/queue_test.go
+++ b/internal/limit/queue_test.go
@@ -279,6 +279,8 @@
 			time.Sleep(25 * time.Millisecond)
 			go func() { _, _ = s.serve(ctx, "clerk", 2000) }()
 		}
+		// Exchanges that end at this instant have handed their slots on.
+		synctest.Wait()
 		if running := s.queue.running.Load(); running < 7 {
 			t.Errorf("%d of 8 slots are used", running)
 		}
