Let the campaign's instances be peers and route their claims

Cause: claims travel between instances now, but the campaign with real processes ran instances without peers, so that an owner of shards was never killed or frozen. Ruled out: doing so with the freeze between claim and send (it holds one instance's write and stays as it was). Change: with odd seeds the instances have certificates and are listed at the platform; two seeds run in every check in place of one.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"redwingpoint.org/redwingpoint/internal/model"
 )
 
 // instance is one place in the fleet, run by one process after another.
@@ -20,6 +22,8 @@
 	platform string
 	ip       string
 	number   int
+	// fleet is nil for an instance without peers.
+	fleet *fleet
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -34,12 +38,16 @@
 	defer i.mu.Unlock()
 	i.starts++
 	path := filepath.Join(i.dir, fmt.Sprintf("%d.yaml", i.number))
-	text := fmt.Sprintf(`instance: soak-%d-%d
+	id := model.InstanceID(fmt.Sprintf("soak-%d-%d", i.number, i.starts))
+	text := fmt.Sprintf(`instance: %s
 location: {region: praha, failureDomain: praha-a}
 caller: {listen: "%s:8080"}
 operator: {listen: "%s:9090", token: soak}
 platform: {url: "%s"}
-`, i.number, i.starts, i.ip, i.ip, i.platform)
+`, id, i.ip, i.ip, i.platform)
+	if i.fleet != nil {
+		text += i.fleet.join(i, id)
+	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		i.t.Error(err)
 		return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,7 +26,7 @@
 	"redwingpoint.org/redwingpoint/internal/standin"
 )
 
-var seeds = flag.Int("seeds", 1, "number of seeds to run")
+var seeds = flag.Int("seeds", 2, "number of seeds to run; with odd ones the instances are peers")
 
 const (
 	instances = 3
@@ -82,7 +82,8 @@
 	return startRunBehind(t, binary, seed, func(h http.Handler) http.Handler { return h })
 }
 
-// startRunBehind starts a fleet whose store is reached through wrap.
+// startRunBehind starts a fleet whose store is reached through wrap. With an odd
+// seed the instances are peers and route their claims.
 func startRunBehind(t *testing.T, binary string, seed uint64, wrap func(http.Handler) http.Handler) *run {
 	t.Helper()
 	r := &run{
@@ -110,8 +111,12 @@
 	}
 	r.platform.Objects.Write(platform.TargetsPrefix+"odeslani", 0, raw, false)
 	r.platform.Objects.Write(platform.ConfigKey, 0, []byte(soakConfig), false)
+	var peers *fleet
+	if seed%2 == 1 {
+		peers = newFleet(t, r.platform)
+	}
 	for n := range instances {
-		i := &instance{t: t, binary: binary, dir: t.TempDir(), platform: store.URL, ip: standin.LoopbackIP(firstIP + 10 + n), number: n}
+		i := &instance{t: t, binary: binary, dir: t.TempDir(), platform: store.URL, ip: standin.LoopbackIP(firstIP + 10 + n), number: n, fleet: peers}
 		i.start()
 		t.Cleanup(i.kill)
 		r.instances = append(r.instances, i)
