Offer an outcome again to a busy owner; release on the claim's way

Cause: an outcome that the owner of its shard had no time for was given up, so that later receipts were told outcome-unknown though the answer was there; releases were written at the origin and conflicted with the owner's writes. Change: outcomes are offered again until the caller's wait ends; releases go to the owner first.

--- a/internal/ledger/routed.go
+++ b/internal/ledger/routed.go
@@ -8,12 +8,16 @@
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/platform"
 )
 
 const (
 	// remoteTimeout bounds the wait for the instance that commits for a shard, so
 	// that an op can still be committed here before the claim times out.
 	remoteTimeout = 400 * time.Millisecond
+	// againBase and againMax bound the pauses before an outcome is offered again.
+	againBase = 100 * time.Millisecond
+	againMax  = 2 * time.Second
 	// remotePause is how long an instance that didn't answer is passed over.
 	remotePause = time.Second
 )
@@ -72,21 +76,24 @@
 	}
 }
 
-// Commit implements Committer.
+// Commit implements Committer. A claim that its owner has no time for is refused;
+// an outcome is offered again until ctx ends, since it must not get lost.
 func (r *RoutedCommitter) Commit(ctx context.Context, place Place, op Op) (Verdict, error) {
 	owner, elsewhere := r.peers.Owner(place.shard())
 	if !elsewhere || r.passedOver(owner) {
 		return r.local.Commit(ctx, place, op)
 	}
 	verdict, err := r.ask(ctx, owner, place, op)
+	pause := platform.Backoff{Base: againBase, Max: againMax}
+	for overloaded(err) {
+		if op.Kind == OpClaim || pause.Wait(ctx) != nil {
+			return Verdict{}, &UndecidedError{Cause: err}
+		}
+		verdict, err = r.ask(ctx, owner, place, op)
+	}
 	if err == nil {
 		return verdict, nil
 	}
-	var refused *RefusedError
-	var busy *BusyError
-	if errors.As(err, &refused) || errors.As(err, &busy) {
-		return Verdict{}, &UndecidedError{Cause: err}
-	}
 	r.passOver(owner)
 	verdict, err = r.local.Commit(ctx, place, op)
 	if err != nil {
@@ -95,6 +102,26 @@
 	return verdict, nil
 }
 
+// overloaded reports an owner that answers and did not confirm an op.
+func overloaded(err error) bool {
+	var refused *RefusedError
+	var busy *BusyError
+	return errors.As(err, &refused) || errors.As(err, &busy)
+}
+
+// Release implements Committer. It goes the way of the claim: written here, it
+// would conflict with the owner's writes just when the owner is late.
+func (r *RoutedCommitter) Release(place Place, claim Op) {
+	claim.Kind = OpRelease
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		defer cancel()
+		if _, err := r.Commit(ctx, place, claim); err != nil {
+			r.local.Release(place, claim)
+		}
+	}()
+}
+
 // ask sends an op to its owner. An owner that answers others meanwhile is busy,
 // not silent: committing here too would only add conflicts to its load.
 func (r *RoutedCommitter) ask(ctx context.Context, owner model.InstanceID, place Place, op Op) (Verdict, error) {
@@ -122,10 +149,6 @@
 	return r.now().Sub(r.heard[owner]) < remoteTimeout
 }
 
-// Release implements Committer. It is carried out here: a claim that is still
-// under way at the owner then finds its attempt given up.
-func (r *RoutedCommitter) Release(place Place, claim Op) { r.local.Release(place, claim) }
-
 func (r *RoutedCommitter) passedOver(owner model.InstanceID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
