--- a/internal/routing/policytable/goals_test.go
+++ b/internal/routing/policytable/goals_test.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// TestIdempotentTailMeetsItsGoalWhenHedgesCarryTheirSize holds the goal for the
+// other extreme of the hedge's service time.
+func TestIdempotentTailMeetsItsGoalWhenHedgesCarryTheirSize(t *testing.T) {
+	for _, size := range []Size{Nahled, Statusdesk} {
+		chosen := percentile(t, size, Chosen, HedgeCarried)
+		wantAtMost(t, size.Name+" against the unhedged oracle", chosen, percentile(t, size, Oracle, Unhedged), 0.8)
+	}
+}
+
 // Print batches, applies and uploads are picked for in the same way.
 func TestOnceTailMeetsItsGoal(t *testing.T) {
 	for _, size := range []Size{Odeslani, Changerunner} {
