--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+
+	"redwingpoint.org/redwingpoint/internal/catalog"
+	"redwingpoint.org/redwingpoint/internal/dispatch"
+	"redwingpoint.org/redwingpoint/internal/front"
+	"redwingpoint.org/redwingpoint/internal/route"
+	"redwingpoint.org/redwingpoint/internal/routing"
+	"redwingpoint.org/redwingpoint/internal/settings"
+	"redwingpoint.org/redwingpoint/internal/upstream"
+)
+
+// Provider is what an adapter supplies: where routes and targets come from, how
+// they are decoded, and the vocabulary of the exchange with targets.
+type Provider struct {
+	Routes, Targets catalog.Source
+	DecodeRoutes    catalog.RouteDecoder
+	DecodeTarget    catalog.TargetDecoder
+	Signals         *upstream.Signals
+}
+
+const (
+	// lapseGrace is how long after the store's return a target's entry may stay
+	// away; the platform names about two seconds.
+	lapseGrace = 2200 * time.Millisecond
+	// leaveLag is how long a leaving gateway takes new connections: it is asked
+	// for its readiness each second and left out after two misses.
+	leaveLag = 2300 * time.Millisecond
+	// leaveMargin is kept of the grace, so that the process ends by itself.
+	leaveMargin = 300 * time.Millisecond
+)
+
+// NewGateway returns the application of one gateway.
+func NewGateway(s *settings.Gateway, p Provider, log *zap.Logger, options ...fx.Option) *fx.App {
+	return fx.New(
+		fx.Supply(s, p, log),
+		fx.WithLogger(func() fxevent.Logger { return wiringLog(log) }),
+		fx.StopTimeout(s.Grace),
+		fx.Provide(
+			metrics.NewSet,
+			func() *route.Holder { return new(route.Holder) },
+			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
+			func() *upstream.Client { return upstream.NewSignalsClient(p.Signals) },
+			newDispatcher,
+			newGateway,
+		),
+		fx.Invoke((*gateway).run),
+		fx.Options(options...),
+	)
+}
+
+func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Options{
+		Routes:   routes,
+		Picker:   routing.NewFreshPicker(table, client, routing.Monotonic),
+		Upstream: client,
+		Signals:  p.Signals,
+		Budget:   dispatch.Budget{Share: s.Resend.Share, Burst: int64(s.Resend.Burst)},
+		Log:      log,
+		Meters:   dispatch.NewMeters(set),
+	})
+}
+
+// gateway runs the parts of one gateway process.
+type gateway struct {
+	settings   *settings.Gateway
+	provider   Provider
+	log        *zap.Logger
+	set        *metrics.Set
+	routes     *route.Holder
+	table      *routing.Table
+	dispatcher *dispatch.Dispatcher
+	server     *front.Server
+	leaving    atomic.Bool
+	targets    atomic.Bool
+}
+
+func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher) *gateway {
+	return &gateway{
+		settings: s, provider: p, log: log, set: set, routes: routes, table: table, dispatcher: d,
+		server: front.NewServer(d, d.Limits),
+	}
+}
+
+func (g *gateway) run(lc fx.Lifecycle) {
+	serveHTTP(lc, g.log, g.settings.Ready, http.HandlerFunc(g.answerReady), nil)
+	if g.settings.Metrics != "" {
+		serveHTTP(lc, g.log, g.settings.Metrics, http.HandlerFunc(g.answerMetrics), nil)
+	}
+	runLoop(lc, g.follow("routes", g.provider.Routes, &catalog.Routes{
+		Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g,
+	}))
+	runLoop(lc, g.follow("targets", g.provider.Targets, &catalog.Targets{
+		Decode: g.provider.DecodeTarget, Table: g.table, Observer: g,
+	}))
+	lc.Append(fx.Hook{OnStart: g.start, OnStop: g.leave})
+}
+
+// follow returns the loop that keeps a view up to date.
+func (g *gateway) follow(what string, source catalog.Source, view catalog.View) func(context.Context) {
+	f := &catalog.Follower{
+		Source:     source,
+		View:       view,
+		Observer:   &storeCalls{what: what, log: g.log.With(zap.String("what", what)), set: g.set, first: &g.targets},
+		LapseGrace: lapseGrace,
+	}
+	return f.Run
+}
+
+// isReady reports whether callers may be sent here: routes and targets are known.
+func (g *gateway) isReady() bool {
+	return !g.leaving.Load() && g.routes.Current() != nil && g.targets.Load()
+}
+
+func (g *gateway) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (g *gateway) answerMetrics(w http.ResponseWriter, _ *http.Request) { g.set.WritePrometheus(w) }
+
+func (g *gateway) start(context.Context) error {
+	listener, err := net.Listen("tcp", g.settings.Callers)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", g.settings.Callers)
+	}
+	g.log.Info("gateway started", zap.String("callers", g.settings.Callers), zap.String("ready", g.settings.Ready))
+	go func() {
+		if err := g.server.Serve(listener); err != nil {
+			g.log.Info("callers' listener ended", zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+// leave finishes what callers have sent. New connections are served until callers
+// are sent elsewhere.
+func (g *gateway) leave(ctx context.Context) error {
+	startedAt := time.Now()
+	g.leaving.Store(true)
+	g.server.Drain()
+	g.log.Info("leaving", zap.Duration("grace", g.settings.Grace), zap.Int("connections", g.server.Connections()))
+	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(g.settings.Grace-leaveMargin))
+	defer cancel()
+	lag := time.NewTimer(leaveLag)
+	defer lag.Stop()
+	select {
+	case <-lag.C:
+	case <-ctx.Done():
+	}
+	err := g.server.Leave(ctx)
+	g.log.Info("gateway stopped", zap.Int("connections", g.server.Connections()), zap.Error(err))
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/cause.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import "time"
+
+// Cause names why a request got no answer of a target. The text is stable.
+type Cause string
+
+// Causes of refusals and failures.
+const (
+	CauseNoRoutes    Cause = "no-routes-yet"
+	CauseNoRoute     Cause = "no-route"
+	CauseMalformed   Cause = "malformed"
+	CauseNoTarget    Cause = "no-target"
+	CauseFull        Cause = "targets-full"
+	CauseNotRun      Cause = "targets-declined"
+	CauseUnreachable Cause = "targets-unreachable"
+	CauseUnknown     Cause = "outcome-unknown"
+	CauseFailed      Cause = "targets-failed"
+	CauseTimeout     Cause = "timed-out"
+	CauseBodyLate    Cause = "body-late"
+	CauseBodyLarge   Cause = "body-too-large"
+	CauseBodyBroken  Cause = "body-broken"
+	CauseCallerGone  Cause = "caller-gone"
+)
+
+const (
+	// startRetryAfter is advised until the first configuration is known; a start
+	// takes about a second.
+	startRetryAfter = 200 * time.Millisecond
+	// busyRetryAfter is advised when targets are full; their load shifts within
+	// milliseconds, and another instance may know better.
+	busyRetryAfter = 40 * time.Millisecond
+	// absentRetryAfter is advised when no target is known.
+	absentRetryAfter = 150 * time.Millisecond
+)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -81,7 +81,7 @@
 	for name, values := range src {
 		dst[name] = values
 	}
-	dropHopByHop(dst)
+	upstream.DropHopByHop(dst)
 	delete(dst, upstream.HeaderInFlight)
 	delete(dst, upstream.HeaderDraining)
 	delete(dst, upstream.HeaderShed)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -182,7 +182,7 @@
 	for name, values := range r.http.Header {
 		h[name] = values
 	}
-	dropHopByHop(h)
+	upstream.DropHopByHop(h)
 	// One array holds the values of all fields that are set.
 	values := new([4]string)
 	set := func(i int, name, value string) {
@@ -201,21 +201,3 @@
 	}
 	return h
 }
-
-var hopByHop = [...]string{
-	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// dropHopByHop removes the fields that concern one connection only, those that
-// the Connection field names included.
-func dropHopByHop(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(h, name)
-	}
-}
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,240 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/route"
+)
+
+// scripted answers each request by a function of its path.
+type scripted struct {
+	serve func(ctx context.Context, r *Request) *Answer
+}
+
+func (s scripted) Serve(ctx context.Context, r *Request) *Answer { return s.serve(ctx, r) }
+
+func (s scripted) Reject(status int, _ error) *Answer {
+	return &Answer{Status: status, Header: http.Header{}}
+}
+
+func text(status int, body string) *Answer {
+	return &Answer{Status: status, Header: http.Header{}, Body: []byte(body)}
+}
+
+// open starts a server and connects to it.
+func open(t *testing.T, limits route.Limits, serve func(context.Context, *Request) *Answer) (*Server, net.Conn, *bufio.Reader) {
+	t.Helper()
+	s := NewServer(scripted{serve}, func() route.Limits { return limits })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return s, dial(t, l.Addr().String()), nil
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func receive(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+func TestPipelinedRequestsRunSideBySideAndAreAnsweredInOrder(t *testing.T) {
+	second := make(chan struct{})
+	_, c, _ := open(t, route.Limits{}, func(_ context.Context, r *Request) *Answer {
+		if r.Path == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		return text(http.StatusOK, r.Target)
+	})
+	send(t, c, get("/1")+get("/2?a=b"))
+	r := bufio.NewReader(c)
+	for _, want := range []string{"/1", "/2?a=b"} {
+		if _, body := receive(t, r); body != want {
+			t.Errorf("answer %q, want %q", body, want)
+		}
+	}
+}
+
+func TestLeavingCancelsPipelinedRequests(t *testing.T) {
+	cancelled := make(chan struct{}, 3)
+	started := make(chan struct{}, 3)
+	_, c, _ := open(t, route.Limits{}, func(ctx context.Context, _ *Request) *Answer {
+		started <- struct{}{}
+		<-ctx.Done()
+		cancelled <- struct{}{}
+		return nil
+	})
+	last := "GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+	send(t, c, get("/1")+get("/2")+last)
+	for range 3 {
+		<-started
+	}
+	_ = c.Close()
+	for range 3 {
+		<-cancelled
+	}
+}
+
+func TestABodyIsReadBeforeTheNextRequest(t *testing.T) {
+	_, c, _ := open(t, route.Limits{}, func(_ context.Context, r *Request) *Answer {
+		body, err := io.ReadAll(r.HTTP.Body)
+		return text(http.StatusOK, fmt.Sprintf("%s %s %v", r.Path, body, err))
+	})
+	send(t, c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello")
+	send(t, c, "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"+get("/c"))
+	r := bufio.NewReader(c)
+	for _, want := range []string{"/a hello <nil>", "/b hello <nil>", "/c  <nil>"} {
+		if _, body := receive(t, r); body != want {
+			t.Errorf("answer %q, want %q", body, want)
+		}
+	}
+}
+
+func TestAnUnreadBodyIsNeverTakenForARequest(t *testing.T) {
+	_, c, _ := open(t, route.Limits{}, func(_ context.Context, r *Request) *Answer {
+		if r.Path == "/smuggled" {
+			t.Error("the body was taken for a request")
+		}
+		return text(http.StatusServiceUnavailable, "no")
+	})
+	inner := get("/smuggled")
+	send(t, c, fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(inner)))
+	r := bufio.NewReader(c)
+	if resp, _ := receive(t, r); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+	send(t, c, inner)
+	if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("after an unread body: %v, want the connection's end", err)
+	}
+}
+
+// broken yields some pieces and then fails.
+type broken struct{ left int }
+
+func (b *broken) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	b.left--
+	return copy(p, "piece"), nil
+}
+
+func (b *broken) Close() error { return nil }
+
+func TestACutAnswerNeverLooksComplete(t *testing.T) {
+	for _, length := range []int64{-1, 100} {
+		_, c, _ := open(t, route.Limits{}, func(context.Context, *Request) *Answer {
+			return &Answer{Status: http.StatusOK, Header: http.Header{}, Rest: &broken{left: 2}, Length: length}
+		})
+		send(t, c, get("/"))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			continue
+		}
+		if _, err := io.ReadAll(resp.Body); err == nil {
+			t.Errorf("length %d: the answer looks complete", length)
+		}
+	}
+}
+
+func TestOversizedHeaderIsRefused(t *testing.T) {
+	_, c, _ := open(t, route.Limits{HeaderBytes: 1000}, func(context.Context, *Request) *Answer {
+		t.Error("the request was served")
+		return nil
+	})
+	send(t, c, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 20_000)+"\r\n\r\n")
+	if resp, _ := receive(t, bufio.NewReader(c)); resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
+func TestDrainAnswersWhatWasReadAndClosesTheConnection(t *testing.T) {
+	release := make(chan struct{})
+	started := make(chan struct{}, 2)
+	s, c, _ := open(t, route.Limits{}, func(_ context.Context, r *Request) *Answer {
+		started <- struct{}{}
+		<-release
+		return text(http.StatusOK, r.Path)
+	})
+	send(t, c, get("/1")+get("/2"))
+	<-started
+	<-started
+	s.Drain()
+	left := make(chan error, 1)
+	go func() { left <- s.Leave(context.Background()) }()
+	close(release)
+	r := bufio.NewReader(c)
+	first, _ := receive(t, r)
+	second, _ := receive(t, r)
+	if first.Close || !second.Close {
+		t.Errorf("closing: %t and %t, want the last answer alone to close", first.Close, second.Close)
+	}
+	if err := <-left; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestLeaveClosesIdleConnections(t *testing.T) {
+	s, c, _ := open(t, route.Limits{}, func(_ context.Context, r *Request) *Answer {
+		return text(http.StatusOK, r.Path)
+	})
+	send(t, c, get("/1"))
+	r := bufio.NewReader(c)
+	receive(t, r)
+	s.Drain()
+	if err := s.Leave(context.Background()); err != nil {
+		t.Error(err)
+	}
+	if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("idle connection: %v, want its end", err)
+	}
+}
+
+func TestIdleConnectionsCloseAfterTheLimit(t *testing.T) {
+	_, c, _ := open(t, route.Limits{IdleTimeout: time.Millisecond}, func(_ context.Context, r *Request) *Answer {
+		return text(http.StatusOK, r.Path)
+	})
+	if _, err := bufio.NewReader(c).ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("%v, want the connection's end", err)
+	}
+}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -67,6 +67,8 @@
 	MaxConns int `json:"maxConns"`
 	// Leaving is set by the platform when it plans to stop the target.
 	Leaving bool `json:"leaving,omitempty"`
+	// ColdUntil is when the target has warmed up after its start; zero if not told.
+	ColdUntil time.Time `json:"-"`
 }
 
 // RequestID identifies one exchange with a caller across all processes.
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -26,6 +26,27 @@
 	reportedAt atomic.Int64
 	// heardAt is when an exchange last ended, or began at an idle target.
 	heardAt atomic.Int64
+	// begun holds when the latest own exchanges began, as a ring.
+	begun      [begunRing]atomic.Int64
+	begunCount atomic.Uint32
+	// Reliability is the risk that an exchange fails.
+	Reliability Reliability
+}
+
+// begunRing is the number of own exchanges whose beginning is remembered; more
+// than that don't begin between a probe and its answer.
+const begunRing = 8
+
+// BegunSince returns how many of the latest own exchanges began at or after a
+// reading of a Clock.
+func (l *Load) BegunSince(since time.Duration) int {
+	n := 0
+	for i := range l.begun {
+		if at := l.begun[i].Load(); at != 0 && at >= int64(since) {
+			n++
+		}
+	}
+	return n
 }
 
 // Begin counts an exchange that starts.
@@ -33,6 +54,7 @@
 
 // BeginAt is Begin with a reading of a Clock.
 func (l *Load) BeginAt(now time.Duration) {
+	l.begun[l.begunCount.Add(1)%begunRing].Store(int64(now))
 	if l.inFlight.Add(1) == 1 {
 		l.heardAt.Store(int64(now))
 	}
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/strict"
+)
+
+// Gateway are the settings of one gateway process, which serves routed requests
+// from a platform's store. docs/SETTINGS.md lists each with its unit and default.
+type Gateway struct {
+	// Instance names this machine.
+	Instance model.InstanceID `yaml:"instance" required:"true"`
+	// Location says where this machine runs.
+	Location model.Location `yaml:"location" required:"true"`
+	// Callers, Ready and Metrics are TCP addresses: for callers, for the question
+	// whether the process takes callers, and for its metrics.
+	Callers string `yaml:"callers" required:"true"`
+	Ready   string `yaml:"ready" required:"true"`
+	Metrics string `yaml:"metrics"`
+	// Store is the TCP address of the platform's store.
+	Store string `yaml:"store" required:"true"`
+	// Regions maps failure domains to regions.
+	Regions map[string]string `yaml:"regions" required:"true"`
+	Resend  Resend            `yaml:"resend"`
+	// Grace is how long after SIGTERM the process may run.
+	Grace time.Duration `yaml:"grace" range:"1s..1h"`
+}
+
+// Resend bounds the arrivals at targets beyond the first of each request.
+type Resend struct {
+	// Share is the part of a service's requests that may be sent once more.
+	Share float64 `yaml:"share" range:"0..1"`
+	// Burst is what one instance may send at once after a pause.
+	Burst int `yaml:"burst" range:"0..1000"`
+}
+
+const (
+	// defaultResendShare is the platform's usual ratio.
+	defaultResendShare = 0.2
+	// defaultResendBurst keeps a fleet of 20 instances, some of them restarted
+	// within a window, below a common allowance of 60.
+	defaultResendBurst = 2
+	defaultGrace       = 6 * time.Second
+)
+
+// DefaultGateway returns the settings that a file starts from.
+func DefaultGateway() *Gateway {
+	return &Gateway{Resend: Resend{Share: defaultResendShare, Burst: defaultResendBurst}, Grace: defaultGrace}
+}
+
+// LoadGateway reads settings from a YAML file. It returns *FileError or *InvalidError.
+func LoadGateway(path string) (*Gateway, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &FileError{Path: path, Cause: err}
+	}
+	g, problems := parseGateway(raw)
+	if len(problems) > 0 {
+		return nil, &InvalidError{Path: path, Problems: problems}
+	}
+	return g, nil
+}
+
+func parseGateway(raw []byte) (*Gateway, strict.Problems) {
+	g := DefaultGateway()
+	places, err := strict.Decode(raw, g)
+	var problems strict.Problems
+	errors.As(err, &problems)
+	problems = append(problems, g.check(places, problems)...)
+	errors.As(problems.Err(), &problems)
+	return g, problems
+}
+
+func (g *Gateway) check(places strict.Places, known strict.Problems) strict.Problems {
+	c := &checker{places: places, known: known}
+	if _, ok := places["location"]; ok {
+		c.required("location.region", string(g.Location.Region))
+		c.required("location.failureDomain", string(g.Location.FailureDomain))
+	}
+	c.address("callers", g.Callers)
+	c.address("ready", g.Ready)
+	c.address("metrics", g.Metrics)
+	c.address("store", g.Store)
+	return c.found
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,6 +15,8 @@
 type Call struct {
 	Endpoint *routing.Endpoint
 	Method   string
+	// Host is the Host field; empty means the target's address.
+	Host string
 	// Path is the escaped path.
 	Path string
 	// Query is the raw query without the question mark.
@@ -53,6 +55,8 @@
 	Shed bool
 	// Draining is set when the target states that it is leaving.
 	Draining bool
+	// Signed is set when the answer bears the signature of a target.
+	Signed bool
 }
 
 // Client exchanges requests with targets. A request is written to one
@@ -61,14 +65,22 @@
 	transport *http.Transport
 	epoch     time.Time
 	pools     pools
+	signals   *Signals
 }
 
 // NewClient returns a client without connections.
 func NewClient() *Client { return NewClientWithDialer(dialTCP) }
 
+// NewSignalsClient is NewClient with another vocabulary than redwingpoint's own.
+func NewSignalsClient(s *Signals) *Client {
+	c := NewClient()
+	c.signals = s
+	return c
+}
+
 // NewClientWithDialer returns a client that opens connections by dial.
 func NewClientWithDialer(dial Dialer) *Client {
-	c := &Client{transport: newTransport(dial), epoch: time.Now()}
+	c := &Client{transport: newTransport(dial), epoch: time.Now(), signals: ownSignals}
 	c.pools.current.Store(&map[netip.AddrPort]*pool{})
 	return c
 }
@@ -99,8 +111,19 @@
 		}
 		return nil, newCallError(ctx, call.Endpoint.Target.ID, cn, recent, err)
 	}
+	if problem := c.signals.foreign(call, resp); problem != "" {
+		cn.close()
+		return nil, &CallError{
+			Target: call.Endpoint.Target.ID,
+			Reason: Foreign,
+			Sent:   true,
+			Reused: cn.reused,
+			Cause:  &ForeignAnswerError{Problem: problem},
+		}
+	}
+	cn.hearKeepAlive(resp.Header)
 	observe(call.Endpoint, resp.Header)
-	return newResult(ctx, p, cn, call, resp), nil
+	return c.newResult(ctx, p, cn, call, resp), nil
 }
 
 func (c *Client) connect(ctx context.Context, p *pool, call Call) (*conn, error) {
@@ -125,7 +148,7 @@
 	}
 }
 
-func newResult(ctx context.Context, p *pool, cn *conn, call Call, resp *http.Response) *Result {
+func (c *Client) newResult(ctx context.Context, p *pool, cn *conn, call Call, resp *http.Response) *Result {
 	a := &answer{
 		ctx:    ctx,
 		body:   resp.Body,
@@ -140,8 +163,9 @@
 		ContentLength: resp.ContentLength,
 		Body:          a,
 		Reused:        cn.reused,
-		Shed:          resp.Header.Get(HeaderShed) == ShedUnstarted,
+		Shed:          c.signals.NotRun(resp.StatusCode, resp.Header),
 		Draining:      resp.Header.Get(HeaderDraining) == "true",
+		Signed:        c.signals.Signature != "" && resp.Header.Get(c.signals.Signature) != "",
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -32,6 +34,24 @@
 	// answer, as time since the client's epoch.
 	provenAt time.Duration
 	reused   bool
+	// keepFor is how long the target said to keep the connection unused; zero if
+	// it did not say.
+	keepFor time.Duration
+}
+
+// keepAliveMargin is how much earlier than the target's idle timeout a connection
+// is given up: the timeout is told in whole seconds.
+const keepAliveMargin = time.Second
+
+// hearKeepAlive notes the idle timeout that a target states, in whole seconds.
+func (c *conn) hearKeepAlive(h http.Header) {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		seconds, err := strconv.Atoi(value)
+		if err == nil && seconds > 0 && strings.EqualFold(name, "timeout") {
+			c.keepFor = time.Duration(seconds)*time.Second - keepAliveMargin
+		}
+	}
 }
 
 func (c *conn) close() { _ = c.http.Close() }
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -30,8 +30,18 @@
 	TimedOut
 	// Cancelled means that this side gave the exchange up.
 	Cancelled
+	// Foreign means that what came is no answer of the target to this request.
+	Foreign
 )
 
+var reasonNames = [...]string{
+	Unreachable: "unreachable", NotCommitted: "not committed", Broken: "broken",
+	TimedOut: "timed out", Cancelled: "cancelled", Foreign: "foreign",
+}
+
+// String returns the name of r.
+func (r Reason) String() string { return reasonNames[r] }
+
 // NotCommittedError reports that Call.Commit refused.
 type NotCommittedError struct{}
 
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -2,6 +2,11 @@
 // deadlines, cancellation, and the signals that targets put on their answers.
 package upstream
 
+import (
+	"net/http"
+	"strings"
+)
+
 // Header names of the exchange with targets and callers.
 const (
 	// HeaderRequestID carries the request ID in both directions.
@@ -26,3 +31,21 @@
 	// HealthPath is the health endpoint of a target.
 	HealthPath = "/healthz"
 )
+
+var hopByHop = [...]string{
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// DropHopByHop removes the fields that concern one connection only, those that
+// the Connection field names included.
+func DropHopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -60,7 +60,11 @@
 	if c.http.Err() != nil || int64(c.provenAt) < p.distrusted.Load() {
 		return false
 	}
-	return p.client.elapsed()-c.provenAt <= maxAge
+	unused := p.client.elapsed() - c.provenAt
+	if c.keepFor > 0 && unused > c.keepFor {
+		return false
+	}
+	return unused <= maxAge
 }
 
 // put returns a connection after a whole answer.
