--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -8,19 +8,25 @@
 )
 
 const (
-	// watchWait is how long the store may hold a watch without news. A shorter
-	// time notices a silent connection sooner, a longer one saves calls.
-	watchWait = 5 * time.Second
+	// watchWait is how long the store may hold a watch without news. The store's
+	// return of a cut watch may never arrive, and what it would have told has to
+	// be in force within 2 s.
+	watchWait = time.Second
 	// answerTimeout bounds a call beyond the time that it may be held; the store
-	// answers in a few milliseconds, across regions in some tens.
-	answerTimeout = time.Second
+	// answers in a few milliseconds, across regions in some tens, and when it is
+	// slow in some hundreds.
+	answerTimeout = 500 * time.Millisecond
+	// doubtTime is how long after a failure or a lost history only the newest
+	// answers are accepted: cheap ones may be seconds behind then.
+	doubtTime = 15 * time.Second
 	// minPause and maxPause bound the wait between two failed calls. The upper
-	// bound leaves room within the 2 s in which news must be in force.
+	// bound leaves room for LapseGrace within the 3 s after which a machine that
+	// has its path back is held to what the store says.
 	minPause = 100 * time.Millisecond
-	maxPause = 800 * time.Millisecond
+	maxPause = 400 * time.Millisecond
 	// gatherTime is how long news gathers at the store before the next watch, so
 	// that changes which come together cost one call.
-	gatherTime = 500 * time.Millisecond
+	gatherTime = 300 * time.Millisecond
 )
 
 // View is what a Follower keeps up to date. One goroutine calls it.
@@ -53,7 +59,9 @@
 
 	lostAt   time.Time
 	failures int
-	settled  time.Time
+	// doubtedUntil is until when cheap answers are not accepted.
+	doubtedUntil time.Time
+	settled      time.Time
 }
 
 // Run follows the source.
@@ -92,11 +100,12 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	startedAt := time.Now()
-	batch, err := f.Source.Watch(callCtx, after, wait)
+	batch, err := f.Source.Watch(callCtx, after, wait, f.freshness())
 	f.Observer.Called("watch", time.Since(startedAt), len(batch.Objects), err)
 	var gone *HistoryGoneError
 	switch {
 	case errors.As(err, &gone):
+		f.doubt()
 		f.succeeded()
 		return 0, err
 	case err != nil:
@@ -119,11 +128,21 @@
 		f.lostAt = time.Now()
 		f.Observer.Lost(err)
 	}
+	f.doubt()
 	backoff := min(minPause<<min(f.failures, 10), maxPause)
 	f.failures++
 	pause(ctx, backoff/2+rand.N(backoff/2))
 }
 
+func (f *Follower) doubt() { f.doubtedUntil = time.Now().Add(doubtTime) }
+
+func (f *Follower) freshness() Freshness {
+	if f.failures == 0 && time.Now().Before(f.doubtedUntil) {
+		return Newest
+	}
+	return Cheap
+}
+
 func (f *Follower) succeeded() {
 	if f.failures == 0 {
 		return
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -25,15 +25,25 @@
 	AsOf uint64
 }
 
+// Freshness says how new the answer of a watch has to be.
+type Freshness uint8
+
+const (
+	// Newest asks for all that the store has acknowledged.
+	Newest Freshness = iota
+	// Cheap accepts an answer that may be seconds behind and costs a tenth.
+	Cheap
+)
+
 // Source reads one kind of object. Implementations make at most one call for a
 // page or a watch and are safe for concurrent use.
 type Source interface {
-	// List returns all objects.
+	// List returns all objects, as new as the store has them.
 	List(ctx context.Context) (Batch, error)
 	// Watch returns what has changed after a revision, at the latest after wait,
 	// then with an empty batch. It returns *HistoryGoneError if the store no
 	// longer knows.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration, fresh Freshness) (Batch, error)
 }
 
 // HistoryGoneError reports that a watch can't continue and has to start over.
--- a/internal/catalog/targets.go
+++ b/internal/catalog/targets.go
@@ -77,7 +77,9 @@
 
 func (v *Targets) apply(o Object, settled time.Time, touched services) {
 	if o.Deleted {
-		v.remove(o.Name, settled, touched)
+		if e := v.entries[o.Name]; e != nil && o.Revision >= e.revision {
+			v.remove(o.Name, settled, touched)
+		}
 		return
 	}
 	target, err := v.Decode(o)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -33,8 +33,9 @@
 
 const (
 	// lapseGrace is how long after the store's return a target's entry may stay
-	// away; the platform names about two seconds.
-	lapseGrace = 2200 * time.Millisecond
+	// away; the platform names about two seconds from the return itself, and this
+	// is counted from the first answer, which comes some 100 ms after the return.
+	lapseGrace = 1800 * time.Millisecond
 	// leaveLag is how long a leaving gateway takes new connections: it is asked
 	// for its readiness each second and left out after two misses.
 	leaveLag = 2300 * time.Millisecond
