Expect work to keep the pace it began with; refuse what would only be late

Ruled out: that the pace changes while a request runs. Change: estimates multiply the work by the pace; a request waits up to an eighth of its objective for a target in time, is sent late where a slot is free, and is refused as not run, with a time to come back, where it would only queue. Requests that arrive together share a round of probes; other regions are left alone for 0.3 s after they had nothing better.

--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -30,6 +30,9 @@
 	// busyRetryAfter is advised when targets are full; their load shifts within
 	// milliseconds, and another instance may know better.
 	busyRetryAfter = 40 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound what is advised when targets are full.
+	minRetryAfter = 30 * time.Millisecond
+	maxRetryAfter = 250 * time.Millisecond
 	// absentRetryAfter is advised when no target is known.
 	absentRetryAfter = 150 * time.Millisecond
 )
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -102,9 +102,56 @@
 	return refusal{}, true
 }
 
-// choose returns the best target that has not been tried, or why there is none.
+// choose returns the best target that has not been tried, or why there is none. A
+// request for which no target can answer in time waits a little for one: slots
+// become free and paces change within milliseconds.
 func (j *job) choose(ctx context.Context, last refusal) (routing.Candidate, *refusal) {
-	req := routing.FreshRequest{
+	patience := time.Now().Add(j.rule.Objective / patienceDivisor)
+	for asks := 1; ; asks++ {
+		req := j.pickRequest()
+		candidates, err := j.d.Picker.Pick(ctx, req)
+		if err != nil || len(candidates) == 0 {
+			return routing.Candidate{}, j.noTarget(last, err)
+		}
+		best := candidates[0]
+		if best.InTime(req.Work) || best.Err != nil {
+			return j.picked(best, asks, len(candidates)), nil
+		}
+		if time.Until(patience) > askAgain && ctx.Err() == nil {
+			wait(ctx, askAgain)
+			continue
+		}
+		return j.settle(best, asks, len(candidates))
+	}
+}
+
+const (
+	// patienceDivisor gives the part of the objective for which a request waits for
+	// a better target: up to an eighth, waiting costs callers nothing.
+	patienceDivisor = 8
+	// askAgain is the pause before the targets are asked once more.
+	askAgain = 12 * time.Millisecond
+)
+
+// settle decides on a request that no target is expected to answer in time. Where
+// a slot is free, a late answer is better than none. Elsewhere it would make other
+// requests late as well.
+func (j *job) settle(best routing.Candidate, asks, asked int) (routing.Candidate, *refusal) {
+	if best.Estimate.Free && best.Estimate.Duration < time.Until(j.until) {
+		return j.picked(best, asks, asked), nil
+	}
+	j.d.Log.Info("targets full", j.fields(zap.Int("asked", asked), zap.Int("asks", asks), zap.Object("best", pickedFields(best)))...)
+	return routing.Candidate{}, &refusal{status: http.StatusServiceUnavailable, cause: CauseFull, retryAfter: j.comeBack()}
+}
+
+// comeBack advises a caller to ask again while an answer can still be in time.
+func (j *job) comeBack() time.Duration {
+	spare := time.Until(j.due) - j.state.expected(j.rule.Objective)
+	return min(max(spare/2, minRetryAfter), maxRetryAfter)
+}
+
+func (j *job) pickRequest() routing.FreshRequest {
+	return routing.FreshRequest{
 		Service:    j.service.Name,
 		HealthPath: j.service.HealthPath,
 		Exclude:    j.tried,
@@ -114,13 +161,20 @@
 			Bytes:   int64(len(j.body)) + expectedOverhead,
 		},
 	}
-	candidates, err := j.d.Picker.Pick(ctx, req)
-	if err != nil || len(candidates) == 0 {
-		return routing.Candidate{}, j.noTarget(last, err)
+}
+
+func (j *job) picked(best routing.Candidate, asks, asked int) routing.Candidate {
+	j.d.Log.Info("target picked", j.fields(zap.Int("asked", asked), zap.Int("asks", asks), zap.Object("target", pickedFields(best)))...)
+	return best
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
-	best := candidates[0]
-	j.d.Log.Info("target picked", j.fields(zap.Int("asked", len(candidates)), zap.Object("target", pickedFields(best)))...)
-	return best, nil
 }
 
 // expectedOverhead is what request header and answer usually have, in bytes.
--- a/internal/routing/estimate.go
+++ b/internal/routing/estimate.go
@@ -15,11 +15,6 @@
 	// they are nearly full, their site files give 0.8 and 1.7.
 	crowdedShare  = 0.8
 	crowdedFactor = 1.7
-	// paceLasts is how long a pace is expected to go on after it was read: half of
-	// the 300 ms after which the targets' pace changes.
-	paceLasts = 150 * time.Millisecond
-	// meanPace is the expected pace after that, as a factor.
-	meanPace = 1.5
 	// coldFactor is how much slower a target is that has just started.
 	coldFactor = 1.6
 	// domainToll and regionToll are what a kilobyte between failure domains and
@@ -34,6 +29,9 @@
 	failureToll = 800 * time.Millisecond
 	// lateToll is the cost of an answer that is expected after its objective.
 	lateToll = 250 * time.Millisecond
+	// busyToll is the cost of each request that a target holds already: among equals
+	// the emptiest keeps its reserve.
+	busyToll = 4 * time.Millisecond
 	// unhealthyToll is added if the target calls itself unhealthy; what it says is
 	// at times untrue.
 	unhealthyToll = 400 * time.Millisecond
@@ -57,6 +55,8 @@
 	Duration time.Duration
 	// Cost is the duration with all tolls; the target with the lowest is chosen.
 	Cost time.Duration
+	// Free is set if the target has a slot for the request at once.
+	Free bool
 }
 
 // estimate computes the expected time and cost of work at an endpoint whose load
@@ -72,22 +72,15 @@
 	if now.Before(e.Target.ColdUntil) {
 		service = scale(service, coldFactor)
 	}
-	pace := max(1, float64(r.Pace)/UsualPace)
-	duration := paced(service, pace) + trip(e.Distance)
-	if ahead := busy - slots + 1; ahead > 0 {
-		duration += time.Duration(ahead) * paced(service, pace) / time.Duration(slots)
+	// Work keeps the pace that it began with.
+	service = scale(service, max(1, float64(r.Pace)/UsualPace))
+	out := Estimate{Duration: service + trip(e.Distance), Free: busy < slots}
+	if !out.Free {
+		ahead := busy - slots + 1
+		out.Duration += time.Duration(ahead) * scale(w.Typical, crowdedFactor) / time.Duration(slots)
 	}
-	return Estimate{Duration: duration, Cost: duration + tolls(e, r, w, duration, risk)}
-}
-
-// paced returns how long work takes if the present pace goes on for paceLasts.
-func paced(work time.Duration, pace float64) time.Duration {
-	now := scale(work, pace)
-	if now <= paceLasts {
-		return now
-	}
-	done := scale(paceLasts, 1/pace)
-	return paceLasts + scale(work-done, meanPace)
+	out.Cost = out.Duration + tolls(e, r, w, out.Duration, risk) + busyToll*time.Duration(busy)
+	return out
 }
 
 func tolls(e *Endpoint, r LoadReport, w Work, duration time.Duration, risk float64) time.Duration {
--- a/internal/routing/fresh.go
+++ b/internal/routing/fresh.go
@@ -1,9 +1,11 @@
 package routing
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/model"
@@ -20,9 +22,15 @@
 	// maxAskedNear and maxAskedFar bound the targets that one pick asks.
 	maxAskedNear = 8
 	maxAskedFar  = 4
-	// farFrom is the share of the time left from which on a target of another
-	// region is asked as well.
-	farFrom = 0.9
+	// inTimeShare is the share of the time left within which an answer has to be
+	// expected to count as in time.
+	inTimeShare = 0.9
+	// sharedFor is how long the answers of a round of probes serve further picks:
+	// loads shift within milliseconds, own exchanges begun since are counted in.
+	sharedFor = 4 * time.Millisecond
+	// farPause is how long no other region is asked after one had nothing better:
+	// its probes are paid by volume.
+	farPause = 300 * time.Millisecond
 	// silenceToll ranks a target that did not answer its probe behind all that did.
 	silenceToll = 2 * time.Second
 )
@@ -48,46 +56,137 @@
 }
 
 // FreshPicker chooses by load figures that it fetches from the targets when a
-// request arrives. It is safe for concurrent use.
+// request arrives. Requests that arrive together share the figures. It is safe for
+// concurrent use.
 type FreshPicker struct {
 	table  *Table
 	prober LoadProber
 	now    Clock
+
+	mu sync.Mutex
+	// rounds holds the latest round of probes in the region for each service.
+	rounds map[model.ServiceName]*round
+	// farUseless is until when other regions are not asked.
+	farUseless map[model.ServiceName]time.Duration
+}
+
+// round is one round of probes. The answers are immutable once done is closed.
+type round struct {
+	sentAt time.Duration
+	pool   *Pool
+	done   chan struct{}
+	// endedAt is set before done is closed.
+	endedAt time.Duration
+	answers []answer
+}
+
+// answer is what one probe gave.
+type answer struct {
+	endpoint *Endpoint
+	report   LoadReport
+	err      error
 }
 
 // NewFreshPicker returns a picker over a table.
 func NewFreshPicker(t *Table, prober LoadProber, now Clock) *FreshPicker {
-	return &FreshPicker{table: t, prober: prober, now: now}
+	return &FreshPicker{
+		table:      t,
+		prober:     prober,
+		now:        now,
+		rounds:     make(map[model.ServiceName]*round),
+		farUseless: make(map[model.ServiceName]time.Duration),
+	}
 }
 
-// Pick returns the candidates that it asked, best first. It returns
+// Pick returns the candidates that it weighed, best first. It returns
 // *UnknownServiceError or *NoTargetError if there is none.
 func (p *FreshPicker) Pick(ctx context.Context, req FreshRequest) ([]Candidate, error) {
 	pool := p.table.Snapshot().Pool(req.Service)
 	if pool == nil {
 		return nil, &UnknownServiceError{Service: req.Service}
 	}
-	near, far := usable(pool, req.Exclude)
-	candidates := p.ask(ctx, req, sample(near, maxAskedNear), askNear)
-	if p.wantsFar(candidates, req.Work) {
-		candidates = append(candidates, p.ask(ctx, req, sample(far, maxAskedFar), askFar)...)
+	r := p.join(ctx, req, pool)
+	candidates := p.weighAll(r.answers, req, r.sentAt)
+	if p.wantsFar(candidates, req) {
+		candidates = append(candidates, p.askFar(ctx, req, pool)...)
 	}
 	if len(candidates) == 0 {
 		return nil, &NoTargetError{Service: req.Service}
 	}
-	slices.SortStableFunc(candidates, func(a, b Candidate) int { return int(a.Estimate.Cost - b.Estimate.Cost) })
+	slices.SortStableFunc(candidates, func(a, b Candidate) int { return cmp.Compare(a.Estimate.Cost, b.Estimate.Cost) })
 	return candidates, nil
 }
 
+// join returns a round of probes in the region that is recent enough, or runs one.
+func (p *FreshPicker) join(ctx context.Context, req FreshRequest, pool *Pool) *round {
+	p.mu.Lock()
+	r := p.rounds[req.Service]
+	if r != nil && r.pool == pool && r.serves(p.now()) {
+		p.mu.Unlock()
+		<-r.done
+		return r
+	}
+	r = &round{sentAt: p.now(), pool: pool, done: make(chan struct{})}
+	p.rounds[req.Service] = r
+	p.mu.Unlock()
+	near, _ := usable(pool)
+	r.answers = p.ask(ctx, req.HealthPath, sample(near, maxAskedNear), askNear)
+	r.endedAt = p.now()
+	close(r.done)
+	return r
+}
+
+// serves reports whether a round is running or has just ended.
+func (r *round) serves(now time.Duration) bool {
+	select {
+	case <-r.done:
+		return now-r.endedAt <= sharedFor
+	default:
+		return true
+	}
+}
+
+// askFar asks targets of other regions. If none is better than late, they are left
+// alone for a while.
+func (p *FreshPicker) askFar(ctx context.Context, req FreshRequest, pool *Pool) []Candidate {
+	_, far := usable(pool)
+	far = slices.DeleteFunc(far, func(e *Endpoint) bool { return slices.Contains(req.Exclude, e.Target.ID) })
+	sentAt := p.now()
+	answers := p.ask(ctx, req.HealthPath, sample(far, maxAskedFar), askFar)
+	candidates := p.weighAll(answers, req, sentAt)
+	if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
+		p.mu.Lock()
+		p.farUseless[req.Service] = p.now() + farPause
+		p.mu.Unlock()
+	}
+	return candidates
+}
+
+// weighAll weighs the answers of a round for one request.
+func (p *FreshPicker) weighAll(answers []answer, req FreshRequest, sentAt time.Duration) []Candidate {
+	out := make([]Candidate, 0, len(answers))
+	for _, a := range answers {
+		if !slices.Contains(req.Exclude, a.endpoint.Target.ID) {
+			out = append(out, p.weigh(a, req.Work, sentAt))
+		}
+	}
+	return out
+}
+
+// InTime reports whether a candidate is expected to answer before the answer loses
+// most of its worth.
+func (c *Candidate) InTime(w Work) bool {
+	return c.Err == nil && c.Estimate.Duration <= scale(w.Left, inTimeShare)
+}
+
 // usable splits the endpoints that may take a request by region.
-func usable(pool *Pool, exclude []model.TargetID) (near, far []*Endpoint) {
+func usable(pool *Pool) (near, far []*Endpoint) {
 	for _, e := range pool.Endpoints {
-		if e.Standing == Draining || slices.Contains(exclude, e.Target.ID) {
-			continue
-		}
-		if e.Distance == model.OtherRegion {
+		switch {
+		case e.Standing == Draining:
+		case e.Distance == model.OtherRegion:
 			far = append(far, e)
-		} else {
+		default:
 			near = append(near, e)
 		}
 	}
@@ -103,54 +202,45 @@
 	return list[:n]
 }
 
-// wantsFar reports whether no target of the region is expected to answer in time.
-func (p *FreshPicker) wantsFar(near []Candidate, w Work) bool {
-	limit := scale(w.Left, farFrom)
-	return !slices.ContainsFunc(near, func(c Candidate) bool {
-		return c.Err == nil && c.Estimate.Cost <= limit
-	})
+// wantsFar reports whether no target of the region is expected to answer in time
+// and other regions may do better.
+func (p *FreshPicker) wantsFar(near []Candidate, req FreshRequest) bool {
+	if slices.ContainsFunc(near, func(c Candidate) bool { return c.InTime(req.Work) }) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now() >= p.farUseless[req.Service]
 }
 
-// ask probes targets at the same time and waits for their answers.
-func (p *FreshPicker) ask(ctx context.Context, req FreshRequest, list []*Endpoint, wait time.Duration) []Candidate {
-	answers := make(chan Candidate, len(list))
-	sentAt := p.now()
+// ask probes targets at the same time and waits for their answers. The probes go
+// on when the request that asked is gone: others may share the answers.
+func (p *FreshPicker) ask(ctx context.Context, path string, list []*Endpoint, wait time.Duration) []answer {
+	answers := make(chan answer, len(list))
+	ctx = context.WithoutCancel(ctx)
 	for _, e := range list {
-		go func() { answers <- p.probe(ctx, e, req.HealthPath) }()
+		go func() { answers <- p.probe(ctx, e, path) }()
 	}
-	heard := make([]Candidate, 0, len(list))
+	heard := make([]answer, 0, len(list))
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for range list {
 		select {
-		case c := <-answers:
-			heard = append(heard, p.weigh(c, req.Work, sentAt))
+		case a := <-answers:
+			heard = append(heard, a)
 			continue
 		case <-timer.C:
-		case <-ctx.Done():
 		}
 		break
 	}
-	return append(heard, p.silent(list, heard, req.Work)...)
+	return withSilent(list, heard)
 }
 
-func (p *FreshPicker) probe(ctx context.Context, e *Endpoint, path string) Candidate {
-	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+func (p *FreshPicker) probe(ctx context.Context, e *Endpoint, path string) answer {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	report, err := p.prober.Probe(probeCtx, e, path)
-	return Candidate{Endpoint: e, Report: report, Err: err}
-}
-
-func (p *FreshPicker) weigh(c Candidate, w Work, sentAt time.Duration) Candidate {
-	now := p.now()
-	c.Risk = c.Endpoint.Load.Reliability.Risk(now)
-	if c.Err != nil {
-		c.Estimate = Estimate{Duration: w.Typical, Cost: w.Typical + silenceToll}
-		return c
-	}
-	joined := c.Endpoint.Load.BegunSince(sentAt)
-	c.Estimate = estimate(c.Endpoint, c.Report, w, joined, c.Risk, time.Now())
-	return c
+	report, err := p.prober.Probe(ctx, e, path)
+	return answer{endpoint: e, report: report, err: err}
 }
 
 // silenceError reports a target that did not answer a probe in time.
@@ -158,12 +248,24 @@
 
 func (silenceError) Error() string { return "no answer to the probe in time" }
 
-func (p *FreshPicker) silent(list []*Endpoint, heard []Candidate, w Work) []Candidate {
-	var out []Candidate
+// withSilent adds the targets that were not heard of.
+func withSilent(list []*Endpoint, heard []answer) []answer {
 	for _, e := range list {
-		if !slices.ContainsFunc(heard, func(c Candidate) bool { return c.Endpoint == e }) {
-			out = append(out, p.weigh(Candidate{Endpoint: e, Err: silenceError{}}, w, 0))
+		if !slices.ContainsFunc(heard, func(a answer) bool { return a.endpoint == e }) {
+			heard = append(heard, answer{endpoint: e, err: silenceError{}})
 		}
 	}
-	return out
+	return heard
+}
+
+func (p *FreshPicker) weigh(a answer, w Work, sentAt time.Duration) Candidate {
+	c := Candidate{Endpoint: a.endpoint, Report: a.report, Err: a.err}
+	c.Risk = a.endpoint.Load.Reliability.Risk(p.now())
+	if a.err != nil {
+		c.Estimate = Estimate{Duration: w.Typical, Cost: w.Typical + silenceToll}
+		return c
+	}
+	joined := a.endpoint.Load.BegunSince(sentAt)
+	c.Estimate = estimate(a.endpoint, a.report, w, joined, c.Risk, time.Now())
+	return c
 }
