--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,237 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/route"
+)
+
+// table records the lists of targets that it was given.
+type table struct {
+	lists map[model.ServiceName][]model.Target
+}
+
+func (v *table) SetTargets(service model.ServiceName, list []model.Target) {
+	if v.lists == nil {
+		v.lists = make(map[model.ServiceName][]model.Target)
+	}
+	v.lists[service] = list
+}
+
+func (v *table) has(id model.TargetID) bool {
+	for _, list := range v.lists {
+		for i := range list {
+			if list[i].ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+type quiet struct{}
+
+func (quiet) TargetLearnt(model.Target, uint64)        {}
+func (quiet) TargetGone(model.TargetID, bool)          {}
+func (quiet) TargetRejected(string, error)             {}
+func (quiet) RoutesInForce(*route.Table)               {}
+func (quiet) RoutesRejected(error)                     {}
+func (quiet) Called(string, time.Duration, int, error) {}
+func (quiet) Lost(error)                               {}
+func (quiet) Regained(time.Duration)                   {}
+
+var errTorn = errors.New("torn")
+
+// decode takes the value for the name of the service.
+func decode(o Object) (model.Target, error) {
+	if string(o.Value) == "torn" {
+		return model.Target{}, errTorn
+	}
+	return model.Target{ID: model.TargetID(o.Name), Service: model.ServiceName(o.Value)}, nil
+}
+
+func object(name string, revision uint64, service string) Object {
+	return Object{Name: name, Revision: revision, Value: []byte(service)}
+}
+
+func newTargets() (*Targets, *table) {
+	out := new(table)
+	return &Targets{Decode: decode, Table: out, Observer: quiet{}}, out
+}
+
+var settledLongAgo time.Time
+
+func TestTargetsFollowTheStore(t *testing.T) {
+	v, out := newTargets()
+	v.Replace([]Object{object("1", 1, "a"), object("2", 2, "a"), object("3", 3, "torn")}, settledLongAgo)
+	if !out.has("1") || !out.has("2") || out.has("3") {
+		t.Errorf("after a list: %+v", out.lists)
+	}
+	v.Update([]Object{object("2", 5, "b"), {Name: "1", Revision: 6, Deleted: true}}, settledLongAgo)
+	if out.has("1") || len(out.lists["a"]) != 0 || len(out.lists["b"]) != 1 {
+		t.Errorf("after changes: %+v", out.lists)
+	}
+	v.Update([]Object{object("2", 4, "a"), {Name: "2", Revision: 3, Deleted: true}}, settledLongAgo)
+	if len(out.lists["b"]) != 1 {
+		t.Errorf("an old answer replaced a newer one: %+v", out.lists)
+	}
+	v.Update([]Object{object("2", 9, "torn")}, settledLongAgo)
+	if out.has("2") {
+		t.Error("an entry that names no target is still used")
+	}
+}
+
+func TestLapsedEntriesMayComeBackAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v, out := newTargets()
+		v.Replace([]Object{object("1", 1, "a"), object("2", 2, "a")}, settledLongAgo)
+		settled := time.Now().Add(2 * time.Second)
+		v.Replace(nil, settled)
+		if !out.has("1") || !out.has("2") {
+			t.Error("entries that lapsed while the store was away were dropped at once")
+		}
+		time.Sleep(time.Second)
+		v.Update([]Object{object("1", 8, "a")}, settled)
+		time.Sleep(1500 * time.Millisecond)
+		synctest.Wait()
+		if !out.has("1") || out.has("2") {
+			t.Errorf("after the store has settled: %+v, want 1 alone", out.lists)
+		}
+	})
+}
+
+// step is one answer of a scripted source.
+type step struct {
+	batch Batch
+	err   error
+	// silent holds the answer back until the call is given up.
+	silent bool
+}
+
+// script is a source that answers step by step, then waits.
+type script struct {
+	lists, watches []step
+	asked          []Freshness
+	afters         []uint64
+	at             []time.Time
+}
+
+func (s *script) List(ctx context.Context) (Batch, error) { return next(ctx, &s.lists) }
+
+func (s *script) Watch(ctx context.Context, after uint64, _ time.Duration, fresh Freshness) (Batch, error) {
+	s.asked = append(s.asked, fresh)
+	s.afters = append(s.afters, after)
+	s.at = append(s.at, time.Now())
+	return next(ctx, &s.watches)
+}
+
+func next(ctx context.Context, steps *[]step) (Batch, error) {
+	if len(*steps) == 0 {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	first := (*steps)[0]
+	*steps = (*steps)[1:]
+	if first.silent {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	return first.batch, first.err
+}
+
+func follow(t *testing.T, s *script, lasting time.Duration) *table {
+	t.Helper()
+	v, out := newTargets()
+	f := &Follower{Source: s, View: v, Observer: quiet{}, LapseGrace: time.Second}
+	ctx, cancel := context.WithTimeout(context.Background(), lasting)
+	defer cancel()
+	f.Run(ctx)
+	synctest.Wait()
+	return out
+}
+
+var errDown = errors.New("down")
+
+func TestAFailedListIsNotAnEmptyOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{
+			lists:   []step{{batch: Batch{Objects: []Object{object("1", 1, "a")}, AsOf: 5}}, {err: errDown}, {err: errDown}},
+			watches: []step{{err: &HistoryGoneError{After: 5}}},
+		}
+		if out := follow(t, s, 2*time.Second); !out.has("1") {
+			t.Error("a target was lost to a store that is down")
+		}
+	})
+}
+
+func TestAfterADoubtOnlyNewestAnswersCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := step{batch: Batch{Objects: []Object{object("1", 1, "a")}, AsOf: 5}}
+		calm := step{batch: Batch{AsOf: 5}}
+		s := &script{
+			lists:   []step{list, list},
+			watches: []step{calm, {err: &HistoryGoneError{After: 5}}, calm, {err: errDown}, calm, calm},
+		}
+		follow(t, s, 2*time.Second)
+		want := []Freshness{Cheap, Cheap, Newest, Newest, Cheap, Newest}
+		for i := range want {
+			if s.asked[i] != want[i] {
+				t.Fatalf("watch %d asked for %v, want %v (all: %v)", i, s.asked[i], want[i], s.asked)
+			}
+		}
+	})
+}
+
+func TestASilentWatchIsGivenUpInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{
+			lists:   []step{{batch: Batch{AsOf: 5}}},
+			watches: []step{{silent: true}, {batch: Batch{Objects: []Object{object("1", 7, "a")}, AsOf: 7}}},
+		}
+		if out := follow(t, s, 3*time.Second); !out.has("1") {
+			t.Error("news after a silent watch did not arrive")
+		}
+		// The bound on news is 2 s.
+		if took := s.at[1].Sub(s.at[0]); took > 2*time.Second {
+			t.Errorf("the silent watch held news up for %v", took)
+		}
+		if s.afters[1] != 5 {
+			t.Errorf("the next watch began after %d, want 5", s.afters[1])
+		}
+	})
+}
+
+func TestRoutesKeepTheLastGoodOnes(t *testing.T) {
+	holder := new(route.Holder)
+	config := func(revision model.Revision, attempts int) route.Config {
+		return route.Config{
+			Revision: revision,
+			Services: []route.Service{{Name: "a"}},
+			Rules: []*route.Rule{{
+				Host: "h", Prefix: "/", Timeout: time.Second, MaxAttempts: attempts,
+				Backends: []route.Backend{{Service: "a", Weight: 1}},
+			}},
+		}
+	}
+	configs := map[string]route.Config{"good": config(4, 1), "invalid": config(9, 0), "old": config(3, 1)}
+	routes := &Routes{Holder: holder, Observer: quiet{}, Decode: func(o Object) (route.Config, bool, error) {
+		c, ok := configs[string(o.Value)]
+		if !ok {
+			return c, false, errTorn
+		}
+		return c, true, nil
+	}}
+	for _, value := range []string{"good", "invalid", "old", "torn"} {
+		routes.Update([]Object{object("main", 1, value)}, settledLongAgo)
+	}
+	routes.Update([]Object{{Name: "main", Deleted: true}}, settledLongAgo)
+	routes.Replace(nil, settledLongAgo)
+	if current := holder.Current(); current == nil || current.Revision != 4 {
+		t.Errorf("in force: %+v, want revision 4", current)
+	}
+}
