Ask a stable set of targets; accept cheap answers again after an outage

Probes of eight targets drawn anew each time opened 59,000 connections and crossed domains. Change: the newest answer once after a failure, for 15 s only after a lost history; watches of 1.6 s. A pick asks the first eight targets of the region in the instance's own stable order, then some of the rest, then other regions.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -8,16 +8,17 @@
 )
 
 const (
-	// watchWait is how long the store may hold a watch without news. The store's
-	// return of a cut watch may never arrive, and what it would have told has to
-	// be in force within 2 s.
-	watchWait = time.Second
+	// watchWait is how long the store may hold a watch without news. A watch that
+	// the store cuts may stay silent; what it would have told has to be in force
+	// 3 s after the store's trouble, by when the watch was given up, the history
+	// found lost and everything listed.
+	watchWait = 1600 * time.Millisecond
 	// answerTimeout bounds a call beyond the time that it may be held; the store
 	// answers in a few milliseconds, across regions in some tens, and when it is
 	// slow in some hundreds.
 	answerTimeout = 500 * time.Millisecond
-	// doubtTime is how long after a failure or a lost history only the newest
-	// answers are accepted: cheap ones may be seconds behind then.
+	// doubtTime is how long after a lost history only the newest answers are
+	// accepted: cheap ones are seconds behind then.
 	doubtTime = 15 * time.Second
 	// minPause and maxPause bound the wait between two failed calls. The upper
 	// bound leaves room for LapseGrace within the 3 s after which a machine that
@@ -59,6 +60,8 @@
 
 	lostAt   time.Time
 	failures int
+	// verify is set if the next answer after a failure has to be the newest.
+	verify bool
 	// doubtedUntil is until when cheap answers are not accepted.
 	doubtedUntil time.Time
 	settled      time.Time
@@ -94,7 +97,7 @@
 // tried again from the same revision.
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
 	wait := watchWait
-	if f.failures > 0 {
+	if f.failures > 0 || f.verify {
 		wait = 0
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
@@ -112,6 +115,9 @@
 		f.failed(ctx, err)
 		return after, nil
 	}
+	if f.failures == 0 {
+		f.verify = false
+	}
 	f.succeeded()
 	if len(batch.Objects) > 0 {
 		f.View.Update(batch.Objects, f.settled)
@@ -128,7 +134,7 @@
 		f.lostAt = time.Now()
 		f.Observer.Lost(err)
 	}
-	f.doubt()
+	f.verify = true
 	backoff := min(minPause<<min(f.failures, 10), maxPause)
 	f.failures++
 	pause(ctx, backoff/2+rand.N(backoff/2))
@@ -137,7 +143,7 @@
 func (f *Follower) doubt() { f.doubtedUntil = time.Now().Add(doubtTime) }
 
 func (f *Follower) freshness() Freshness {
-	if f.failures == 0 && time.Now().Before(f.doubtedUntil) {
+	if f.failures == 0 && (f.verify || time.Now().Before(f.doubtedUntil)) {
 		return Newest
 	}
 	return Cheap
--- a/internal/routing/fresh.go
+++ b/internal/routing/fresh.go
@@ -19,8 +19,12 @@
 	// probeTimeout ends a probe whose answer no pick awaits any more. It is longer,
 	// so that a late answer doesn't cost the connection.
 	probeTimeout = 300 * time.Millisecond
-	// maxAskedNear and maxAskedFar bound the targets that one pick asks.
+	// maxAskedNear is the number of targets of the region that a pick asks, always
+	// the same ones, so that connections to them stay in use. maxAskedRest and
+	// maxAskedFar bound those of the rest of the region and of other regions, which
+	// are asked if none of the first answers in time.
 	maxAskedNear = 8
+	maxAskedRest = 6
 	maxAskedFar  = 4
 	// inTimeShare is the share of the time left within which an answer has to be
 	// expected to count as in time.
@@ -107,8 +111,11 @@
 	}
 	r := p.join(ctx, req, pool)
 	candidates := p.weighAll(r.answers, req, r.sentAt)
-	if p.wantsFar(candidates, req) {
-		candidates = append(candidates, p.askFar(ctx, req, pool)...)
+	for _, more := range p.further(pool) {
+		if slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
+			break
+		}
+		candidates = append(candidates, more(ctx, req)...)
 	}
 	if len(candidates) == 0 {
 		return nil, &NoTargetError{Service: req.Service}
@@ -129,8 +136,8 @@
 	r = &round{sentAt: p.now(), pool: pool, done: make(chan struct{})}
 	p.rounds[req.Service] = r
 	p.mu.Unlock()
-	near, _ := usable(pool)
-	r.answers = p.ask(ctx, req.HealthPath, sample(near, maxAskedNear), askNear)
+	homes, _, _ := usable(pool)
+	r.answers = p.ask(ctx, req.HealthPath, homes, askNear)
 	r.endedAt = p.now()
 	close(r.done)
 	return r
@@ -146,14 +153,37 @@
 	}
 }
 
+// further returns the ways to find more candidates, the cheapest first.
+func (p *FreshPicker) further(pool *Pool) []func(context.Context, FreshRequest) []Candidate {
+	_, rest, far := usable(pool)
+	return []func(context.Context, FreshRequest) []Candidate{
+		func(ctx context.Context, req FreshRequest) []Candidate {
+			return p.askSome(ctx, req, rest, maxAskedRest, askNear)
+		},
+		func(ctx context.Context, req FreshRequest) []Candidate { return p.askFar(ctx, req, far) },
+	}
+}
+
+// askSome asks some targets, drawn at random.
+func (p *FreshPicker) askSome(ctx context.Context, req FreshRequest, list []*Endpoint, n int, wait time.Duration) []Candidate {
+	list = slices.DeleteFunc(list, func(e *Endpoint) bool { return slices.Contains(req.Exclude, e.Target.ID) })
+	if len(list) == 0 {
+		return nil
+	}
+	sentAt := p.now()
+	return p.weighAll(p.ask(ctx, req.HealthPath, sample(list, n), wait), req, sentAt)
+}
+
 // askFar asks targets of other regions. If none is better than late, they are left
 // alone for a while.
-func (p *FreshPicker) askFar(ctx context.Context, req FreshRequest, pool *Pool) []Candidate {
-	_, far := usable(pool)
-	far = slices.DeleteFunc(far, func(e *Endpoint) bool { return slices.Contains(req.Exclude, e.Target.ID) })
-	sentAt := p.now()
-	answers := p.ask(ctx, req.HealthPath, sample(far, maxAskedFar), askFar)
-	candidates := p.weighAll(answers, req, sentAt)
+func (p *FreshPicker) askFar(ctx context.Context, req FreshRequest, far []*Endpoint) []Candidate {
+	p.mu.Lock()
+	useless := p.now() < p.farUseless[req.Service]
+	p.mu.Unlock()
+	if useless {
+		return nil
+	}
+	candidates := p.askSome(ctx, req, far, maxAskedFar, askFar)
 	if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
 		p.mu.Lock()
 		p.farUseless[req.Service] = p.now() + farPause
@@ -179,18 +209,23 @@
 	return c.Err == nil && c.Estimate.Duration <= scale(w.Left, inTimeShare)
 }
 
-// usable splits the endpoints that may take a request by region.
-func usable(pool *Pool) (near, far []*Endpoint) {
+// usable splits the endpoints that may take a request: the first of the region in
+// the instance's own stable order, the rest of the region, and other regions.
+func usable(pool *Pool) (homes, rest, far []*Endpoint) {
 	for _, e := range pool.Endpoints {
 		switch {
 		case e.Standing == Draining:
 		case e.Distance == model.OtherRegion:
 			far = append(far, e)
 		default:
-			near = append(near, e)
+			homes = append(homes, e)
 		}
 	}
-	return near, far
+	slices.SortFunc(homes, nearer)
+	if len(homes) > maxAskedNear {
+		homes, rest = homes[:maxAskedNear], homes[maxAskedNear:]
+	}
+	return homes, rest, far
 }
 
 // sample returns at most n endpoints, drawn at random.
@@ -202,17 +237,6 @@
 	return list[:n]
 }
 
-// wantsFar reports whether no target of the region is expected to answer in time
-// and other regions may do better.
-func (p *FreshPicker) wantsFar(near []Candidate, req FreshRequest) bool {
-	if slices.ContainsFunc(near, func(c Candidate) bool { return c.InTime(req.Work) }) {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.now() >= p.farUseless[req.Service]
-}
-
 // ask probes targets at the same time and waits for their answers. The probes go
 // on when the request that asked is gone: others may share the answers.
 func (p *FreshPicker) ask(ctx context.Context, path string, list []*Endpoint, wait time.Duration) []answer {
