Send only to a free slot; wait for one up to a fifth of the objective

Of the previews that began beside another one 17 in 100 were late, of those that queued at a target more.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -128,9 +128,9 @@
 const (
 	// patienceDivisor gives the part of the objective for which a request waits for
 	// a better target: up to an eighth, waiting costs callers nothing.
-	patienceDivisor = 8
+	patienceDivisor = 5
 	// askAgain is the pause before the targets are asked once more.
-	askAgain = 12 * time.Millisecond
+	askAgain = 6 * time.Millisecond
 )
 
 // settle decides on a request that no target is expected to answer in time. Where
@@ -337,7 +337,7 @@
 		answer.Length = result.ContentLength
 		answer.Rest = &rest{ReadCloser: result.Body, end: func() { c.Endpoint.Load.End(); cancel() }}
 	}
-	j.state.learn(c, took, j.rule.Objective)
+	j.state.learn(c, took)
 	j.answered(c, answer, took)
 	return outcome{answer: answer}
 }
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/limit"
@@ -28,9 +27,8 @@
 type service struct {
 	budget Budget
 	extra  limit.Ratio
-	// typical is what work takes at an idle target at its usual pace, in
-	// nanoseconds; zero until one was seen.
-	typical atomic.Int64
+	// idle holds what work took at idle targets at their usual pace.
+	idle limit.Latency
 }
 
 func (s *services) get(name model.ServiceName) *service {
@@ -52,26 +50,22 @@
 	// typicalShare is the expected work as a share of the objective until it was
 	// measured.
 	typicalShare = 0.4
-	// typicalGain is the weight of a new measurement.
-	typicalGain = 0.1
 	// usualPaceBelow bounds the pace, in percent, at which work is measured.
 	usualPaceBelow = 115
 )
 
-// expected returns what work is expected to take at an idle target.
+// expected returns what work is expected to take at an idle target. The median
+// leaves out requests that targets answer at once.
 func (s *service) expected(objective time.Duration) time.Duration {
-	if known := s.typical.Load(); known > 0 {
-		return time.Duration(known)
+	if known, ok := s.idle.Quantile(0.5); ok {
+		return known
 	}
 	return time.Duration(typicalShare * float64(objective))
 }
 
-// learn measures work that ran at an idle target at its usual pace. Two that learn
-// at the same time may lose one measurement.
-func (s *service) learn(c routing.Candidate, took, objective time.Duration) {
-	if c.Err != nil || c.Report.Running+c.Report.Waiting > 0 || c.Report.Pace > usualPaceBelow {
-		return
+// learn measures work that ran at an idle target at its usual pace.
+func (s *service) learn(c routing.Candidate, took time.Duration) {
+	if c.Err == nil && c.Report.Running+c.Report.Waiting == 0 && c.Report.Pace <= usualPaceBelow {
+		s.idle.Observe(took)
 	}
-	old := s.expected(objective)
-	s.typical.Store(int64(old) + int64(typicalGain*float64(took-old)))
 }
--- a/internal/routing/estimate.go
+++ b/internal/routing/estimate.go
@@ -76,13 +76,18 @@
 	service = scale(service, max(1, float64(r.Pace)/UsualPace))
 	out := Estimate{Duration: service + trip(e.Distance), Free: busy < slots}
 	if !out.Free {
-		ahead := busy - slots + 1
-		out.Duration += time.Duration(ahead) * scale(w.Typical, crowdedFactor) / time.Duration(slots)
+		out.Duration += queueing(busy-slots, slots, scale(w.Typical, crowdedFactor))
 	}
 	out.Cost = out.Duration + tolls(e, r, w, out.Duration, risk) + busyToll*time.Duration(busy)
 	return out
 }
 
+// queueing returns the expected wait behind others that wait already. The running
+// ones are somewhere in their work, so that the first of them ends early.
+func queueing(ahead, slots int, service time.Duration) time.Duration {
+	return service/time.Duration(slots+1) + time.Duration(ahead)*service/time.Duration(slots)
+}
+
 func tolls(e *Endpoint, r LoadReport, w Work, duration time.Duration, risk float64) time.Duration {
 	toll := scale(failureToll, risk)
 	switch e.Distance {
--- a/internal/routing/fresh.go
+++ b/internal/routing/fresh.go
@@ -206,7 +206,7 @@
 // InTime reports whether a candidate is expected to answer before the answer loses
 // most of its worth.
 func (c *Candidate) InTime(w Work) bool {
-	return c.Err == nil && c.Estimate.Duration <= scale(w.Left, inTimeShare)
+	return c.Err == nil && c.Estimate.Free && c.Estimate.Duration <= scale(w.Left, inTimeShare)
 }
 
 // usable splits the endpoints that may take a request: the first of the region in
