--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -18,8 +18,8 @@
 	"github.com/rotisserie/eris"
 
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
@@ -110,7 +110,7 @@
 }
 
 // fill lists targets that share a few addresses, without a bound on slots.
-func fill(store *standin.Platform, s shape, targets []string) error {
+func fill(objects *standin.Platform, s shape, targets []string) error {
 	services := make([]string, s.services)
 	for i := range s.services {
 		name := serviceName(i)
@@ -127,11 +127,11 @@
 		if err != nil {
 			return eris.Wrap(err, "encode targets")
 		}
-		store.Objects.Write(platform.TargetsPrefix+name, 0, raw, false)
+		objects.Objects.Write(store.TargetsPrefix+name, 0, raw, false)
 		services[i] = fmt.Sprintf("%q:{\"class\":\"idempotent\"}", name)
 	}
 	document := `{"revision":1,"defaults":{"deadline":"2s"},"services":{` + strings.Join(services, ",") + `}}`
-	store.Objects.Write(platform.ConfigKey, 0, []byte(document), false)
+	objects.Objects.Write(store.ConfigKey, 0, []byte(document), false)
 	return nil
 }
 
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -8,7 +8,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // Edit is a document that an operator wants in force.
@@ -34,7 +34,7 @@
 // Applier changes the stored configuration by conditional updates alone. It is
 // safe for concurrent use, by any number of instances.
 type Applier struct {
-	Store platform.Store
+	Store store.Store
 	// Known returns the highest revision that this instance has seen; a store
 	// that answers with a lower one is not believed.
 	Known    func() model.Revision
@@ -52,7 +52,7 @@
 // stored is the state of the configuration object.
 type stored struct {
 	document *Document
-	version  platform.Version
+	version  store.Version
 	raw      []byte
 }
 
@@ -63,7 +63,7 @@
 // any) and *OutcomeUnknownError.
 func (a *Applier) Apply(ctx context.Context, edit Edit) (*Accepted, error) {
 	edit = edit.signed()
-	var newer platform.Version
+	var newer store.Version
 	sent := false
 	for {
 		plan, err := a.plan(ctx, edit, newer)
@@ -142,7 +142,7 @@
 
 // plan reads the stored document, at the given version or a newer one, and
 // merges the edit into it.
-func (a *Applier) plan(ctx context.Context, edit Edit, newer platform.Version) (*plan, error) {
+func (a *Applier) plan(ctx context.Context, edit Edit, newer store.Version) (*plan, error) {
 	from, err := a.readFresh(ctx, edit.Document.Revision, newer)
 	if err != nil {
 		return nil, err
@@ -240,7 +240,7 @@
 	// lost is set if the answer to at least one sending was lost.
 	lost bool
 	// current is a version that the object has reached, if the update was refused.
-	current platform.Version
+	current store.Version
 }
 
 // write stores the plan's document unless another one was stored since. A lost
@@ -256,9 +256,9 @@
 		return out, err
 	}
 	for wait := firstBackoff; ; wait = min(2*wait, maxBackoff) {
-		_, err := a.Store.Put(ctx, platform.ConfigKey, p.from.version, raw)
-		var conflict *platform.ConflictError
-		var lost *platform.LostAnswerError
+		_, err := a.Store.Put(ctx, store.ConfigKey, p.from.version, raw)
+		var conflict *store.ConflictError
+		var lost *store.LostAnswerError
 		switch {
 		case err == nil:
 			out.stored = true
@@ -278,7 +278,7 @@
 }
 
 // readFresh returns the stored document once it is not older than what is known.
-func (a *Applier) readFresh(ctx context.Context, base model.Revision, newer platform.Version) (stored, error) {
+func (a *Applier) readFresh(ctx context.Context, base model.Revision, newer store.Version) (stored, error) {
 	known := max(base, a.Known())
 	wait := firstBackoff
 	for stale := 0; ; wait = min(2*wait, maxBackoff) {
@@ -300,8 +300,8 @@
 
 // read returns the stored document; that of an empty store has revision 0.
 func (a *Applier) read(ctx context.Context) (stored, error) {
-	object, err := a.Store.Get(ctx, platform.ConfigKey)
-	var absent *platform.NotFoundError
+	object, err := a.Store.Get(ctx, store.ConfigKey)
+	var absent *store.NotFoundError
 	if errors.As(err, &absent) {
 		return stored{document: new(Document)}, nil
 	}
@@ -336,8 +336,8 @@
 
 // transient reports whether a call may succeed when it is made again.
 func transient(err error) bool {
-	var down *platform.UnavailableError
-	var budget *platform.BudgetError
+	var down *store.UnavailableError
+	var budget *store.BudgetError
 	return errors.As(err, &down) || errors.As(err, &budget)
 }
 
--- a/internal/config/apply_test.go
+++ b/internal/config/apply_test.go
@@ -13,10 +13,10 @@
 
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
-func newApplier(store platform.Store) *Applier {
+func newApplier(store store.Store) *Applier {
 	return &Applier{
 		Store:    store,
 		Known:    func() model.Revision { return 0 },
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -21,7 +21,7 @@
 
 // historyKey pads the revision, so that keys sort by it.
 func historyKey(revision model.Revision) string {
-	return fmt.Sprintf("%s%012d", platform.ConfigHistoryPrefix, revision)
+	return fmt.Sprintf("%s%012d", store.ConfigHistoryPrefix, revision)
 }
 
 // preserve writes the document that is about to be superseded into the history.
@@ -33,8 +33,8 @@
 	}
 	for wait := firstBackoff; ; wait = min(2*wait, maxBackoff) {
 		_, err := a.Store.Put(ctx, historyKey(s.document.Revision), 0, s.raw)
-		var conflict *platform.ConflictError
-		var lost *platform.LostAnswerError
+		var conflict *store.ConflictError
+		var lost *store.LostAnswerError
 		switch {
 		case err == nil || errors.As(err, &conflict):
 			return nil
@@ -54,7 +54,7 @@
 	}
 	for wait := firstBackoff; ; wait = min(2*wait, maxBackoff) {
 		object, err := a.Store.Get(ctx, historyKey(revision))
-		var absent *platform.NotFoundError
+		var absent *store.NotFoundError
 		switch {
 		case err == nil:
 			return Decode(object.Key, object.Value)
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	batch, err := a.Store.List(ctx, platform.ConfigHistoryPrefix)
+	batch, err := a.Store.List(ctx, store.ConfigHistoryPrefix)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // fault is what happens to one call of the store.
@@ -31,8 +31,8 @@
 // is used by one goroutine at a time.
 type faultyStore struct {
 	t       testing.TB
-	version platform.Version
-	objects map[string][]platform.Object
+	version store.Version
+	objects map[string][]store.Object
 	// next returns the fault of the next call.
 	next func() fault
 	// before runs ahead of each call.
@@ -45,7 +45,7 @@
 func newFaultyStore(t testing.TB) *faultyStore {
 	return &faultyStore{
 		t:       t,
-		objects: make(map[string][]platform.Object),
+		objects: make(map[string][]store.Object),
 		next:    func() fault { return ok },
 		before:  func() {},
 		age:     1,
@@ -60,34 +60,34 @@
 	s.pending = nil
 }
 
-func (s *faultyStore) latest(key string) platform.Object {
+func (s *faultyStore) latest(key string) store.Object {
 	if states := s.objects[key]; len(states) > 0 {
 		return states[len(states)-1]
 	}
-	return platform.Object{Key: key}
+	return store.Object{Key: key}
 }
 
-func (s *faultyStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *faultyStore) Get(ctx context.Context, key string) (store.Object, error) {
 	s.before()
 	states := s.objects[key]
 	switch f := s.next(); {
 	case ctx.Err() != nil || f == unavailable || f == lostBefore || f == lostAfter:
-		return platform.Object{}, &platform.UnavailableError{Op: "get", Cause: context.DeadlineExceeded}
+		return store.Object{}, &store.UnavailableError{Op: "get", Cause: context.DeadlineExceeded}
 	case f == stale && len(states) >= s.age:
 		states = states[:len(states)-s.age]
 	}
 	if len(states) == 0 || states[len(states)-1].Value == nil {
-		return platform.Object{}, &platform.NotFoundError{Key: key}
+		return store.Object{}, &store.NotFoundError{Key: key}
 	}
 	return states[len(states)-1], nil
 }
 
-func (s *faultyStore) Put(ctx context.Context, key string, expect platform.Version, value []byte) (platform.Version, error) {
+func (s *faultyStore) Put(ctx context.Context, key string, expect store.Version, value []byte) (store.Version, error) {
 	s.before()
-	lost := &platform.LostAnswerError{Key: key, Cause: context.DeadlineExceeded}
+	lost := &store.LostAnswerError{Key: key, Cause: context.DeadlineExceeded}
 	switch f := s.next(); {
 	case ctx.Err() != nil || f == unavailable:
-		return 0, &platform.UnavailableError{Op: "write", Cause: context.DeadlineExceeded}
+		return 0, &store.UnavailableError{Op: "write", Cause: context.DeadlineExceeded}
 	case f == lostBefore:
 		return 0, lost
 	case f == lostAfter:
@@ -100,41 +100,41 @@
 	return s.put(key, expect, value)
 }
 
-func (s *faultyStore) put(key string, expect platform.Version, value []byte) (platform.Version, error) {
+func (s *faultyStore) put(key string, expect store.Version, value []byte) (store.Version, error) {
 	if current := s.latest(key); current.Version != expect {
-		return 0, &platform.ConflictError{Key: key, Expect: expect, Current: current.Version}
+		return 0, &store.ConflictError{Key: key, Expect: expect, Current: current.Version}
 	}
 	s.version++
-	s.objects[key] = append(s.objects[key], platform.Object{Key: key, Version: s.version, Value: slices.Clone(value)})
+	s.objects[key] = append(s.objects[key], store.Object{Key: key, Version: s.version, Value: slices.Clone(value)})
 	return s.version, nil
 }
 
-func (s *faultyStore) Delete(_ context.Context, key string, expect platform.Version) error {
+func (s *faultyStore) Delete(_ context.Context, key string, expect store.Version) error {
 	if s.latest(key).Version == expect {
 		delete(s.objects, key)
 	}
 	return nil
 }
 
-func (s *faultyStore) List(_ context.Context, prefix string) (platform.Batch, error) {
-	batch := platform.Batch{Next: s.version}
+func (s *faultyStore) List(_ context.Context, prefix string) (store.Batch, error) {
+	batch := store.Batch{Next: s.version}
 	for key := range s.objects {
 		if strings.HasPrefix(key, prefix) {
-			batch.Changes = append(batch.Changes, platform.Change{Object: s.latest(key)})
+			batch.Changes = append(batch.Changes, store.Change{Object: s.latest(key)})
 		}
 	}
 	return batch, nil
 }
 
-func (s *faultyStore) Watch(context.Context, string, platform.Version) (platform.Batch, error) {
-	return platform.Batch{}, &platform.UnavailableError{Op: "watch"}
+func (s *faultyStore) Watch(context.Context, string, store.Version) (store.Batch, error) {
+	return store.Batch{}, &store.UnavailableError{Op: "watch"}
 }
 
 // documents returns every document that was ever stored, the oldest first.
 func (s *faultyStore) documents() []*Document {
 	s.t.Helper()
 	var out []*Document
-	for _, object := range s.objects[platform.ConfigKey] {
+	for _, object := range s.objects[store.ConfigKey] {
 		d, err := Decode(object.Key, object.Value)
 		if err != nil {
 			s.t.Fatal(err)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -15,9 +15,9 @@
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/settings"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const testConfig = `{"revision":1,"defaults":{"deadline":"30s"},"services":{
@@ -29,8 +29,8 @@
 // service and returns its caller address and the targets.
 func startInstance(t *testing.T) (addr string, targets map[string]*standin.Target) {
 	t.Helper()
-	store := standin.NewPlatform()
-	server := httptest.NewServer(store.Handler())
+	objects := standin.NewPlatform()
+	server := httptest.NewServer(objects.Handler())
 	t.Cleanup(server.Close)
 	targets = make(map[string]*standin.Target)
 	for _, service := range []string{"nahled", "odeslani", "prijem"} {
@@ -47,9 +47,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		store.Objects.Write(platform.TargetsPrefix+service, 0, list, false)
+		objects.Objects.Write(store.TargetsPrefix+service, 0, list, false)
 	}
-	store.Objects.Write(platform.ConfigKey, 0, []byte(testConfig), false)
+	objects.Objects.Write(store.ConfigKey, 0, []byte(testConfig), false)
 
 	ip := standin.LoopbackIP(1)
 	s := &settings.Settings{
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -11,9 +11,9 @@
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/limit"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/settings"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // storeRetryDelay is the pause after a failed call to the platform.
@@ -50,7 +50,7 @@
 type watcherDeps struct {
 	fx.In
 
-	Store    platform.Store
+	Store    store.Store
 	Table    *routing.Table
 	Config   *config.Holder
 	Recorder events.Recorder
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -20,9 +20,9 @@
 	"redwingpoint.org/redwingpoint/internal/keys"
 	"redwingpoint.org/redwingpoint/internal/ledger"
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/settings"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // testFleet is a platform, one idempotent target and a CA for instances.
@@ -32,7 +32,7 @@
 	url      string
 	ca       keys.Pair
 	dir      string
-	list     []platform.Instance
+	list     []store.Instance
 }
 
 func newTestFleet(t testing.TB) *testFleet {
@@ -50,8 +50,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.platform.Objects.Write(platform.TargetsPrefix+"nahled", 0, list, false)
-	f.platform.Objects.Write(platform.ConfigKey, 0, []byte(testConfig), false)
+	f.platform.Objects.Write(store.TargetsPrefix+"nahled", 0, list, false)
+	f.platform.Objects.Write(store.ConfigKey, 0, []byte(testConfig), false)
 	if f.ca, err = keys.NewCA("vltava", time.Now(), time.Hour); err != nil {
 		t.Fatal(err)
 	}
@@ -104,7 +104,7 @@
 	for _, other := range f.list {
 		i.s.Peer.Seeds = append(i.s.Peer.Seeds, other.PeerAddr)
 	}
-	f.list = append(f.list, platform.Instance{ID: id, Location: at, PeerAddr: i.s.Peer.Listen, State: platform.InstanceLive})
+	f.list = append(f.list, store.Instance{ID: id, Location: at, PeerAddr: i.s.Peer.Listen, State: store.InstanceLive})
 	f.platform.SetInstances(f.list)
 	i.app = New(i.s, zap.NewNop(), fx.Populate(&i.board, &i.members, &i.config, &i.claims, &i.ledger))
 	if err := i.app.Start(context.Background()); err != nil {
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -16,10 +16,10 @@
 	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/operator"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/settings"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // operatorModule serves operators and ends exceptions at their expiry.
@@ -28,7 +28,7 @@
 	fx.Invoke(serveOperators, expireExceptions),
 )
 
-func newApplier(store platform.Store, h *config.Holder, r events.Recorder) *config.Applier {
+func newApplier(store store.Store, h *config.Holder, r events.Recorder) *config.Applier {
 	return &config.Applier{Store: store, Known: h.Revision, Now: time.Now, Recorder: r}
 }
 
@@ -45,7 +45,7 @@
 	Members  *fleet.Members
 	Watcher  *discovery.Watcher
 	Requests *quarantine.List
-	Lister   platform.InstanceLister
+	Lister   store.InstanceLister
 	Metrics  *metrics.Set
 	Budget   *limit.Measuring
 	LogLevel zap.AtomicLevel `optional:"true"`
--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -15,8 +15,8 @@
 	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/peer"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/settings"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -101,7 +101,7 @@
 }
 
 // runPeers runs the inner protocol between start and stop of the application.
-func runPeers(lc fx.Lifecycle, p *peers, w *discovery.Watcher, lister platform.InstanceLister, s *settings.Settings) {
+func runPeers(lc fx.Lifecycle, p *peers, w *discovery.Watcher, lister store.InstanceLister, s *settings.Settings) {
 	if p.engine == nil {
 		return
 	}
@@ -139,8 +139,8 @@
 
 // list reads the platform's instance list now and then: rarely once it has
 // answered, since members tell each other what changes.
-func (p *peers) list(ctx context.Context, lister platform.InstanceLister) {
-	pause := platform.Backoff{Base: firstListInterval, Max: instanceListInterval}
+func (p *peers) list(ctx context.Context, lister store.InstanceLister) {
+	pause := store.Backoff{Base: firstListInterval, Max: instanceListInterval}
 	for ctx.Err() == nil {
 		if list, err := lister.Instances(ctx); err == nil {
 			p.engine.SetListed(list)
--- a/internal/daemon/rolling_test.go
+++ b/internal/daemon/rolling_test.go
@@ -23,8 +23,8 @@
 
 	"redwingpoint.org/redwingpoint/internal/keys"
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // rollingPlan is the size of one rolling replacement.
@@ -123,7 +123,7 @@
 	url      string
 	ca       keys.Pair
 	balancer *balancer
-	listed   []platform.Instance
+	listed   []store.Instance
 	started  int
 	stop     chan struct{}
 
@@ -150,7 +150,7 @@
 	for _, service := range []model.ServiceName{"nahled", "odeslani", "prijem"} {
 		r.target(service)
 	}
-	r.platform.Objects.Write(platform.ConfigKey, 0, []byte(testConfig), false)
+	r.platform.Objects.Write(store.ConfigKey, 0, []byte(testConfig), false)
 	var err error
 	if r.ca, err = keys.NewCA("vltava", time.Now(), time.Hour); err != nil {
 		t.Fatal(err)
@@ -170,7 +170,7 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	r.platform.Objects.Write(platform.TargetsPrefix+string(service), 0, list, false)
+	r.platform.Objects.Write(store.TargetsPrefix+string(service), 0, list, false)
 }
 
 // once fails the test if a target receives an idempotency key twice. Probes of
@@ -219,9 +219,9 @@
 leave: {lag: %s}
 `, id, domain, p.caller, p.operator, ip, filepath.Join(r.dir, "ca.pem"),
 		r.file(string(id)+".pem", pair.Cert), r.file(string(id)+".key", pair.Key), r.url, r.plan.leaveLag)
-	r.listed = append(r.listed, platform.Instance{
+	r.listed = append(r.listed, store.Instance{
 		ID: id, Location: model.Location{Region: "praha", FailureDomain: model.FailureDomain(domain)},
-		PeerAddr: ip + ":7946", State: platform.InstanceLive,
+		PeerAddr: ip + ":7946", State: store.InstanceLive,
 	})
 	r.platform.SetInstances(r.listed)
 	p.cmd = exec.Command(filepath.Join(r.dir, "redwingpoint"), "serve", "--settings", r.file(string(id)+".yaml", []byte(text)))
--- a/internal/daemon/storage.go
+++ b/internal/daemon/storage.go
@@ -11,21 +11,21 @@
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/ledger"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/settings"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // storageModule provides the platform client and the ledger on top of it.
 var storageModule = fx.Module("storage", fx.Provide(
 	newPlatformClient,
-	func(c *platform.Client) (platform.Store, platform.InstanceLister) { return c, c },
+	func(c *store.Client) (store.Store, store.InstanceLister) { return c, c },
 	newClaims,
 	newLedger,
 	func(l *ledger.StoreLedger) ledger.Ledger { return l },
 ), fx.Invoke(runSweeper))
 
 // newLedger returns the ledger. With peers, one instance commits for each shard.
-func newLedger(s *settings.Settings, store platform.Store, c *claims, m *fleet.Members, r events.Recorder) *ledger.StoreLedger {
+func newLedger(s *settings.Settings, store store.Store, c *claims, m *fleet.Members, r events.Recorder) *ledger.StoreLedger {
 	local := ledger.NewGroupCommitter(store)
 	o := ledger.Options{Self: s.Instance, Store: store, Recorder: r, Commits: local, Presence: present{m}}
 	if c.transport != nil {
@@ -55,8 +55,8 @@
 	})
 }
 
-func newPlatformClient(s *settings.Settings, r events.Recorder) *platform.Client {
-	return platform.NewClient(platform.ClientOptions{
+func newPlatformClient(s *settings.Settings, r events.Recorder) *store.Client {
+	return store.NewClient(store.ClientOptions{
 		BaseURL: s.Platform.URL,
 		OnState: func(up bool) {
 			kind := events.StoreDown
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -14,7 +14,7 @@
 	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/peer"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -44,11 +44,11 @@
 
 // objectsRequest asks for the objects under a prefix that changed after a version.
 type objectsRequest struct {
-	Prefix string           `cbor:"1,keyasint"`
-	After  platform.Version `cbor:"2,keyasint"`
+	Prefix string        `cbor:"1,keyasint"`
+	After  store.Version `cbor:"2,keyasint"`
 }
 
-// objectsAnswer carries a compressed platform.Batch.
+// objectsAnswer carries a compressed store.Batch.
 type objectsAnswer struct {
 	Deflated []byte `cbor:"1,keyasint"`
 }
@@ -82,7 +82,7 @@
 	return nil, &UnknownPrefixError{Prefix: req.Prefix}
 }
 
-func deflate(b platform.Batch) (*objectsAnswer, error) {
+func deflate(b store.Batch) (*objectsAnswer, error) {
 	raw, err := peer.Encode(b)
 	if err != nil {
 		return nil, err
@@ -101,8 +101,8 @@
 	return &objectsAnswer{Deflated: out.Bytes()}, nil
 }
 
-func inflate(a *objectsAnswer) (platform.Batch, error) {
-	var b platform.Batch
+func inflate(a *objectsAnswer) (store.Batch, error) {
+	var b store.Batch
 	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(a.Deflated)), maxInflatedBytes))
 	if err != nil {
 		return b, eris.Wrap(err, "decompress objects")
@@ -139,7 +139,7 @@
 	return behind
 }
 
-func (w *Watcher) holds(r *replica, h fleet.Holdings) platform.Version {
+func (w *Watcher) holds(r *replica, h fleet.Holdings) store.Version {
 	if r == w.config {
 		return h.Config
 	}
--- a/internal/discovery/resume_test.go
+++ b/internal/discovery/resume_test.go
@@ -10,9 +10,9 @@
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // TestWatchResumes lets a watcher follow objects that are written and deleted
@@ -33,10 +33,10 @@
 		{For: config.Duration(20 * time.Second), Faults: standin.Faults{Hang: true}},
 	}})
 	ctx, cancel := context.WithCancel(t.Context())
-	newest := make(map[string]platform.Change)
+	newest := make(map[string]store.Change)
 	w := soleWatcher(p)
 	w.init()
-	w.targets.apply = func(c platform.Change) {
+	w.targets.apply = func(c store.Change) {
 		if c.Version <= newest[c.Key].Version {
 			t.Errorf("seed %d: %s went back to version %d", seed, c.Key, c.Version)
 		}
@@ -48,7 +48,7 @@
 		w.Run(ctx)
 	}()
 	for round := range 600 {
-		key := platform.TargetsPrefix + string(rune('a'+round%7))
+		key := store.TargetsPrefix + string(rune('a'+round%7))
 		object, _ := p.Objects.Get(key)
 		p.Objects.Write(key, object.Version, []byte{byte(round)}, round%11 == 0)
 		if round%100 == 50 {
@@ -66,7 +66,7 @@
 func soleWatcher(p *standin.Platform) *Watcher {
 	at := model.Location{Region: "praha", FailureDomain: "praha-a"}
 	return &Watcher{
-		Store: platform.NewClient(platform.ClientOptions{
+		Store: store.NewClient(store.ClientOptions{
 			BaseURL:   "http://platform",
 			Transport: &standin.Transport{Handler: p.Handler(), Delay: 2 * time.Millisecond},
 		}),
@@ -77,9 +77,9 @@
 	}
 }
 
-func compare(t *testing.T, seed uint64, newest map[string]platform.Change, p *standin.Platform) {
+func compare(t *testing.T, seed uint64, newest map[string]store.Change, p *standin.Platform) {
 	t.Helper()
-	batch, _ := p.Objects.Since(platform.TargetsPrefix, 0)
+	batch, _ := p.Objects.Since(store.TargetsPrefix, 0)
 	alive := 0
 	for _, c := range newest {
 		if !c.Deleted {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -17,8 +17,8 @@
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/routing"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -34,7 +34,7 @@
 
 // Watcher follows the Object API and applies what it reads.
 type Watcher struct {
-	Store    platform.Store
+	Store    store.Store
 	Table    *routing.Table
 	Config   *config.Holder
 	Recorder events.Recorder
@@ -57,8 +57,8 @@
 // init prepares the replicas.
 func (w *Watcher) init() {
 	w.once.Do(func() {
-		w.config = newReplica(platform.ConfigKey, w.applyConfig)
-		w.targets = newReplica(platform.TargetsPrefix, w.applyTargets)
+		w.config = newReplica(store.ConfigKey, w.applyConfig)
+		w.targets = newReplica(store.TargetsPrefix, w.applyTargets)
 		w.wakeup = make(chan struct{}, 1)
 	})
 }
@@ -80,7 +80,7 @@
 // follow watches the store while that is this instance's job. Everybody reads
 // it once at start, unless peers have made the instance ready before.
 func (w *Watcher) follow(ctx context.Context, r *replica) {
-	backoff := platform.Backoff{Base: w.RetryDelay, Max: maxRetryDelay}
+	backoff := store.Backoff{Base: w.RetryDelay, Max: maxRetryDelay}
 	read := false
 	for ctx.Err() == nil {
 		if (read || w.caughtUp()) && !w.watches(r) {
@@ -113,7 +113,7 @@
 	}
 	_, cursor, _ := r.state()
 	batch, err := w.Store.Watch(ctx, r.prefix, cursor)
-	var gone *platform.CursorGoneError
+	var gone *store.CursorGoneError
 	if errors.As(err, &gone) {
 		return w.list(ctx, r)
 	}
@@ -146,8 +146,8 @@
 	}
 }
 
-func (w *Watcher) applyTargets(change platform.Change) {
-	service := model.ServiceName(strings.TrimPrefix(change.Key, platform.TargetsPrefix))
+func (w *Watcher) applyTargets(change store.Change) {
+	service := model.ServiceName(strings.TrimPrefix(change.Key, store.TargetsPrefix))
 	var list []model.Target
 	if !change.Deleted {
 		if err := json.Unmarshal(change.Value, &list); err != nil {
@@ -158,8 +158,8 @@
 	w.Table.SetTargets(service, list)
 }
 
-func (w *Watcher) applyConfig(change platform.Change) {
-	if change.Deleted || change.Key != platform.ConfigKey {
+func (w *Watcher) applyConfig(change store.Change) {
+	if change.Deleted || change.Key != store.ConfigKey {
 		return
 	}
 	document := new(config.Document)
@@ -183,6 +183,6 @@
 	}
 }
 
-func (w *Watcher) refuse(change platform.Change, err error) {
+func (w *Watcher) refuse(change store.Change, err error) {
 	w.Recorder.Record(events.Event{Kind: events.RevisionStale, Detail: change.Key + ": " + err.Error()})
 }
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -14,9 +14,9 @@
 	"redwingpoint.org/redwingpoint/internal/fleet"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/peer"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -27,7 +27,7 @@
 
 // testStore is a store that can be down, hang or answer from an old replica.
 type testStore struct {
-	platform.Store
+	store.Store
 	objects *standin.Objects
 	down    atomic.Bool
 	hung    atomic.Bool
@@ -37,30 +37,30 @@
 	watching atomic.Int64
 }
 
-func (s *testStore) at() platform.Version {
+func (s *testStore) at() store.Version {
 	if at := s.replica.Load(); at > 0 {
-		return platform.Version(at)
+		return store.Version(at)
 	}
 	return s.objects.Version()
 }
 
-func (s *testStore) List(_ context.Context, prefix string) (platform.Batch, error) {
+func (s *testStore) List(_ context.Context, prefix string) (store.Batch, error) {
 	s.calls.Add(1)
 	if s.down.Load() {
-		return platform.Batch{}, &platform.UnavailableError{Op: "list", Cause: &platform.StatusError{Status: 503}}
+		return store.Batch{}, &store.UnavailableError{Op: "list", Cause: &store.StatusError{Status: 503}}
 	}
 	b, _ := s.objects.SinceAsOf(prefix, 0, s.at())
 	return b, nil
 }
 
-func (s *testStore) Watch(ctx context.Context, prefix string, after platform.Version) (platform.Batch, error) {
+func (s *testStore) Watch(ctx context.Context, prefix string, after store.Version) (store.Batch, error) {
 	s.calls.Add(1)
 	s.watching.Add(1)
 	defer s.watching.Add(-1)
 	timeout := time.After(20 * time.Second)
 	for {
 		if s.down.Load() {
-			return platform.Batch{}, &platform.UnavailableError{Op: "watch", Cause: &platform.StatusError{Status: 503}}
+			return store.Batch{}, &store.UnavailableError{Op: "watch", Cause: &store.StatusError{Status: 503}}
 		}
 		b, wake := s.objects.SinceAsOf(prefix, after, s.at())
 		if len(b.Changes) > 0 && !s.hung.Load() {
@@ -70,9 +70,9 @@
 		case <-wake:
 		case <-time.After(time.Second):
 		case <-timeout:
-			return platform.Batch{Next: after}, nil
+			return store.Batch{Next: after}, nil
 		case <-ctx.Done():
-			return platform.Batch{}, &platform.UnavailableError{Op: "watch", Cause: ctx.Err()}
+			return store.Batch{}, &store.UnavailableError{Op: "watch", Cause: ctx.Err()}
 		}
 	}
 }
@@ -108,7 +108,7 @@
 	f := &testFleet{objects: standin.NewObjects(), cut: make(map[model.Region]bool)}
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	f.write(1)
-	f.objects.Write(platform.TargetsPrefix+"nahled", 0, []byte(`[]`), false)
+	f.objects.Write(store.TargetsPrefix+"nahled", 0, []byte(`[]`), false)
 	for range n {
 		f.add()
 	}
@@ -121,9 +121,9 @@
 
 // write stores a revision of the configuration.
 func (f *testFleet) write(revision int) {
-	old, _ := f.objects.Get(platform.ConfigKey)
+	old, _ := f.objects.Get(store.ConfigKey)
 	text := fmt.Sprintf(`{"revision":%d,"services":{"nahled":{"class":"idempotent"}}}`, revision)
-	f.objects.Write(platform.ConfigKey, old.Version, []byte(text), false)
+	f.objects.Write(store.ConfigKey, old.Version, []byte(text), false)
 }
 
 func (f *testFleet) add() *testNode {
--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -10,7 +10,7 @@
 	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/peer"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -296,7 +296,7 @@
 
 // SetListed takes the platform's list of instances in. It lags, so it only adds
 // instances to dial and bounds which dead ones are tried again.
-func (e *Engine) SetListed(list []platform.Instance) {
+func (e *Engine) SetListed(list []store.Instance) {
 	e.locked(func(now time.Time) {
 		e.listedAt = now
 		for _, k := range e.others {
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -4,15 +4,15 @@
 	"slices"
 
 	"redwingpoint.org/redwingpoint/internal/peer"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // Holdings say how far an instance has followed the objects of the platform.
 type Holdings struct {
 	// Config and Targets are the store's versions up to which the instance knows
 	// the configuration and the lists of targets.
-	Config  platform.Version `cbor:"1,keyasint,omitempty"`
-	Targets platform.Version `cbor:"2,keyasint,omitempty"`
+	Config  store.Version `cbor:"1,keyasint,omitempty"`
+	Targets store.Version `cbor:"2,keyasint,omitempty"`
 }
 
 // message is one datagram between two members. Fields that do not apply are empty.
--- a/internal/fleet/real_test.go
+++ b/internal/fleet/real_test.go
@@ -14,8 +14,8 @@
 	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/peer"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // realNode is an engine over real connections.
@@ -87,12 +87,12 @@
 	}
 	before := heapBytes()
 	var nodes []*realNode
-	var list []platform.Instance
+	var list []store.Instance
 	for i := range size {
 		n := newRealNode(b, i, ca)
 		nodes = append(nodes, n)
 		self := n.members.Live()[0]
-		list = append(list, platform.Instance{ID: self.ID, Location: self.Location, PeerAddr: self.PeerAddr})
+		list = append(list, store.Instance{ID: self.ID, Location: self.Location, PeerAddr: self.PeerAddr})
 	}
 	for _, n := range nodes {
 		n.SetListed(list)
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -12,7 +12,7 @@
 	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/peer"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // Sizes on the wire, headers of IP, UDP, QUIC and TLS included, as
@@ -157,9 +157,9 @@
 
 // list gives every running instance the platform's list.
 func (s *sim) list() {
-	var list []platform.Instance
+	var list []store.Instance
 	for _, n := range s.nodes {
-		list = append(list, platform.Instance{ID: n.self.ID, Location: n.self.Location, PeerAddr: n.self.PeerAddr})
+		list = append(list, store.Instance{ID: n.self.ID, Location: n.self.Location, PeerAddr: n.self.PeerAddr})
 	}
 	for _, n := range s.nodes {
 		n.engine.SetListed(list)
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -13,8 +13,8 @@
 	"github.com/google/uuid"
 
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const benchTime = 20 * time.Second
@@ -45,7 +45,7 @@
 		case routed && n > 0:
 			l.commits = remote{ledgers[0].commits}
 		case instances > 1 && !routed:
-			l = ledgerOver(l.self, p, platform.ClientOptions{})
+			l = ledgerOver(l.self, p, store.ClientOptions{})
 		}
 		ledgers = append(ledgers, l)
 	}
--- a/internal/ledger/committer.go
+++ b/internal/ledger/committer.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -46,7 +46,7 @@
 // settled by reading the shard and applying the ops again. It is safe for
 // concurrent use.
 type GroupCommitter struct {
-	store  platform.Store
+	store  store.Store
 	floors *floors
 	now    func() time.Time
 
@@ -57,7 +57,7 @@
 }
 
 // NewGroupCommitter returns a committer over the Object API.
-func NewGroupCommitter(store platform.Store) *GroupCommitter {
+func NewGroupCommitter(store store.Store) *GroupCommitter {
 	return &GroupCommitter{
 		store:  store,
 		floors: newFloors(store, time.Now),
--- a/internal/ledger/floor.go
+++ b/internal/ledger/floor.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -33,11 +33,11 @@
 
 // floors reads and raises the horizons of services. It is safe for concurrent use.
 type floors struct {
-	store platform.Store
+	store store.Store
 	now   func() time.Time
 
 	mu     sync.Mutex
-	cached map[model.ServiceName]platform.Object
+	cached map[model.ServiceName]store.Object
 	// next holds, for each service, the confirmation that has not begun yet.
 	next map[model.ServiceName]*confirmation
 	// turn is held by the confirmation under way, per service.
@@ -51,18 +51,18 @@
 	err     error
 }
 
-func newFloors(store platform.Store, now func() time.Time) *floors {
+func newFloors(objects store.Store, now func() time.Time) *floors {
 	return &floors{
-		store:  store,
+		store:  objects,
 		now:    now,
-		cached: make(map[model.ServiceName]platform.Object),
+		cached: make(map[model.ServiceName]store.Object),
 		next:   make(map[model.ServiceName]*confirmation),
 		turn:   make(map[model.ServiceName]chan struct{}),
 	}
 }
 
 func floorKey(service model.ServiceName) string {
-	return platform.LedgerPrefix + string(service) + "/floor"
+	return store.LedgerPrefix + string(service) + "/floor"
 }
 
 // confirm returns the horizon as it was after the call began. A read may come
@@ -106,7 +106,7 @@
 
 // readFresh reads the horizon by writing it, and creates it if there is none.
 func (f *floors) readFresh(ctx context.Context, place Place) (floor, error) {
-	return f.rewrite(ctx, place.Service, func(object platform.Object) (floor, error) {
+	return f.rewrite(ctx, place.Service, func(object store.Object) (floor, error) {
 		if object.Version == 0 {
 			lowest := min(place.Slice, sliceOf(f.now().Add(-place.Retention)))
 			return floor{Lowest: lowest, Swept: lowest}, nil
@@ -118,7 +118,7 @@
 // raise moves the horizon towards a slice, by a bounded step, and returns it.
 // The bound limits what one instance with a wrong clock can refuse.
 func (f *floors) raise(ctx context.Context, service model.ServiceName, lowest int64) (floor, error) {
-	return f.rewrite(ctx, service, func(object platform.Object) (floor, error) {
+	return f.rewrite(ctx, service, func(object store.Object) (floor, error) {
 		h, err := decodeFloor(object.Value)
 		h.Lowest = max(h.Lowest, min(lowest, h.Lowest+sweepSlices))
 		return h, err
@@ -127,7 +127,7 @@
 
 // swept notes that the objects below a slice are gone.
 func (f *floors) swept(ctx context.Context, service model.ServiceName, below int64) error {
-	_, err := f.rewrite(ctx, service, func(object platform.Object) (floor, error) {
+	_, err := f.rewrite(ctx, service, func(object store.Object) (floor, error) {
 		h, err := decodeFloor(object.Value)
 		h.Swept = max(h.Swept, below)
 		return h, err
@@ -137,8 +137,8 @@
 
 // rewrite updates the horizon conditionally until a write is confirmed. The
 // update must be a function of the stored state alone.
-func (f *floors) rewrite(ctx context.Context, service model.ServiceName, update func(platform.Object) (floor, error)) (floor, error) {
-	pause := platform.Backoff{Base: conflictBase, Max: conflictMax}
+func (f *floors) rewrite(ctx context.Context, service model.ServiceName, update func(store.Object) (floor, error)) (floor, error) {
+	pause := store.Backoff{Base: conflictBase, Max: conflictMax}
 	object, err := f.known(ctx, service)
 	for err == nil {
 		var next floor
@@ -152,12 +152,12 @@
 		if pause.Wait(ctx) != nil {
 			return floor{}, err
 		}
-		object, err = platform.Read(ctx, f.store, floorKey(service))
+		object, err = store.Read(ctx, f.store, floorKey(service))
 	}
 	return floor{}, err
 }
 
-func (f *floors) tryRewrite(ctx context.Context, service model.ServiceName, object platform.Object, update func(platform.Object) (floor, error)) (floor, error) {
+func (f *floors) tryRewrite(ctx context.Context, service model.ServiceName, object store.Object, update func(store.Object) (floor, error)) (floor, error) {
 	next, err := update(object)
 	if err != nil {
 		return floor{}, err
@@ -170,27 +170,27 @@
 	if err != nil {
 		return floor{}, err
 	}
-	f.remember(service, platform.Object{Key: object.Key, Version: version, Value: value})
+	f.remember(service, store.Object{Key: object.Key, Version: version, Value: value})
 	return next, nil
 }
 
 // contested reports whether a conditional write may be tried again on new state.
 func contested(err error) bool {
-	var conflict *platform.ConflictError
-	return errors.As(err, &conflict) || platform.Uncertain(err)
+	var conflict *store.ConflictError
+	return errors.As(err, &conflict) || store.Uncertain(err)
 }
 
-func (f *floors) known(ctx context.Context, service model.ServiceName) (platform.Object, error) {
+func (f *floors) known(ctx context.Context, service model.ServiceName) (store.Object, error) {
 	f.mu.Lock()
 	object, ok := f.cached[service]
 	f.mu.Unlock()
 	if ok {
 		return object, nil
 	}
-	return platform.Read(ctx, f.store, floorKey(service))
+	return store.Read(ctx, f.store, floorKey(service))
 }
 
-func (f *floors) remember(service model.ServiceName, object platform.Object) {
+func (f *floors) remember(service model.ServiceName, object store.Object) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if object.Version > f.cached[service].Version {
@@ -209,7 +209,7 @@
 // sweep raises the horizon of a service towards the end of its retention and
 // deletes objects below it. It returns the number deleted.
 func (f *floors) sweep(ctx context.Context, service model.ServiceName, retention time.Duration) (int, error) {
-	present, err := platform.Read(ctx, f.store, floorKey(service))
+	present, err := store.Read(ctx, f.store, floorKey(service))
 	if err != nil || present.Version == 0 {
 		return 0, err
 	}
@@ -236,7 +236,7 @@
 	deleted := 0
 	for n := range timedShards {
 		key := sliceObject(service, number, strconv.Itoa(n))
-		object, err := platform.Read(ctx, f.store, key)
+		object, err := store.Read(ctx, f.store, key)
 		if err != nil {
 			return deleted, err
 		}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -16,21 +16,21 @@
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const oneWay = 12 * time.Millisecond
 
 // newLedger returns a ledger whose call budget is no limit.
 func newLedger(self model.InstanceID, p *standin.Platform) *StoreLedger {
-	return ledgerOver(self, p, platform.ClientOptions{CallsPerSecond: 2000, WritesPerSecond: 1000, Burst: 1000})
+	return ledgerOver(self, p, store.ClientOptions{CallsPerSecond: 2000, WritesPerSecond: 1000, Burst: 1000})
 }
 
-func ledgerOver(self model.InstanceID, p *standin.Platform, o platform.ClientOptions) *StoreLedger {
+func ledgerOver(self model.InstanceID, p *standin.Platform, o store.ClientOptions) *StoreLedger {
 	o.BaseURL = "http://platform"
 	o.Transport = &standin.Transport{Handler: p.Handler(), Delay: oneWay}
-	return New(Options{Self: self, Store: platform.NewClient(o), Recorder: events.Discard})
+	return New(Options{Self: self, Store: store.NewClient(o), Recorder: events.Discard})
 }
 
 func receipt(key, body string) Request {
@@ -324,7 +324,7 @@
 		s.apply(op)
 	}
 	value, err := s.encode("ledger/x")
-	if err != nil || len(value) > platform.MaxObjectBytes {
+	if err != nil || len(value) > store.MaxObjectBytes {
 		t.Fatalf("%d bytes, %v", len(value), err)
 	}
 	for _, r := range s.Records {
--- a/internal/ledger/place.go
+++ b/internal/ledger/place.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -56,7 +56,7 @@
 	place := Place{Service: req.Service, Slice: opaqueSlice, Retention: req.Retention}
 	at, timed := keyTime(req.Key)
 	if !timed {
-		place.Object = fmt.Sprintf("%s%s/key/%03x", platform.LedgerPrefix, req.Service, shard%opaqueShards)
+		place.Object = fmt.Sprintf("%s%s/key/%03x", store.LedgerPrefix, req.Service, shard%opaqueShards)
 		return place, hash, nil
 	}
 	if now.Sub(at) > req.Retention {
@@ -86,5 +86,5 @@
 func sliceOf(at time.Time) int64 { return at.UnixMilli() / slice.Milliseconds() }
 
 func sliceObject(service model.ServiceName, number int64, shard string) string {
-	return fmt.Sprintf("%s%s/time/%d/%s", platform.LedgerPrefix, service, number, shard)
+	return fmt.Sprintf("%s%s/time/%d/%s", store.LedgerPrefix, service, number, shard)
 }
--- a/internal/ledger/routed.go
+++ b/internal/ledger/routed.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -84,7 +84,7 @@
 		return r.local.Commit(ctx, place, op)
 	}
 	verdict, err := r.ask(ctx, owner, place, op)
-	pause := platform.Backoff{Base: againBase, Max: againMax}
+	pause := store.Backoff{Base: againBase, Max: againMax}
 	for overloaded(err) {
 		if op.Kind == OpClaim || pause.Wait(ctx) != nil {
 			return Verdict{}, &UndecidedError{Cause: err}
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // maxAnswerBytes is the largest answer, header included, that is kept.
@@ -71,7 +71,7 @@
 // kept answers; it returns *FullError if that does not suffice.
 func (s *shard) encode(object string) ([]byte, error) {
 	value, err := s.marshal()
-	if err != nil || len(value) <= platform.MaxObjectBytes {
+	if err != nil || len(value) <= store.MaxObjectBytes {
 		return value, err
 	}
 	s.dropAnswers()
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(value) > platform.MaxObjectBytes {
+	if len(value) > store.MaxObjectBytes {
 		return nil, &FullError{Object: object}
 	}
 	return value, nil
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -10,7 +10,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -28,7 +28,7 @@
 // Options are the collaborators of a StoreLedger.
 type Options struct {
 	Self     model.InstanceID
-	Store    platform.Store
+	Store    store.Store
 	Recorder events.Recorder
 	// Commits replaces the committer of this process, for example by one that
 	// sends the ops of a shard to one instance to save conflicts.
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // writer commits the ops of one shard, one batch at a time. Its queue, running
@@ -21,13 +21,13 @@
 	retention time.Duration
 	// state is the shard at version, or nil if it is not known.
 	state   *shard
-	version platform.Version
+	version store.Version
 	// least is the lowest version that a read may show.
-	least platform.Version
+	least store.Version
 	// opened is set once this object is known to precede any sweep of its slice.
 	opened    bool
 	lastWrite time.Time
-	outage    platform.Backoff
+	outage    store.Backoff
 }
 
 const (
@@ -41,7 +41,7 @@
 		c:       c,
 		place:   place,
 		arrived: make(chan struct{}, 1),
-		outage:  platform.Backoff{Base: outageBase, Max: outageMax},
+		outage:  store.Backoff{Base: outageBase, Max: outageMax},
 	}
 	if place.Slice > sliceOf(c.now()) {
 		w.state = new(shard)
@@ -84,7 +84,7 @@
 func (w *writer) commit(batch []*pending) []*pending {
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
-	pause := platform.Backoff{Base: conflictBase, Max: conflictMax}
+	pause := store.Backoff{Base: conflictBase, Max: conflictMax}
 	fresh, uncertain := false, false
 	for {
 		if w.state == nil {
@@ -105,7 +105,7 @@
 		if overBudget(err) && pause.Wait(ctx) == nil {
 			continue
 		}
-		uncertain = uncertain || platform.Uncertain(err)
+		uncertain = uncertain || store.Uncertain(err)
 		if !contested(err) {
 			return w.fail(batch, err, uncertain)
 		}
@@ -118,9 +118,9 @@
 
 // load reads the shard; an answer older than what is known to exist is refused.
 func (w *writer) load(ctx context.Context) error {
-	pause := platform.Backoff{Base: conflictBase, Max: conflictMax}
+	pause := store.Backoff{Base: conflictBase, Max: conflictMax}
 	for {
-		object, err := platform.Read(ctx, w.c.store, w.place.Object)
+		object, err := store.Read(ctx, w.c.store, w.place.Object)
 		if overBudget(err) && pause.Wait(ctx) == nil {
 			continue
 		}
@@ -129,7 +129,7 @@
 		}
 		if object.Version < w.least {
 			if pause.Wait(ctx) != nil {
-				return &platform.StaleError{Have: w.least, Got: object.Version}
+				return &store.StaleError{Have: w.least, Got: object.Version}
 			}
 			continue
 		}
@@ -146,7 +146,7 @@
 
 // overBudget reports a call that was not made. Ops gather while it waits.
 func overBudget(err error) bool {
-	var over *platform.BudgetError
+	var over *store.BudgetError
 	return errors.As(err, &over)
 }
 
@@ -207,7 +207,7 @@
 
 // forget drops the state after a write that did not succeed or is uncertain.
 func (w *writer) forget(err error) {
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	switch {
 	case errors.As(err, &conflict) && conflict.Current == 0:
 		w.least = 0
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -13,7 +13,7 @@
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/operator/api"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 const (
@@ -51,7 +51,7 @@
 
 func (s *Server) applyConfig(c *gin.Context) {
 	var req api.ApplyRequest
-	body := http.MaxBytesReader(c.Writer, c.Request.Body, 2*platform.MaxObjectBytes)
+	body := http.MaxBytesReader(c.Writer, c.Request.Body, 2*store.MaxObjectBytes)
 	c.Request.Body = body
 	if err := c.ShouldBindJSON(&req); err != nil {
 		fail(c, http.StatusBadRequest, api.CodeBadRequest, "body: "+err.Error())
--- a/internal/operator/listed.go
+++ b/internal/operator/listed.go
@@ -7,7 +7,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/operator/api"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // listedLife is how long an instance list is used again, so that a command that
@@ -18,11 +18,11 @@
 type listed struct {
 	mu   sync.Mutex
 	read time.Time
-	list []platform.Instance
+	list []store.Instance
 }
 
 // get returns the list; that of a platform that doesn't answer is empty.
-func (l *listed) get(ctx context.Context, lister platform.InstanceLister) []platform.Instance {
+func (l *listed) get(ctx context.Context, lister store.InstanceLister) []store.Instance {
 	if lister == nil {
 		return nil
 	}
@@ -47,7 +47,7 @@
 		members[m.ID] = true
 	}
 	for _, i := range s.listed.get(ctx, s.Lister) {
-		if members[i.ID] || i.State != platform.InstanceLive {
+		if members[i.ID] || i.State != store.InstanceLive {
 			continue
 		}
 		region := i.Location.Region
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -18,9 +18,9 @@
 	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/operator/api"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/routing"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // Server is the operator endpoint of one instance. Everything but readiness
@@ -46,7 +46,7 @@
 	// LogLevel is the level of the process's log.
 	LogLevel zap.AtomicLevel
 	// Lister is asked for instances that the fleet hasn't heard of; may be nil.
-	Lister platform.InstanceLister
+	Lister store.InstanceLister
 	// Ready reports whether this instance may receive requests.
 	Ready func() bool
 
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -26,10 +26,10 @@
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/operator/api"
 	"redwingpoint.org/redwingpoint/internal/operator/client"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -43,8 +43,8 @@
 
 func newServer(t *testing.T) *Server {
 	t.Helper()
-	store := httptest.NewServer(standin.NewPlatform().Handler())
-	t.Cleanup(store.Close)
+	server := httptest.NewServer(standin.NewPlatform().Handler())
+	t.Cleanup(server.Close)
 	clock := events.NewClock(time.Now)
 	ring := events.NewRing("praha-a-1", clock, 64)
 	holder := config.NewHolder(praha)
@@ -56,7 +56,7 @@
 		Ring:     ring,
 		Config:   holder,
 		Applier: &config.Applier{
-			Store: platform.NewClient(platform.ClientOptions{BaseURL: store.URL}),
+			Store: store.NewClient(store.ClientOptions{BaseURL: server.URL}),
 			Known: holder.Revision, Now: time.Now, Recorder: ring,
 		},
 		Table:      routing.NewTable(praha),
@@ -247,10 +247,10 @@
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
 	s.Lister = lister{
-		{ID: "praha-a-1", Location: praha, State: platform.InstanceLive},
-		{ID: "praha-a-9", Location: praha, State: platform.InstanceLive},
-		{ID: "praha-a-8", Location: praha, State: platform.InstanceLeaving},
-		{ID: "ostrava-a-1", Location: model.Location{Region: "ostrava"}, State: platform.InstanceLive},
+		{ID: "praha-a-1", Location: praha, State: store.InstanceLive},
+		{ID: "praha-a-9", Location: praha, State: store.InstanceLive},
+		{ID: "praha-a-8", Location: praha, State: store.InstanceLeaving},
+		{ID: "ostrava-a-1", Location: model.Location{Region: "ostrava"}, State: store.InstanceLive},
 	}
 	s.listed = listed{}
 	if answer, _ = c.InForce(t.Context()); len(answer.Regions) != 3 || answer.Regions[1].Unheard != 1 || answer.Regions[2].Unheard != 1 {
@@ -348,9 +348,9 @@
 	}
 }
 
-type lister []platform.Instance
+type lister []store.Instance
 
-func (l lister) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
+func (l lister) Instances(context.Context) ([]store.Instance, error) { return l, nil }
 
 func TestApplyWarnsOfExceptionsWithoutEffect(t *testing.T) {
 	c, _ := start(t, newServer(t))
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -10,8 +10,8 @@
 
 	fleetkeys "redwingpoint.org/redwingpoint/internal/keys"
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // fleet gives instances certificates and lists them at the platform, so that
@@ -21,7 +21,7 @@
 	platform *standin.Platform
 
 	mu     sync.Mutex
-	listed map[int]platform.Instance
+	listed map[int]store.Instance
 }
 
 func newFleet(t *testing.T, p *standin.Platform) *fleet {
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &fleet{ca: ca, platform: p, listed: make(map[int]platform.Instance)}
+	return &fleet{ca: ca, platform: p, listed: make(map[int]store.Instance)}
 }
 
 // join lists a process in place of its predecessor and returns its peer settings.
@@ -46,13 +46,13 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.listed[i.number] = platform.Instance{
+	f.listed[i.number] = store.Instance{
 		ID:       id,
 		Location: model.Location{Region: "praha", FailureDomain: "praha-a"},
 		PeerAddr: i.ip + ":7946",
-		State:    platform.InstanceLive,
+		State:    store.InstanceLive,
 	}
-	var list []platform.Instance
+	var list []store.Instance
 	for _, entry := range f.listed {
 		list = append(list, entry)
 	}
--- a/internal/soak/freeze_test.go
+++ b/internal/soak/freeze_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // heldAnswers holds the answer to one write of a ledger record back after it
@@ -46,7 +46,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *heldAnswers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	ledger := r.Method == http.MethodPut && strings.Contains(r.URL.Path, platform.LedgerPrefix+"odeslani/key/")
+	ledger := r.Method == http.MethodPut && strings.Contains(r.URL.Path, store.LedgerPrefix+"odeslani/key/")
 	if !ledger {
 		h.inner.ServeHTTP(w, r)
 		return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,8 +22,8 @@
 
 	"redwingpoint.org/redwingpoint/internal/config"
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 var seeds = flag.Int("seeds", 2, "number of seeds to run; with odd ones the instances are peers")
@@ -93,7 +93,7 @@
 		target:   newCounter(seed),
 		told:     make(map[string]string),
 	}
-	store := serveAt(t, firstIP, wrap(r.platform.Handler()))
+	objects := serveAt(t, firstIP, wrap(r.platform.Handler()))
 	var list []model.Target
 	for n := range 2 {
 		server := serveAt(t, firstIP+1+n, r.target)
@@ -109,14 +109,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.platform.Objects.Write(platform.TargetsPrefix+"odeslani", 0, raw, false)
-	r.platform.Objects.Write(platform.ConfigKey, 0, []byte(soakConfig), false)
+	r.platform.Objects.Write(store.TargetsPrefix+"odeslani", 0, raw, false)
+	r.platform.Objects.Write(store.ConfigKey, 0, []byte(soakConfig), false)
 	var peers *fleet
 	if seed%2 == 1 {
 		peers = newFleet(t, r.platform)
 	}
 	for n := range instances {
-		i := &instance{t: t, binary: binary, dir: t.TempDir(), platform: store.URL, ip: standin.LoopbackIP(firstIP + 10 + n), number: n, fleet: peers}
+		i := &instance{t: t, binary: binary, dir: t.TempDir(), platform: objects.URL, ip: standin.LoopbackIP(firstIP + 10 + n), number: n, fleet: peers}
 		i.start()
 		t.Cleanup(i.kill)
 		r.instances = append(r.instances, i)
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/config"
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // Faults is what a platform does wrong. Shares are probabilities from 0 to 1.
@@ -114,14 +114,14 @@
 	return true
 }
 
-func (i *injector) lag(at platform.Version) platform.Version {
+func (i *injector) lag(at store.Version) store.Version {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	lag := platform.Version(1 + i.random.Uint64N(staleWrites))
+	lag := store.Version(1 + i.random.Uint64N(staleWrites))
 	return at - min(at, lag)
 }
 
-func (i *injector) reorder(b *platform.Batch) {
+func (i *injector) reorder(b *store.Batch) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.random.Shuffle(len(b.Changes), func(x, y int) {
--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // TestFaultsAreScriptedOverHTTP takes the store down and up again as a separate
@@ -27,16 +27,16 @@
 		_ = resp.Body.Close()
 		return resp.StatusCode
 	}
-	client := platform.NewClient(platform.ClientOptions{BaseURL: server.URL})
+	client := store.NewClient(store.ClientOptions{BaseURL: server.URL})
 	if status := script(`{"steps":[{"faults":{"down":true}}]}`); status != http.StatusOK {
 		t.Fatalf("status %d", status)
 	}
-	var down *platform.UnavailableError
+	var down *store.UnavailableError
 	if _, err := client.Get(t.Context(), "a"); !errors.As(err, &down) {
 		t.Errorf("while down: %v", err)
 	}
 	script(`{}`)
-	var absent *platform.NotFoundError
+	var absent *store.NotFoundError
 	if _, err := client.Get(t.Context(), "a"); !errors.As(err, &absent) {
 		t.Errorf("after it is up again: %v", err)
 	}
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -6,7 +6,7 @@
 	"strings"
 	"sync"
 
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // keptStates is the number of past states of an object that an old replica may show.
@@ -15,24 +15,24 @@
 // Objects is an in-memory versioned object store.
 type Objects struct {
 	mu      sync.Mutex
-	version platform.Version
+	version store.Version
 	// objects holds the states of each key, the newest last.
-	objects map[string][]platform.Change
+	objects map[string][]store.Change
 	wake    chan struct{}
 	// oldest is the lowest cursor that watches may resume from.
-	oldest platform.Version
+	oldest store.Version
 }
 
 // NewObjects returns an empty store.
 func NewObjects() *Objects {
-	return &Objects{objects: make(map[string][]platform.Change), wake: make(chan struct{})}
+	return &Objects{objects: make(map[string][]store.Change), wake: make(chan struct{})}
 }
 
 // Get returns the object and whether it exists.
-func (o *Objects) Get(key string) (platform.Object, bool) { return o.GetAsOf(key, o.Version()) }
+func (o *Objects) Get(key string) (store.Object, bool) { return o.GetAsOf(key, o.Version()) }
 
 // GetAsOf returns the object as a replica at an earlier version shows it.
-func (o *Objects) GetAsOf(key string, at platform.Version) (platform.Object, bool) {
+func (o *Objects) GetAsOf(key string, at store.Version) (store.Object, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	c := o.asOf(key, at)
@@ -40,7 +40,7 @@
 }
 
 // Version returns the number of writes so far.
-func (o *Objects) Version() platform.Version {
+func (o *Objects) Version() store.Version {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.version
@@ -48,7 +48,7 @@
 
 // Write stores or deletes an object if its version is expect. It returns the
 // object's version afterwards and whether the condition held.
-func (o *Objects) Write(key string, expect platform.Version, value []byte, deleted bool) (platform.Version, bool) {
+func (o *Objects) Write(key string, expect store.Version, value []byte, deleted bool) (store.Version, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	current := o.asOf(key, o.version)
@@ -59,12 +59,12 @@
 		return current.Version, false
 	}
 	o.version++
-	states := append(o.objects[key], platform.Change{
-		Object:  platform.Object{Key: key, Version: o.version, Value: value},
+	states := append(o.objects[key], store.Change{
+		Object:  store.Object{Key: key, Version: o.version, Value: value},
 		Deleted: deleted,
 	})
 	if len(states) > keptStates {
-		states = append([]platform.Change{}, states[1:]...)
+		states = append([]store.Change{}, states[1:]...)
 	}
 	o.objects[key] = states
 	close(o.wake)
@@ -81,15 +81,15 @@
 
 // Since returns the newest state of the objects under prefix written after a
 // version, the store's version, and a channel closed at the next write.
-func (o *Objects) Since(prefix string, after platform.Version) (platform.Batch, <-chan struct{}) {
+func (o *Objects) Since(prefix string, after store.Version) (store.Batch, <-chan struct{}) {
 	return o.SinceAsOf(prefix, after, o.Version())
 }
 
 // SinceAsOf is Since at a replica that has seen the writes up to a version.
-func (o *Objects) SinceAsOf(prefix string, after, at platform.Version) (platform.Batch, <-chan struct{}) {
+func (o *Objects) SinceAsOf(prefix string, after, at store.Version) (store.Batch, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	batch := platform.Batch{Next: at}
+	batch := store.Batch{Next: at}
 	for key := range o.objects {
 		if !strings.HasPrefix(key, prefix) {
 			continue
@@ -103,19 +103,19 @@
 }
 
 // CursorGone reports whether a watch may no longer resume from a cursor.
-func (o *Objects) CursorGone(after platform.Version) bool {
+func (o *Objects) CursorGone(after store.Version) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return after < o.oldest
 }
 
 // asOf returns the state of a key at a version; the caller holds the lock.
-func (o *Objects) asOf(key string, at platform.Version) platform.Change {
+func (o *Objects) asOf(key string, at store.Version) store.Change {
 	states := o.objects[key]
 	for i := len(states) - 1; i >= 0; i-- {
 		if states[i].Version <= at {
 			return states[i]
 		}
 	}
-	return platform.Change{}
+	return store.Change{}
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"redwingpoint.org/redwingpoint/internal/platform"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
 // Platform serves the Object API and the instance list over HTTP.
@@ -18,7 +18,7 @@
 
 	faults    injector
 	mu        sync.Mutex
-	instances []platform.Instance
+	instances []store.Instance
 }
 
 // Inject follows a script of faults from now on.
@@ -31,10 +31,10 @@
 func NewPlatform() *Platform { return &Platform{Objects: NewObjects()} }
 
 // SetInstances replaces the instance list.
-func (p *Platform) SetInstances(list []platform.Instance) {
+func (p *Platform) SetInstances(list []store.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.instances = append([]platform.Instance{}, list...)
+	p.instances = append([]store.Instance{}, list...)
 }
 
 // Handler returns the HTTP interface of the platform. PUT /admin/faults takes a
@@ -65,7 +65,7 @@
 }
 
 // replica returns the version that a read is answered from.
-func (p *Platform) replica(f Faults) platform.Version {
+func (p *Platform) replica(f Faults) store.Version {
 	at := p.Objects.Version()
 	if p.faults.hit(f.StaleReads, &p.faults.tally.Stale) {
 		return p.faults.lag(at)
@@ -87,8 +87,8 @@
 
 func (p *Platform) write(w http.ResponseWriter, r *http.Request) {
 	f := p.faults.current(&p.faults.tally.Writes)
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxObjectBytes+1))
-	if err != nil || len(value) > platform.MaxObjectBytes {
+	value, err := io.ReadAll(io.LimitReader(r.Body, store.MaxObjectBytes+1))
+	if err != nil || len(value) > store.MaxObjectBytes {
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
@@ -120,7 +120,7 @@
 	p.faults.before(r, f)
 	query := r.URL.Query()
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
-	if p.Objects.CursorGone(platform.Version(after)) {
+	if p.Objects.CursorGone(store.Version(after)) {
 		w.WriteHeader(http.StatusGone)
 		return
 	}
@@ -128,7 +128,7 @@
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
-		batch, wake := p.Objects.SinceAsOf(query.Get("prefix"), platform.Version(after), p.replica(f))
+		batch, wake := p.Objects.SinceAsOf(query.Get("prefix"), store.Version(after), p.replica(f))
 		if len(batch.Changes) > 0 {
 			p.answerWatch(w, f, batch)
 			return
@@ -144,7 +144,7 @@
 	}
 }
 
-func (p *Platform) answerWatch(w http.ResponseWriter, f Faults, batch platform.Batch) {
+func (p *Platform) answerWatch(w http.ResponseWriter, f Faults, batch store.Batch) {
 	if p.faults.hit(f.DropWatches, &p.faults.tally.Cut) {
 		panic(http.ErrAbortHandler)
 	}
@@ -161,7 +161,7 @@
 }
 
 func (p *Platform) putInstances(w http.ResponseWriter, r *http.Request) {
-	var list []platform.Instance
+	var list []store.Instance
 	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -169,12 +169,12 @@
 	p.SetInstances(list)
 }
 
-func expected(h http.Header) platform.Version {
+func expected(h http.Header) store.Version {
 	v, _ := strconv.ParseUint(strings.Trim(h.Get("If-Match"), `"`), 10, 64)
-	return platform.Version(v)
+	return store.Version(v)
 }
 
-func etag(v platform.Version) string {
+func etag(v store.Version) string {
 	return strconv.Quote(strconv.FormatUint(uint64(v), 10))
 }
 
--- a/internal/platform/client_test.go
+++ b/internal/store/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"bytes"
@@ -11,12 +11,12 @@
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/config"
-	"redwingpoint.org/redwingpoint/internal/platform"
 	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/internal/store"
 )
 
-func virtualClient(p *standin.Platform) *platform.Client {
-	return platform.NewClient(platform.ClientOptions{
+func virtualClient(p *standin.Platform) *store.Client {
+	return store.NewClient(store.ClientOptions{
 		BaseURL:   "http://platform",
 		Transport: &standin.Transport{Handler: p.Handler(), Delay: 2 * time.Millisecond},
 	})
@@ -29,21 +29,21 @@
 func TestErrorsTellCertainFromUncertain(t *testing.T) {
 	p := standin.NewPlatform()
 	server := httptest.NewServer(p.Handler())
-	client := platform.NewClient(platform.ClientOptions{BaseURL: server.URL})
+	client := store.NewClient(store.ClientOptions{BaseURL: server.URL})
 	ctx := t.Context()
 
 	p.Inject(always(standin.Faults{LoseAnswers: 1}))
 	_, err := client.Put(ctx, "config/a", 0, []byte("x"))
-	if !platform.Uncertain(err) {
+	if !store.Uncertain(err) {
 		t.Errorf("cut after the write: %v is not uncertain", err)
 	}
 	p.Inject(standin.Script{})
 	_, err = client.Put(ctx, "config/a", 0, []byte("y"))
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) || conflict.Current != 1 {
 		t.Errorf("write under an old condition: %v", err)
 	}
-	whole := bytes.Repeat([]byte("m"), platform.MaxObjectBytes)
+	whole := bytes.Repeat([]byte("m"), store.MaxObjectBytes)
 	if _, err = client.Put(ctx, "config/big", 0, whole); err != nil {
 		t.Errorf("a megabyte: %v", err)
 	}
@@ -51,15 +51,15 @@
 		t.Errorf("read a megabyte: %d bytes, %v", len(object.Value), err)
 	}
 	_, err = client.Put(ctx, "config/big", 0, append(whole, 'm'))
-	var large *platform.TooLargeError
+	var large *store.TooLargeError
 	if !errors.As(err, &large) {
 		t.Errorf("more than a megabyte: %v", err)
 	}
 	server.Close()
-	client = platform.NewClient(platform.ClientOptions{BaseURL: server.URL})
+	client = store.NewClient(store.ClientOptions{BaseURL: server.URL})
 	_, err = client.Put(ctx, "config/a", 1, []byte("z"))
-	var unavailable *platform.UnavailableError
-	if !errors.As(err, &unavailable) || platform.Uncertain(err) {
+	var unavailable *store.UnavailableError
+	if !errors.As(err, &unavailable) || store.Uncertain(err) {
 		t.Errorf("refused dial: %v must be certain", err)
 	}
 }
@@ -91,7 +91,7 @@
 				switch err := outcomes[i]; {
 				case err == nil && n != 1:
 					t.Errorf("seed %d: accepted mark is there %d times", seed, n)
-				case err != nil && !platform.Uncertain(err) && n != 0:
+				case err != nil && !store.Uncertain(err) && n != 0:
 					t.Errorf("seed %d: refused mark is there, %v", seed, err)
 				case err == nil:
 					settled++
@@ -105,19 +105,19 @@
 }
 
 // appendMark retries while its write is known to be without effect.
-func appendMark(ctx context.Context, client *platform.Client, mark byte) error {
-	pause := platform.Backoff{Base: 20 * time.Millisecond, Max: time.Second}
+func appendMark(ctx context.Context, client *store.Client, mark byte) error {
+	pause := store.Backoff{Base: 20 * time.Millisecond, Max: time.Second}
 	mine := func(value []byte) bool { return bytes.IndexByte(value, mark) >= 0 }
 	var err error
 	for range 200 {
-		var object platform.Object
-		if object, err = platform.Read(ctx, client, "marks"); err == nil {
+		var object store.Object
+		if object, err = store.Read(ctx, client, "marks"); err == nil {
 			value := append(bytes.Clone(object.Value), mark)
 			call, cancel := context.WithTimeout(ctx, 10*time.Second)
 			_, err = update(call, client, "marks", object.Version, value, mine)
 			cancel()
 		}
-		if err == nil || platform.Uncertain(err) {
+		if err == nil || store.Uncertain(err) {
 			return err
 		}
 		_ = pause.Wait(ctx)
@@ -128,28 +128,28 @@
 // update writes value like Store.Put and resolves a lost answer by reading back.
 // While the object is still at the expected version the write may land late, so
 // it is repeated under the same condition: at most one of the two takes effect.
-// It returns *platform.ConflictError once another write has made ours impossible, and
+// It returns *store.ConflictError once another write has made ours impossible, and
 // *LostAnswerError if the object was deleted meanwhile or ctx ends before the
 // outcome is known. An object that may be deleted must not be created by update.
-func update(ctx context.Context, s platform.Store, key string, expect platform.Version, value []byte, mine func([]byte) bool) (platform.Version, error) {
+func update(ctx context.Context, s store.Store, key string, expect store.Version, value []byte, mine func([]byte) bool) (store.Version, error) {
 	version, err := s.Put(ctx, key, expect, value)
-	if !platform.Uncertain(err) {
+	if !store.Uncertain(err) {
 		return version, err
 	}
 	lost := err
-	pause := platform.Backoff{Base: 20 * time.Millisecond, Max: time.Second}
+	pause := store.Backoff{Base: 20 * time.Millisecond, Max: time.Second}
 	for pause.Wait(ctx) == nil {
-		object, err := platform.Read(ctx, s, key)
+		object, err := store.Read(ctx, s, key)
 		switch {
 		case err != nil:
 			continue
 		case object.Version > 0 && mine(object.Value):
 			return object.Version, nil
 		case object.Version > expect:
-			return 0, &platform.ConflictError{Key: key, Expect: expect, Current: object.Version}
+			return 0, &store.ConflictError{Key: key, Expect: expect, Current: object.Version}
 		}
 		version, err = s.Put(ctx, key, expect, value)
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		switch {
 		case err == nil:
 			return version, nil
@@ -214,7 +214,7 @@
 	}
 }
 
-func hammer(ctx context.Context, client *platform.Client) {
+func hammer(ctx context.Context, client *store.Client) {
 	for ctx.Err() == nil {
 		_, _ = client.Get(ctx, "config/current")
 		time.Sleep(20 * time.Millisecond)
@@ -225,14 +225,14 @@
 func TestBudgetBoundsCallsAndWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := standin.NewPlatform()
-		client := platform.NewClient(platform.ClientOptions{
+		client := store.NewClient(store.ClientOptions{
 			BaseURL:         "http://platform",
 			CallsPerSecond:  50,
 			WritesPerSecond: 10,
 			Burst:           5,
 			Transport:       &standin.Transport{Handler: p.Handler()},
 		})
-		var over *platform.BudgetError
+		var over *store.BudgetError
 		refused := 0
 		for range 1000 {
 			_, _ = client.Get(t.Context(), "config/a")
--- a/internal/platform/gate.go
+++ b/internal/store/gate.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"sync"
--- a/internal/platform/platform.go
+++ b/internal/store/platform.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's services: the versioned
+// Package store is the client of the platform's services: the versioned
 // Object API, which holds everything that must last, and the instance list.
-package platform
+package store
 
 import (
 	"context"
