Bound the probes; send a request with a cut answer once more

A test of attempts showed besides that an answer that broke off counted as two arrivals, so that no second target was tried. Change: a budget of 60 probes a second and 2,000 at once for each instance; repeated requests ask only from what is left, first ones ask at least two targets. One arrival is counted once.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"redwingpoint.org/redwingpoint/internal/catalog"
 	"redwingpoint.org/redwingpoint/internal/dispatch"
@@ -65,7 +66,7 @@
 func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
 		Routes:   routes,
-		Picker:   routing.NewFreshPicker(table, client, routing.Monotonic),
+		Picker:   routing.NewFreshPicker(table, client, routing.Monotonic, rate.NewLimiter(rate.Limit(s.Probes.PerSecond), s.Probes.Burst)),
 		Upstream: client,
 		Signals:  p.Signals,
 		Budget:   dispatch.Budget{Share: s.Resend.Share, Burst: int64(s.Resend.Burst)},
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -107,21 +107,26 @@
 // become free and paces change within milliseconds.
 func (j *job) choose(ctx context.Context, last refusal) (routing.Candidate, *refusal) {
 	patience := time.Now().Add(j.rule.Objective / patienceDivisor)
+	var candidates []routing.Candidate
 	for asks := 1; ; asks++ {
 		req := j.pickRequest()
-		candidates, err := j.d.Picker.Pick(ctx, req)
-		if err != nil || len(candidates) == 0 {
+		req.Repeated = asks > 1
+		heard, err := j.d.Picker.Pick(ctx, req)
+		var spent *routing.ProbesSpentError
+		if !errors.As(err, &spent) {
+			candidates = heard
+		}
+		if len(candidates) == 0 {
 			return routing.Candidate{}, j.noTarget(last, err)
 		}
 		best := candidates[0]
-		if best.InTime(req.Work) || best.Err != nil {
+		if spent == nil && (best.InTime(req.Work) || best.Err != nil) {
 			return j.picked(best, asks, len(candidates)), nil
 		}
-		if time.Until(patience) > askAgain && ctx.Err() == nil {
-			wait(ctx, askAgain)
-			continue
+		if time.Until(patience) < askAgain || ctx.Err() != nil {
+			return j.settle(best, asks, len(candidates))
 		}
-		return j.settle(best, asks, len(candidates))
+		wait(ctx, askAgain)
 	}
 }
 
@@ -270,7 +275,7 @@
 	result, err := j.d.Upstream.Do(ctx, j.call(c))
 	if err != nil {
 		e.Load.End()
-		return j.broke(ctx, c, err)
+		return j.broke(c, err)
 	}
 	j.arrivals++
 	if result.Shed {
@@ -285,7 +290,24 @@
 }
 
 // broke judges an attempt without an answer.
-func (j *job) broke(ctx context.Context, c routing.Candidate, err error) outcome {
+func (j *job) broke(c routing.Candidate, err error) outcome {
+	failed := j.failure(c, err)
+	if !failed.Sent {
+		why := refusal{status: http.StatusServiceUnavailable, cause: CauseUnreachable, retryAfter: busyRetryAfter}
+		return outcome{again: true, free: true, why: why}
+	}
+	j.arrivals++
+	return j.lost(failed)
+}
+
+// lost judges an attempt that a target may have run without a whole answer.
+func (j *job) lost(failed *upstream.CallError) outcome {
+	j.ran = true
+	return outcome{again: j.rule.Class == model.Idempotent, why: j.unknown(failed.Reason)}
+}
+
+// failure takes note of how an attempt failed.
+func (j *job) failure(c routing.Candidate, err error) *upstream.CallError {
 	var failed *upstream.CallError
 	if !errors.As(err, &failed) {
 		failed = &upstream.CallError{Reason: upstream.Broken, Sent: true, Cause: err}
@@ -295,13 +317,7 @@
 	if failed.Reason != upstream.Cancelled {
 		c.Endpoint.Load.Reliability.Observe(false, routing.Monotonic())
 	}
-	if !failed.Sent {
-		why := refusal{status: http.StatusServiceUnavailable, cause: CauseUnreachable, retryAfter: busyRetryAfter}
-		return outcome{again: true, free: true, why: why}
-	}
-	j.arrivals++
-	j.ran = true
-	return outcome{again: j.rule.Class == model.Idempotent, why: j.unknown(failed.Reason)}
+	return failed
 }
 
 // unknown says what a caller is told of work whose outcome nobody knows.
@@ -318,7 +334,7 @@
 	if err != nil {
 		_ = result.Body.Close()
 		c.Endpoint.Load.End()
-		return j.broke(ctx, c, err)
+		return j.lost(j.failure(c, err))
 	}
 	took := time.Since(startedAt)
 	failed := result.Status >= http.StatusInternalServerError
--- a/internal/routing/fresh.go
+++ b/internal/routing/fresh.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"redwingpoint.org/redwingpoint/internal/model"
 )
 
@@ -26,6 +28,8 @@
 	maxAskedNear = 8
 	maxAskedRest = 6
 	maxAskedFar  = 4
+	// minAsked is what a request asks when the budget of probes is spent.
+	minAsked = 2
 	// inTimeShare is the share of the time left within which an answer has to be
 	// expected to count as in time.
 	inTimeShare = 0.9
@@ -46,6 +50,16 @@
 	Work       Work
 	// Exclude lists targets that this request has tried already.
 	Exclude []model.TargetID
+	// Repeated is set if the request has asked before. Probes for it are made only
+	// from what the budget has to spare.
+	Repeated bool
+}
+
+// ProbesSpentError reports that the budget has no probes for a repeated request.
+type ProbesSpentError struct{ Service model.ServiceName }
+
+func (e *ProbesSpentError) Error() string {
+	return "no probes left to ask the targets of " + string(e.Service) + " again"
 }
 
 // Candidate is one target that a pick weighed.
@@ -66,6 +80,8 @@
 	table  *Table
 	prober LoadProber
 	now    Clock
+	// budget bounds the probes of this instance.
+	budget *rate.Limiter
 
 	mu sync.Mutex
 	// rounds holds the latest round of probes in the region for each service.
@@ -91,9 +107,11 @@
 	err      error
 }
 
-// NewFreshPicker returns a picker over a table.
-func NewFreshPicker(t *Table, prober LoadProber, now Clock) *FreshPicker {
+// NewFreshPicker returns a picker over a table. The budget bounds its probes, but
+// for two of each request.
+func NewFreshPicker(t *Table, prober LoadProber, now Clock, budget *rate.Limiter) *FreshPicker {
 	return &FreshPicker{
+		budget:     budget,
 		table:      t,
 		prober:     prober,
 		now:        now,
@@ -109,7 +127,10 @@
 	if pool == nil {
 		return nil, &UnknownServiceError{Service: req.Service}
 	}
-	r := p.join(ctx, req, pool)
+	r, err := p.join(ctx, req, pool)
+	if err != nil {
+		return nil, err
+	}
 	candidates := p.weighAll(r.answers, req, r.sentAt)
 	for _, more := range p.further(pool) {
 		if slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
@@ -125,22 +146,37 @@
 }
 
 // join returns a round of probes in the region that is recent enough, or runs one.
-func (p *FreshPicker) join(ctx context.Context, req FreshRequest, pool *Pool) *round {
+func (p *FreshPicker) join(ctx context.Context, req FreshRequest, pool *Pool) (*round, error) {
 	p.mu.Lock()
 	r := p.rounds[req.Service]
 	if r != nil && r.pool == pool && r.serves(p.now()) {
 		p.mu.Unlock()
 		<-r.done
-		return r
+		return r, nil
+	}
+	homes, _, _ := usable(pool)
+	if req.Repeated && !p.budget.AllowN(time.Now(), len(homes)) {
+		p.mu.Unlock()
+		return nil, &ProbesSpentError{Service: req.Service}
 	}
 	r = &round{sentAt: p.now(), pool: pool, done: make(chan struct{})}
 	p.rounds[req.Service] = r
 	p.mu.Unlock()
-	homes, _, _ := usable(pool)
+	if !req.Repeated {
+		homes = p.afford(homes)
+	}
 	r.answers = p.ask(ctx, req.HealthPath, homes, askNear)
 	r.endedAt = p.now()
 	close(r.done)
-	return r
+	return r, nil
+}
+
+// afford returns the targets that the budget has probes for, at least two. Those
+// two are paid from later probes if need be.
+func (p *FreshPicker) afford(list []*Endpoint) []*Endpoint {
+	n := min(max(int(p.budget.Tokens()), minAsked), len(list))
+	p.budget.ReserveN(time.Now(), n)
+	return sample(list, n)
 }
 
 // serves reports whether a round is running or has just ended.
@@ -167,7 +203,8 @@
 // askSome asks some targets, drawn at random.
 func (p *FreshPicker) askSome(ctx context.Context, req FreshRequest, list []*Endpoint, n int, wait time.Duration) []Candidate {
 	list = slices.DeleteFunc(list, func(e *Endpoint) bool { return slices.Contains(req.Exclude, e.Target.ID) })
-	if len(list) == 0 {
+	n = min(n, len(list))
+	if n == 0 || !p.budget.AllowN(time.Now(), n) {
 		return nil
 	}
 	sentAt := p.now()
--- a/internal/routing/reliability.go
+++ b/internal/routing/reliability.go
@@ -42,7 +42,7 @@
 }
 
 func (r *Reliability) fade(now time.Duration) {
-	keep := math.Exp2(-float64(now-r.at) / float64(riskHalfLife))
+	keep := math.Exp2(-float64(max(0, now-r.at)) / float64(riskHalfLife))
 	r.good *= keep
 	r.failed *= keep
 	r.at = now
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -26,6 +26,7 @@
 	// Regions maps failure domains to regions.
 	Regions map[string]string `yaml:"regions" required:"true"`
 	Resend  Resend            `yaml:"resend"`
+	Probes  Probes            `yaml:"probes"`
 	// Grace is how long after SIGTERM the process may run.
 	Grace time.Duration `yaml:"grace" range:"1s..1h"`
 }
@@ -38,7 +39,20 @@
 	Burst int `yaml:"burst" range:"0..1000"`
 }
 
+// Probes bound how often an instance asks targets for their load.
+type Probes struct {
+	// PerSecond is the number of probes a second over all targets.
+	PerSecond int `yaml:"perSecond" range:"1..100000"`
+	// Burst is how many of them may come at once after a pause.
+	Burst int `yaml:"burst" range:"8..100000"`
+}
+
 const (
+	// defaultProbes keeps a fleet with two targets for each instance at 30 probes a
+	// target and second; the platform allows 60 over a day.
+	defaultProbes = 60
+	// defaultProbeBurst is what bursts may use beyond that, some 20 s of the allowance.
+	defaultProbeBurst = 2000
 	// defaultResendShare is the platform's usual ratio.
 	defaultResendShare = 0.2
 	// defaultResendBurst keeps a fleet of 20 instances, some of them restarted
@@ -49,7 +63,11 @@
 
 // DefaultGateway returns the settings that a file starts from.
 func DefaultGateway() *Gateway {
-	return &Gateway{Resend: Resend{Share: defaultResendShare, Burst: defaultResendBurst}, Grace: defaultGrace}
+	return &Gateway{
+		Resend: Resend{Share: defaultResendShare, Burst: defaultResendBurst},
+		Probes: Probes{PerSecond: defaultProbes, Burst: defaultProbeBurst},
+		Grace:  defaultGrace,
+	}
 }
 
 // LoadGateway reads settings from a YAML file. It returns *FileError or *InvalidError.
