Explain requests from logs; bound log volume; take over changed settings

Change: redwingpoint explain reads the logs of any number of gateways for a request, a target or a revision. Routine log lines are bounded to 500 a second, warnings are always written, dropped lines are a metric. A changed settings file is taken over at SIGHUP and without one.

--- a/cmd/redwingpoint/main.go
+++ b/cmd/redwingpoint/main.go
@@ -43,7 +43,7 @@
 4 conflict with another change, 5 accepted but not in force everywhere.`,
 		FlagSet: newFlags("redwingpoint"),
 		Subcommands: []*ffcli.Command{
-			serveCommand(), gatewayCommand(), configCommand(), statusCommand(), timelineCommand(), quarantineCommand(),
+			serveCommand(), gatewayCommand(), explainCommand(), configCommand(), statusCommand(), timelineCommand(), quarantineCommand(),
 			keysCommand(), versionCommand(),
 		},
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -30,6 +30,10 @@
 	DecodeRoutes    catalog.RouteDecoder
 	DecodeTarget    catalog.TargetDecoder
 	Signals         *upstream.Signals
+	// Reload delivers settings that have changed; nil means that none do.
+	Reload <-chan *settings.Gateway
+	// DroppedLines returns the number of log lines dropped so far.
+	DroppedLines func() uint64
 }
 
 const (
@@ -41,7 +45,7 @@
 	// for its readiness each second and left out after two misses.
 	leaveLag = 2300 * time.Millisecond
 	// leaveMargin is kept of the grace, so that the process ends by itself.
-	leaveMargin = 300 * time.Millisecond
+	leaveMargin = 700 * time.Millisecond
 )
 
 // NewGateway returns the application of one gateway.
@@ -55,6 +59,7 @@
 			func() *route.Holder { return new(route.Holder) },
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
 			func() *upstream.Client { return upstream.NewSignalsClient(p.Signals) },
+			func() *rate.Limiter { return rate.NewLimiter(rate.Limit(s.Probes.PerSecond), s.Probes.Burst) },
 			newDispatcher,
 			newGateway,
 		),
@@ -63,10 +68,10 @@
 	)
 }
 
-func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client) *dispatch.Dispatcher {
+func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
 		Routes:   routes,
-		Picker:   routing.NewFreshPicker(table, client, routing.Monotonic, rate.NewLimiter(rate.Limit(s.Probes.PerSecond), s.Probes.Burst)),
+		Picker:   routing.NewFreshPicker(table, client, routing.Monotonic, probes),
 		Upstream: client,
 		Signals:  p.Signals,
 		Budget:   dispatch.Budget{Share: s.Resend.Share, Burst: int64(s.Resend.Burst)},
@@ -85,19 +90,22 @@
 	table      *routing.Table
 	dispatcher *dispatch.Dispatcher
 	server     *front.Server
+	listener   net.Listener
+	probes     *rate.Limiter
 	link       catalog.Link
 	leaving    atomic.Bool
 	targets    atomic.Bool
 }
 
-func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher) *gateway {
+func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter) *gateway {
 	return &gateway{
-		settings: s, provider: p, log: log, set: set, routes: routes, table: table, dispatcher: d,
+		settings: s, provider: p, log: log, set: set, routes: routes, table: table, dispatcher: d, probes: probes,
 		server: front.NewServer(d, d.Limits),
 	}
 }
 
 func (g *gateway) run(lc fx.Lifecycle) {
+	g.gauges()
 	serveHTTP(lc, g.log, g.settings.Ready, http.HandlerFunc(g.answerReady), nil)
 	if g.settings.Metrics != "" {
 		serveHTTP(lc, g.log, g.settings.Metrics, http.HandlerFunc(g.answerMetrics), nil)
@@ -108,6 +116,9 @@
 	runLoop(lc, g.follow("targets", g.provider.Targets, &catalog.Targets{
 		Decode: g.provider.DecodeTarget, Table: g.table, Observer: g,
 	}))
+	if g.provider.Reload != nil {
+		runLoop(lc, g.reload)
+	}
 	lc.Append(fx.Hook{OnStart: g.start, OnStop: g.leave})
 }
 
@@ -123,6 +134,26 @@
 	return f.Run
 }
 
+// gauges adds the metrics that are read when they are asked for.
+func (g *gateway) gauges() {
+	g.set.NewGauge("redwingpoint_gateway_ready", func() float64 {
+		if g.isReady() {
+			return 1
+		}
+		return 0
+	})
+	g.set.NewGauge("redwingpoint_routes_revision", func() float64 {
+		if t := g.routes.Current(); t != nil {
+			return float64(t.Revision)
+		}
+		return 0
+	})
+	g.set.NewGauge("redwingpoint_caller_connections", func() float64 { return float64(g.server.Connections()) })
+	if g.provider.DroppedLines != nil {
+		g.set.NewGauge("redwingpoint_log_lines_dropped", func() float64 { return float64(g.provider.DroppedLines()) })
+	}
+}
+
 // isReady reports whether callers may be sent here: routes and targets are known.
 func (g *gateway) isReady() bool {
 	return !g.leaving.Load() && g.routes.Current() != nil && g.targets.Load()
@@ -141,9 +172,10 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", g.settings.Callers)
 	}
+	g.listener = listener
 	g.log.Info("gateway started", zap.String("callers", g.settings.Callers), zap.String("ready", g.settings.Ready))
 	go func() {
-		if err := g.server.Serve(listener); err != nil {
+		if err := g.server.Serve(listener); err != nil && !eris.Is(err, net.ErrClosed) {
 			g.log.Info("callers' listener ended", zap.Error(err))
 		}
 	}()
@@ -165,6 +197,9 @@
 	case <-lag.C:
 	case <-ctx.Done():
 	}
+	if err := g.listener.Close(); err != nil {
+		g.log.Warn("callers' listener not closed", zap.Error(err))
+	}
 	err := g.server.Leave(ctx)
 	g.log.Info("gateway stopped", zap.Int("connections", g.server.Connections()), zap.Error(err))
 	return nil
--- a/internal/daemon/observe.go
+++ b/internal/daemon/observe.go
@@ -1,12 +1,14 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/route"
@@ -65,3 +67,18 @@
 func (g *gateway) TargetRejected(name string, err error) {
 	g.log.Warn("target entry rejected", zap.String("name", name), zap.Error(err))
 }
+
+// reload takes over the settings that may change while the process runs.
+func (g *gateway) reload(ctx context.Context) {
+	for {
+		select {
+		case s := <-g.provider.Reload:
+			g.dispatcher.SetShare(s.Resend.Share)
+			g.probes.SetLimit(rate.Limit(s.Probes.PerSecond))
+			g.probes.SetBurst(s.Probes.Burst)
+			g.log.Info("settings reloaded", zap.Float64("resend_share", s.Resend.Share), zap.Int("probes_per_second", s.Probes.PerSecond))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -59,7 +59,15 @@
 }
 
 // New returns a dispatcher.
-func New(o Options) *Dispatcher { return &Dispatcher{Options: o, services: services{budget: o.Budget}} }
+func New(o Options) *Dispatcher {
+	d := &Dispatcher{Options: o}
+	d.services.burst = o.Budget.Burst
+	d.SetShare(o.Budget.Share)
+	return d
+}
+
+// SetShare changes the part of a service's requests that may be sent once more.
+func (d *Dispatcher) SetShare(share float64) { d.services.setShare(share) }
 
 // Limits returns the limits in force towards callers.
 func (d *Dispatcher) Limits() route.Limits {
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/limit"
@@ -19,32 +21,38 @@
 
 // services finds the state of a service.
 type services struct {
-	budget Budget
+	// share holds Budget.Share as bits; it may change while the process runs.
+	share  atomic.Uint64
+	burst  int64
 	byName sync.Map
 }
 
+func (s *services) setShare(share float64) { s.share.Store(math.Float64bits(share)) }
+
 // service is what an instance remembers of one service between requests.
 type service struct {
-	budget Budget
-	extra  limit.Ratio
+	all   *services
+	extra limit.Ratio
 	// idle holds what work took at idle targets at their usual pace.
 	idle limit.Latency
 }
 
+func (s *services) current() float64 { return math.Float64frombits(s.share.Load()) }
+
 func (s *services) get(name model.ServiceName) *service {
 	if known, ok := s.byName.Load(name); ok {
 		return known.(*service)
 	}
-	fresh := &service{budget: s.budget, extra: limit.Ratio{Burst: s.budget.Burst}}
+	fresh := &service{all: s, extra: limit.Ratio{Burst: s.burst}}
 	known, _ := s.byName.LoadOrStore(name, fresh)
 	return known.(*service)
 }
 
 // received counts a request, which earns a part of an extra arrival.
-func (s *service) received() { s.extra.Earn(s.budget.Share) }
+func (s *service) received() { s.extra.Earn(s.all.current()) }
 
 // spend reports whether the budget allows one more arrival.
-func (s *service) spend() bool { return s.extra.Spend(s.budget.Share) }
+func (s *service) spend() bool { return s.extra.Spend(s.all.current()) }
 
 const (
 	// typicalShare is the expected work as a share of the objective until it was
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -17,6 +18,10 @@
 	bufferedLines = 2048
 	// flushTimeout bounds the wait for the output when the process ends.
 	flushTimeout = 200 * time.Millisecond
+	// linesPerSecond bounds the volume of routine lines, burstLines is what may be
+	// written at once. A gateway writes three to five lines a request.
+	linesPerSecond = 500
+	burstLines     = 2000
 )
 
 // Sink is a zapcore.WriteSyncer that never blocks. It is safe for concurrent use.
@@ -40,7 +45,30 @@
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
 	config.EncodeDuration = zapcore.MillisDurationEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), s, level))
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), s, level)
+	return zap.New(&bounded{Core: core, sink: s, budget: rate.NewLimiter(linesPerSecond, burstLines)})
+}
+
+// bounded is a core that drops routine lines beyond a budget. Warnings and errors
+// are always written.
+type bounded struct {
+	zapcore.Core
+	sink   *Sink
+	budget *rate.Limiter
+}
+
+// With implements zapcore.Core.
+func (b *bounded) With(fields []zapcore.Field) zapcore.Core {
+	return &bounded{Core: b.Core.With(fields), sink: b.sink, budget: b.budget}
+}
+
+// Check implements zapcore.Core.
+func (b *bounded) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if e.Level < zapcore.WarnLevel && !b.budget.Allow() {
+		b.sink.dropped.Add(1)
+		return checked
+	}
+	return b.Core.Check(e, checked)
 }
 
 // Write implements io.Writer. It takes a copy of the line or drops it.
