--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -56,7 +56,7 @@
 		fx.StopTimeout(s.Grace),
 		fx.Provide(
 			metrics.NewSet,
-			func() *route.Holder { return new(route.Holder) },
+			route.NewHolder,
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
 			func() *upstream.Client { return upstream.NewSignalsClient(p.Signals) },
 			func() *rate.Limiter { return rate.NewLimiter(rate.Limit(s.Probes.PerSecond), s.Probes.Burst) },
--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -24,6 +24,9 @@
 )
 
 const (
+	// startPatience is how long a request waits for the first configuration: a list
+	// from the store takes some 60 ms from another region.
+	startPatience = 120 * time.Millisecond
 	// startRetryAfter is advised until the first configuration is known; a start
 	// takes about a second.
 	startRetryAfter = 200 * time.Millisecond
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -79,7 +79,7 @@
 
 // Serve implements front.Handler.
 func (d *Dispatcher) Serve(ctx context.Context, r *front.Request) *front.Answer {
-	table := d.Routes.Current()
+	table := d.routes(ctx)
 	if table == nil {
 		return d.turnAway(r, refusal{status: http.StatusServiceUnavailable, cause: CauseNoRoutes, retryAfter: startRetryAfter})
 	}
@@ -90,6 +90,17 @@
 	return d.newJob(r, table, rule).run(ctx)
 }
 
+// routes returns the table in force. Right after a start it waits a little for the
+// first one.
+func (d *Dispatcher) routes(ctx context.Context) *route.Table {
+	if table := d.Routes.Current(); table != nil {
+		return table
+	}
+	ctx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	return d.Routes.Await(ctx)
+}
+
 // Reject implements front.Handler.
 func (d *Dispatcher) Reject(status int, cause error) *front.Answer {
 	d.Log.Info("request rejected", zap.Int("status", status), zap.Error(cause))
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -116,9 +116,13 @@
 		if !errors.As(err, &spent) {
 			candidates = heard
 		}
-		if len(candidates) == 0 {
+		if len(candidates) == 0 && (last.cause != "" || ctx.Err() != nil || time.Until(patience) < askAgain) {
 			return routing.Candidate{}, j.noTarget(last, err)
 		}
+		if len(candidates) == 0 {
+			wait(ctx, askAgain)
+			continue
+		}
 		best := candidates[0]
 		if spent == nil && (best.InTime(req.Work) || best.Err != nil) {
 			return j.picked(best, asks, len(candidates)), nil
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -132,7 +133,24 @@
 
 // Holder publishes the table in force by atomic swap; revisions only rise. It is
 // safe for concurrent use.
-type Holder struct{ current atomic.Pointer[Table] }
+type Holder struct {
+	current atomic.Pointer[Table]
+	// first is closed when the first table is in force.
+	first chan struct{}
+}
+
+// NewHolder returns a holder without a table.
+func NewHolder() *Holder { return &Holder{first: make(chan struct{})} }
+
+// Await returns the table in force. Before the first it waits for it, until the
+// context ends; then it returns nil.
+func (h *Holder) Await(ctx context.Context) *Table {
+	select {
+	case <-h.first:
+	case <-ctx.Done():
+	}
+	return h.Current()
+}
 
 // Current returns the table in force, or nil before the first.
 func (h *Holder) Current() *Table { return h.current.Load() }
@@ -146,6 +164,9 @@
 			return false
 		}
 		if h.current.CompareAndSwap(old, t) {
+			if old == nil {
+				close(h.first)
+			}
 			return true
 		}
 	}
