--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -147,7 +147,7 @@
 func follow(t *testing.T, s *script, lasting time.Duration) *table {
 	t.Helper()
 	v, out := newTargets()
-	f := &Follower{Source: s, View: v, Observer: quiet{}, LapseGrace: time.Second, Link: new(Link)}
+	f := &Follower{Source: s, View: v, Observer: quiet{}, WatchWait: 1600 * time.Millisecond, MaxPause: 700 * time.Millisecond, LapseGrace: time.Second, Link: new(Link)}
 	ctx, cancel := context.WithTimeout(context.Background(), lasting)
 	defer cancel()
 	f.Run(ctx)
@@ -276,7 +276,7 @@
 		for range 2 {
 			source := &downFor{until: time.Now().Add(outage)}
 			v, out := newTargets()
-			f := &Follower{Source: source, View: v, Observer: quiet{}, LapseGrace: time.Second, Link: link}
+			f := &Follower{Source: source, View: v, Observer: quiet{}, WatchWait: 1600 * time.Millisecond, MaxPause: 700 * time.Millisecond, LapseGrace: time.Second, Link: link}
 			done := make(chan struct{})
 			go func() { defer close(done); f.Run(ctx) }()
 			sources, tables, ended = append(sources, source), append(tables, out), append(ended, done)
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -8,11 +8,6 @@
 )
 
 const (
-	// watchWait is how long the store may hold a watch without news. A watch that
-	// the store cuts may stay silent; what it would have told has to be in force
-	// 3 s after the store's trouble, by when the watch was given up, the history
-	// found lost and everything listed.
-	watchWait = 1600 * time.Millisecond
 	// answerTimeout bounds a call beyond the time that it may be held; the store
 	// answers in a few milliseconds, across regions in some tens, and when it is
 	// slow in some hundreds.
@@ -20,11 +15,8 @@
 	// doubtTime is how long after a lost history only the newest answers are
 	// accepted: cheap ones are seconds behind then.
 	doubtTime = 15 * time.Second
-	// minPause and maxPause bound the wait between two failed calls, each of which
-	// has its price. The upper bound leaves room for LapseGrace within the 3 s after
-	// which a machine that has its path back is held to what the store says.
+	// minPause is the wait after the first failed call; it doubles up to MaxPause.
 	minPause = 100 * time.Millisecond
-	maxPause = 700 * time.Millisecond
 	// gatherTime is how long news gathers at the store before the next watch, so
 	// that changes which come together cost one call.
 	gatherTime = 300 * time.Millisecond
@@ -54,6 +46,11 @@
 	Source   Source
 	View     View
 	Observer Observer
+	// WatchWait is how long the store may hold a watch without news. A watch that
+	// the store cuts may stay silent until it is given up.
+	WatchWait time.Duration
+	// MaxPause bounds the wait between two failed calls, each of which has its price.
+	MaxPause time.Duration
 	// LapseGrace is how long removals wait after a time of failures, because entries
 	// that lapsed meanwhile come back. It is counted from the beginning of the last
 	// failed call: the store returned after that.
@@ -104,12 +101,12 @@
 // watch waits for news once. Only a lost history is an error; other failures are
 // tried again from the same revision.
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
-	callCtx, cancel, err := f.call(ctx, watchWait+answerTimeout)
+	callCtx, cancel, err := f.call(ctx, f.WatchWait+answerTimeout)
 	if err != nil {
 		return after, err
 	}
 	defer cancel()
-	wait := watchWait
+	wait := f.WatchWait
 	if f.failures > 0 || f.verify {
 		wait = 0
 	}
@@ -162,7 +159,7 @@
 		f.failures++
 		return
 	}
-	backoff := min(minPause<<min(f.failures, 10), maxPause)
+	backoff := min(minPause<<min(f.failures, 10), f.MaxPause)
 	f.failures++
 	pause(ctx, backoff*3/4+rand.N(backoff/4))
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -37,9 +37,14 @@
 }
 
 const (
+	// settleTime is kept of Settings.Settle for what follows a watch that was given
+	// up: the call's own timeout, a pause, and a list.
+	settleTime = 1400 * time.Millisecond
+	// pauseTime is kept of it for what follows a pause between two failed calls: the
+	// next call's timeout, a list, and the wait for entries that lapsed.
+	pauseTime = 2300 * time.Millisecond
 	// lapseGrace is how long after the beginning of the last failed call a target's
-	// entry may stay away: it is back about 2 s after the store's return, and 3 s
-	// after it a removal has to be in force.
+	// entry may stay away: it is back about two seconds after the store's return.
 	lapseGrace = 2900 * time.Millisecond
 	// leaveLag is how long a leaving gateway takes new connections: it is asked
 	// for its readiness each second and left out after two misses.
@@ -128,6 +133,8 @@
 		Source:     source,
 		View:       view,
 		Observer:   &storeCalls{what: what, log: g.log.With(zap.String("what", what)), set: g.set, first: &g.targets},
+		WatchWait:  g.settings.Settle - settleTime,
+		MaxPause:   g.settings.Settle - pauseTime,
 		LapseGrace: lapseGrace,
 		Link:       &g.link,
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -27,6 +27,9 @@
 	Regions map[string]string `yaml:"regions" required:"true"`
 	Resend  Resend            `yaml:"resend"`
 	Probes  Probes            `yaml:"probes"`
+	// Settle is the time after a disturbance of the store by which what it says has
+	// to be in force.
+	Settle time.Duration `yaml:"settle" range:"3s..1m"`
 	// Grace is how long after SIGTERM the process may run.
 	Grace time.Duration `yaml:"grace" range:"1s..1h"`
 }
@@ -59,6 +62,8 @@
 	// within a window, below a common allowance of 60.
 	defaultResendBurst = 2
 	defaultGrace       = 6 * time.Second
+	// defaultSettle is the platform's usual bound.
+	defaultSettle = 3 * time.Second
 )
 
 // DefaultGateway returns the settings that a file starts from.
@@ -66,6 +71,7 @@
 	return &Gateway{
 		Resend: Resend{Share: defaultResendShare, Burst: defaultResendBurst},
 		Probes: Probes{PerSecond: defaultProbes, Burst: defaultProbeBurst},
+		Settle: defaultSettle,
 		Grace:  defaultGrace,
 	}
 }
