--- a/internal/routing/fresh.go
+++ b/internal/routing/fresh.go
@@ -23,8 +23,8 @@
 	probeTimeout = 300 * time.Millisecond
 	// maxAskedNear is the number of targets of the region that a pick asks, always
 	// the same ones, so that connections to them stay in use. maxAskedRest and
-	// maxAskedFar bound those of the rest of the region and of other regions, which
-	// are asked if none of the first answers in time.
+	// maxAskedFar are those of the rest of the region and of other regions, which are
+	// asked if none of the first answers in time.
 	maxAskedNear = 8
 	maxAskedRest = 6
 	maxAskedFar  = 4
@@ -200,7 +200,7 @@
 	}
 }
 
-// askSome asks some targets, drawn at random.
+// askSome asks the first targets of a list.
 func (p *FreshPicker) askSome(ctx context.Context, req FreshRequest, list []*Endpoint, n int, wait time.Duration) []Candidate {
 	list = slices.DeleteFunc(list, func(e *Endpoint) bool { return slices.Contains(req.Exclude, e.Target.ID) })
 	n = min(n, len(list))
@@ -208,7 +208,7 @@
 		return nil
 	}
 	sentAt := p.now()
-	return p.weighAll(p.ask(ctx, req.HealthPath, sample(list, n), wait), req, sentAt)
+	return p.weighAll(p.ask(ctx, req.HealthPath, list[:n], wait), req, sentAt)
 }
 
 // askFar asks targets of other regions. If none is better than late, they are left
@@ -259,6 +259,7 @@
 		}
 	}
 	slices.SortFunc(homes, nearer)
+	slices.SortFunc(far, nearer)
 	if len(homes) > maxAskedNear {
 		homes, rest = homes[:maxAskedNear], homes[maxAskedNear:]
 	}
