--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -9,6 +9,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/route"
+	pause "redwingpoint.org/redwingpoint/internal/wait"
 )
 
 // table records the lists of targets that it was given.
@@ -250,7 +251,7 @@
 func (d *downFor) Watch(ctx context.Context, _ uint64, wait time.Duration, _ Freshness) (Batch, error) {
 	batch, err := d.answer(ctx)
 	if err == nil {
-		pause(ctx, wait)
+		pause.For(ctx, wait)
 	}
 	return batch, err
 }
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"redwingpoint.org/redwingpoint/internal/wait"
 )
 
 const (
@@ -106,12 +108,12 @@
 		return after, err
 	}
 	defer cancel()
-	wait := f.WatchWait
+	hold := f.WatchWait
 	if f.failures > 0 || f.verify {
-		wait = 0
+		hold = 0
 	}
 	startedAt := time.Now()
-	batch, err := f.Source.Watch(callCtx, after, wait, f.freshness())
+	batch, err := f.Source.Watch(callCtx, after, hold, f.freshness())
 	f.Observer.Called("watch", time.Since(startedAt), len(batch.Objects), err)
 	var gone *HistoryGoneError
 	switch {
@@ -129,7 +131,7 @@
 	f.succeeded()
 	if len(batch.Objects) > 0 {
 		f.View.Update(batch.Objects, f.settled)
-		pause(ctx, gatherTime)
+		wait.For(ctx, gatherTime)
 	}
 	return max(after, batch.AsOf), nil
 }
@@ -161,7 +163,7 @@
 	}
 	backoff := min(minPause<<min(f.failures, 10), f.MaxPause)
 	f.failures++
-	pause(ctx, backoff*3/4+rand.N(backoff/4))
+	wait.For(ctx, backoff*3/4+rand.N(backoff/4))
 }
 
 func (f *Follower) doubt() { f.doubtedUntil = time.Now().Add(doubtTime) }
@@ -182,12 +184,3 @@
 	f.settled = f.failedAt.Add(f.LapseGrace)
 	f.Observer.Regained(time.Since(f.lostAt))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -15,6 +15,7 @@
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/peer"
 	"redwingpoint.org/redwingpoint/internal/store"
+	"redwingpoint.org/redwingpoint/internal/wait"
 )
 
 const (
@@ -119,7 +120,7 @@
 		case <-w.wakeup:
 		}
 		for ctx.Err() == nil && w.fetchRound(ctx) {
-			sleep(ctx, fetchPause)
+			wait.For(ctx, fetchPause)
 		}
 		w.announce()
 	}
@@ -189,7 +190,7 @@
 // report renews the report of the revision in force.
 func (w *Watcher) report(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, reportInterval)
+		wait.For(ctx, reportInterval)
 		w.publishRevision()
 	}
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -19,6 +19,7 @@
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/store"
+	"redwingpoint.org/redwingpoint/internal/wait"
 )
 
 const (
@@ -84,11 +85,11 @@
 	read := false
 	for ctx.Err() == nil {
 		if (read || w.caughtUp()) && !w.watches(r) {
-			sleep(ctx, idleCheck)
+			wait.For(ctx, idleCheck)
 			continue
 		}
 		if err := w.step(ctx, r, read); err != nil {
-			sleep(ctx, backoff.Next())
+			wait.For(ctx, backoff.Next())
 			continue
 		}
 		read = true
@@ -137,15 +138,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (w *Watcher) applyTargets(change store.Change) {
 	service := model.ServiceName(strings.TrimPrefix(change.Key, store.TargetsPrefix))
 	var list []model.Target
