--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -182,7 +182,7 @@
 	g.listener = listener
 	g.log.Info("gateway started", zap.String("callers", g.settings.Callers), zap.String("ready", g.settings.Ready))
 	go func() {
-		if err := g.server.Serve(listener); err != nil && !eris.Is(err, net.ErrClosed) {
+		if err := g.server.Serve(listener); !eris.Is(err, net.ErrClosed) {
 			g.log.Info("callers' listener ended", zap.Error(err))
 		}
 	}()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -59,7 +59,7 @@
 	return l
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed; it always returns an error.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		raw, err := l.Accept()
