Let all that accuse a member state the same fact; dial no one in a storm

Each of the five or six links of a dead member accused it with a stamp of its own, and each such fact replaced the one before and was flooded again; redials, some of them of members not yet known as dead, took the rest of the budget. Change: an accusation takes stamp and origin from the accused's last word, so that it spreads once and yields to any later word; the origin isn't sent; new links wait while four members or more are in doubt and three links are left; a link counts as lost after 1.0 s, two keep-alives and a half as before.

--- a/internal/fleet/facts.go
+++ b/internal/fleet/facts.go
@@ -67,6 +67,32 @@
 	b.notify()
 }
 
+// Accuse states a fact about another instance that replaces what it said last.
+// Stamp and origin follow from that statement alone: all that accuse the instance
+// state the same fact, which spreads once, and any later word of its own wins. A
+// key that is not known is left alone.
+func (b *Facts) Accuse(kind FactKind, key string, value []byte, ttl time.Duration) {
+	expires := b.now().Add(ttl).Truncate(accusationStep).Add(accusationStep)
+	b.mu.Lock()
+	old, ok := b.facts[factID{kind, key}]
+	if !ok {
+		b.mu.Unlock()
+		return
+	}
+	f := Fact{Kind: kind, Key: key, Stamp: old.Stamp + 1, Origin: model.InstanceID(key), Expires: expires.UnixMilli(), Value: value}
+	b.put(f)
+	published := b.published
+	b.mu.Unlock()
+	if published != nil {
+		published(f)
+	}
+	b.notify()
+}
+
+// accusationStep rounds the end of an accusation's life, so that all that accuse at
+// about the same time state the same.
+const accusationStep = time.Hour
+
 // Merge takes a fact in if it is newer than what is known, and reports whether it was.
 func (b *Facts) Merge(f Fact) bool {
 	b.clock.Observe(f.Stamp)
--- a/internal/fleet/message.go
+++ b/internal/fleet/message.go
@@ -30,7 +30,11 @@
 // factOverheadBytes bounds the encoding of a fact besides key, origin and value.
 const factOverheadBytes = 32
 
+// wireBytes bounds the encoding; an origin that the key repeats is left out of it.
 func (f *Fact) wireBytes() int {
+	if string(f.Origin) == f.Key {
+		return factOverheadBytes + len(f.Key) + len(f.Value)
+	}
 	return factOverheadBytes + len(f.Key) + len(f.Origin) + len(f.Value)
 }
 
--- a/internal/fleet/suspect.go
+++ b/internal/fleet/suspect.go
@@ -128,7 +128,7 @@
 		return
 	}
 	value := encode(MemberValue{State: MemberSuspect})
-	e.do(func() { e.o.Board.Publish(FactMember, string(id), value, tombstoneLife) })
+	e.do(func() { e.o.Board.Accuse(FactMember, string(id), value, tombstoneLife) })
 }
 
 // accuseLost repeats accusations that were put off.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -169,7 +169,7 @@
 func (e *Engine) connect(now time.Time) {
 	view := e.view(now)
 	for _, id := range view {
-		if k := e.others[id]; k != nil && e.links[id] == nil {
+		if k := e.others[id]; k != nil && e.links[id] == nil && !e.stormy() {
 			e.dial(k, now)
 		}
 	}
@@ -188,6 +188,20 @@
 	}
 }
 
+const (
+	// stormSuspects is the number of suspects from which a whole failure domain may
+	// be lost; single deaths don't come together.
+	stormSuspects = 4
+	// stormLinks is the number of links that spread news well enough meanwhile.
+	stormLinks = 3
+)
+
+// stormy reports whether new links should wait: so many members are in doubt that a
+// dial may well meet another dead one, and the news of them needs the budget.
+func (e *Engine) stormy() bool {
+	return len(e.suspects) >= stormSuspects && len(e.links) >= stormLinks
+}
+
 func (e *Engine) dial(k *known, now time.Time) {
 	if now.Before(k.dialingTill) {
 		return
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// IdleTimeout is the silence after which a connection counts as lost.
-	IdleTimeout = 1100 * time.Millisecond
+	// IdleTimeout is the silence after which a connection counts as lost: two
+	// keep-alives and a half, so that one lost packet ends none.
+	IdleTimeout = 1000 * time.Millisecond
 	// KeepAlive is the silence after which either end sends a keep-alive.
 	KeepAlive = 400 * time.Millisecond
 	// DialTimeout bounds a connection attempt.
