Let gateways that lack the store learn routes and targets from each other

Ruled out: pinned fingerprints in the store (missing exactly when needed, and a priced write at each start); gossip of the fleet engine (888 B/s a member all the time). Change: QUIC between gateways on the internal port, used only while the store is away: ask a seed each 0.4 s until able to serve, then each 1.5 s; both sides hand over what the other lacks.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -69,19 +69,19 @@
 
 func TestTargetsFollowTheStore(t *testing.T) {
 	v, out := newTargets()
-	v.Replace([]Object{object("1", 1, "a"), object("2", 2, "a"), object("3", 3, "torn")}, settledLongAgo)
+	v.Replace(Batch{Objects: []Object{object("1", 1, "a"), object("2", 2, "a"), object("3", 3, "torn")}}, settledLongAgo)
 	if !out.has("1") || !out.has("2") || out.has("3") {
 		t.Errorf("after a list: %+v", out.lists)
 	}
-	v.Update([]Object{object("2", 5, "b"), {Name: "1", Revision: 6, Deleted: true}}, settledLongAgo)
+	v.Update(Batch{Objects: []Object{object("2", 5, "b"), {Name: "1", Revision: 6, Deleted: true}}}, settledLongAgo)
 	if out.has("1") || len(out.lists["a"]) != 0 || len(out.lists["b"]) != 1 {
 		t.Errorf("after changes: %+v", out.lists)
 	}
-	v.Update([]Object{object("2", 4, "a"), {Name: "2", Revision: 3, Deleted: true}}, settledLongAgo)
+	v.Update(Batch{Objects: []Object{object("2", 4, "a"), {Name: "2", Revision: 3, Deleted: true}}}, settledLongAgo)
 	if len(out.lists["b"]) != 1 {
 		t.Errorf("an old answer replaced a newer one: %+v", out.lists)
 	}
-	v.Update([]Object{object("2", 9, "torn")}, settledLongAgo)
+	v.Update(Batch{Objects: []Object{object("2", 9, "torn")}}, settledLongAgo)
 	if out.has("2") {
 		t.Error("an entry that names no target is still used")
 	}
@@ -90,14 +90,14 @@
 func TestLapsedEntriesMayComeBackAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		v, out := newTargets()
-		v.Replace([]Object{object("1", 1, "a"), object("2", 2, "a")}, settledLongAgo)
+		v.Replace(Batch{Objects: []Object{object("1", 1, "a"), object("2", 2, "a")}}, settledLongAgo)
 		settled := time.Now().Add(2 * time.Second)
-		v.Replace(nil, settled)
+		v.Replace(Batch{}, settled)
 		if !out.has("1") || !out.has("2") {
 			t.Error("entries that lapsed while the store was away were dropped at once")
 		}
 		time.Sleep(time.Second)
-		v.Update([]Object{object("1", 8, "a")}, settled)
+		v.Update(Batch{Objects: []Object{object("1", 8, "a")}}, settled)
 		time.Sleep(1500 * time.Millisecond)
 		synctest.Wait()
 		if !out.has("1") || out.has("2") {
@@ -231,10 +231,10 @@
 		return c, true, nil
 	}}
 	for _, value := range []string{"good", "invalid", "old", "torn"} {
-		routes.Update([]Object{object("main", 1, value)}, settledLongAgo)
+		routes.Update(Batch{Objects: []Object{object("main", 1, value)}}, settledLongAgo)
 	}
-	routes.Update([]Object{{Name: "main", Deleted: true}}, settledLongAgo)
-	routes.Replace(nil, settledLongAgo)
+	routes.Update(Batch{Objects: []Object{{Name: "main", Deleted: true}}}, settledLongAgo)
+	routes.Replace(Batch{}, settledLongAgo)
 	if current := holder.Current(); current == nil || current.Revision != 4 {
 		t.Errorf("in force: %+v, want revision 4", current)
 	}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -28,9 +28,9 @@
 type View interface {
 	// Replace sets all objects. Settled is when the view may take the absence of
 	// an object as its removal.
-	Replace(objects []Object, settled time.Time)
-	// Update applies changes.
-	Update(changes []Object, settled time.Time)
+	Replace(all Batch, settled time.Time)
+	// Update applies changes; there may be none.
+	Update(changes Batch, settled time.Time)
 }
 
 // Observer learns how the calls to the store go. It is called by one goroutine.
@@ -96,7 +96,7 @@
 		return 0, err
 	}
 	f.succeeded()
-	f.View.Replace(batch.Objects, f.settled)
+	f.View.Replace(batch, f.settled)
 	return batch.AsOf, nil
 }
 
@@ -129,8 +129,8 @@
 		f.verify = false
 	}
 	f.succeeded()
+	f.View.Update(batch, f.settled)
 	if len(batch.Objects) > 0 {
-		f.View.Update(batch.Objects, f.settled)
 		wait.For(ctx, gatherTime)
 	}
 	return max(after, batch.AsOf), nil
--- a/internal/catalog/link.go
+++ b/internal/catalog/link.go
@@ -68,3 +68,10 @@
 		l.asking, l.up = nil, nil
 	}
 }
+
+// Down reports whether the last call failed.
+func (l *Link) Down() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.asking != nil
+}
--- a/internal/catalog/routes.go
+++ b/internal/catalog/routes.go
@@ -25,11 +25,11 @@
 }
 
 // Replace implements View.
-func (r *Routes) Replace(objects []Object, settled time.Time) { r.Update(objects, settled) }
+func (r *Routes) Replace(all Batch, settled time.Time) { r.Update(all, settled) }
 
 // Update implements View.
-func (r *Routes) Update(changes []Object, _ time.Time) {
-	for _, o := range changes {
+func (r *Routes) Update(changes Batch, _ time.Time) {
+	for _, o := range changes.Objects {
 		if !o.Deleted {
 			r.offer(o)
 		}
@@ -42,9 +42,13 @@
 		r.Observer.RoutesRejected(err)
 		return
 	}
-	if !ok {
-		return
+	if ok {
+		r.put(config)
 	}
+}
+
+// put puts a configuration in force unless it is older than the one that is.
+func (r *Routes) put(config route.Config) {
 	table, err := route.NewTable(config)
 	if err != nil {
 		r.Observer.RoutesRejected(err)
--- a/internal/catalog/targets.go
+++ b/internal/catalog/targets.go
@@ -34,6 +34,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// asOf is the store's revision that the entries reflect.
+	asOf uint64
 }
 
 type entry struct {
@@ -44,12 +46,13 @@
 }
 
 // Replace implements View.
-func (v *Targets) Replace(objects []Object, settled time.Time) {
+func (v *Targets) Replace(all Batch, settled time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	listed := make(map[string]bool, len(objects))
+	v.asOf = max(v.asOf, all.AsOf)
+	listed := make(map[string]bool, len(all.Objects))
 	touched := make(services)
-	for _, o := range objects {
+	for _, o := range all.Objects {
 		listed[o.Name] = true
 		v.apply(o, settled, touched)
 	}
@@ -62,11 +65,12 @@
 }
 
 // Update implements View.
-func (v *Targets) Update(changes []Object, settled time.Time) {
+func (v *Targets) Update(changes Batch, settled time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.asOf = max(v.asOf, changes.AsOf)
 	touched := make(services)
-	for _, o := range changes {
+	for _, o := range changes.Objects {
 		v.apply(o, settled, touched)
 	}
 	v.publish(touched)
@@ -88,14 +92,14 @@
 		v.drop(o.Name, false, touched)
 		return
 	}
-	v.put(o, target, touched)
+	v.put(Listed{Name: o.Name, Revision: o.Revision, Target: target}, touched)
 }
 
-func (v *Targets) put(o Object, target model.Target, touched services) {
-	old := v.entries[o.Name]
+func (v *Targets) put(l Listed, touched services) {
+	old := v.entries[l.Name]
 	if old != nil {
 		v.keep(old)
-		if old.revision >= o.Revision {
+		if old.revision >= l.Revision {
 			return
 		}
 		touched[old.target.Service] = true
@@ -103,10 +107,10 @@
 	if v.entries == nil {
 		v.entries = make(map[string]*entry)
 	}
-	v.entries[o.Name] = &entry{target: target, revision: o.Revision}
-	touched[target.Service] = true
-	if old == nil || old.target.Leaving != target.Leaving {
-		v.Observer.TargetLearnt(target, o.Revision)
+	v.entries[l.Name] = &entry{target: l.Target, revision: l.Revision}
+	touched[l.Target.Service] = true
+	if old == nil || old.target.Leaving != l.Target.Leaving {
+		v.Observer.TargetLearnt(l.Target, l.Revision)
 	}
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -115,12 +115,13 @@
 	if g.settings.Metrics != "" {
 		serveHTTP(lc, g.log, g.settings.Metrics, http.HandlerFunc(g.answerMetrics), nil)
 	}
-	runLoop(lc, g.follow("routes", g.provider.Routes, &catalog.Routes{
-		Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g,
-	}))
-	runLoop(lc, g.follow("targets", g.provider.Targets, &catalog.Targets{
-		Decode: g.provider.DecodeTarget, Table: g.table, Observer: g,
-	}))
+	known := &catalog.Known{
+		Routes:  &catalog.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
+		Targets: &catalog.Targets{Decode: g.provider.DecodeTarget, Table: g.table, Observer: g},
+	}
+	runLoop(lc, g.follow("routes", g.provider.Routes, known.Routes))
+	runLoop(lc, g.follow("targets", g.provider.Targets, known.Targets))
+	g.share(lc, known)
 	if g.provider.Reload != nil {
 		runLoop(lc, g.reload)
 	}
--- /dev/null
+++ b/internal/daemon/share.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"redwingpoint.org/redwingpoint/internal/catalog"
+	"redwingpoint.org/redwingpoint/internal/events"
+	"redwingpoint.org/redwingpoint/internal/keys"
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/peer"
+	"redwingpoint.org/redwingpoint/internal/share"
+)
+
+const (
+	// gatewayFleet is the fleet's name in the certificates of gateways.
+	gatewayFleet = "gateways"
+	// shareIdle is how long a connection between gateways outlasts its last use; an
+	// exchange comes every 0.4 s while the store is away.
+	shareIdle = 3 * time.Second
+	// maxShareLinks bounds the connections that a seed accepts.
+	maxShareLinks = 4096
+)
+
+// share lets this gateway learn from others while it lacks the store.
+func (g *gateway) share(lc fx.Lifecycle, known *catalog.Known) {
+	if g.settings.Peers.Listen == "" {
+		return
+	}
+	transport, err := g.listenForPeers()
+	if err != nil {
+		g.log.Warn("nothing is shared with peers", zap.Error(err))
+		return
+	}
+	s := &share.Sharer{
+		Known:   known,
+		Lacking: func() bool { return g.link.Down() || !g.targets.Load() },
+		Adopted: func() { g.targets.Store(known.Versions().AsOf > 0) },
+		Caller:  transport,
+		Seeds:   peerAddresses(g.settings.Peers.Listen, g.settings.Peers.Seeds),
+		Log:     g.log,
+	}
+	transport.Handle(peer.OpState, s.Serve)
+	transport.Handle(peer.OpOffer, s.Take)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { transport.Start(); return nil },
+		OnStop:  func(context.Context) error { transport.Stop(); return nil },
+	})
+	runLoop(lc, s.Run)
+}
+
+func (g *gateway) listenForPeers() (*peer.Transport, error) {
+	credentials, err := keys.NewSelfIssued(gatewayFleet, g.settings.Instance, time.Now)
+	if err != nil {
+		return nil, err
+	}
+	return peer.Listen(peer.Options{
+		Listen:      g.settings.Peers.Listen,
+		Credentials: credentials,
+		Handler:     onDemand{},
+		Recorder:    events.Discard,
+		MaxLinks:    maxShareLinks,
+		Idle:        shareIdle,
+	})
+}
+
+// onDemand is the peer.Handler of connections that are opened for calls: their
+// coming and going means nothing.
+type onDemand struct{}
+
+func (onDemand) LinkUp(peer.Link)                  {}
+func (onDemand) LinkDown(model.InstanceID, bool)   {}
+func (onDemand) DialFailed(string)                 {}
+func (onDemand) Datagram(model.InstanceID, []byte) {}
+
+// peerAddresses returns where the machines of some addresses listen for peers,
+// without this one.
+func peerAddresses(own string, machines []string) []string {
+	_, port, err := net.SplitHostPort(own)
+	if err != nil {
+		return nil
+	}
+	var list []string
+	for _, m := range machines {
+		host, _, err := net.SplitHostPort(m)
+		if err != nil {
+			continue
+		}
+		if a := net.JoinHostPort(host, port); a != own && !slices.Contains(list, a) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
--- a/internal/keys/tls.go
+++ b/internal/keys/tls.go
@@ -19,6 +19,8 @@
 	cert  tls.Certificate
 	roots *x509.CertPool
 	now   func() time.Time
+	// selfIssued is set where every instance makes its own certificate.
+	selfIssued bool
 }
 
 // Load reads credentials from the PEM files of the fleet's CA certificate, the
@@ -60,6 +62,9 @@
 	if len(chain) == 0 {
 		return Identity{}, &IdentityError{Reason: "missing"}
 	}
+	if c.selfIssued {
+		return c.verifySelfIssued(chain[0])
+	}
 	options := x509.VerifyOptions{
 		Roots:       c.roots,
 		CurrentTime: c.now(),
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -20,6 +20,10 @@
 	OpObjects Op = iota + 1
 	// OpCommit carries an op of the ledger out on its shard.
 	OpCommit
+	// OpState asks a gateway for routes and targets that are newer than the asker's.
+	OpState
+	// OpOffer hands such routes and targets to a gateway that lacks them.
+	OpOffer
 )
 
 // Route answers the requests of one Op. It is called from several goroutines.
@@ -64,6 +68,34 @@
 	return err
 }
 
+// CallAddr is CallAt for a peer of which only the address is known. It returns the
+// peer that answered.
+func (t *Transport) CallAddr(ctx context.Context, addr string, op Op, body, answer any) (model.InstanceID, error) {
+	c := t.connAt(addr)
+	if c == nil {
+		_, err, _ := t.dials.Do(addr, func() (any, error) { return nil, t.dial(addr) })
+		if err != nil {
+			return "", &ConnectionError{Peer: model.InstanceID(addr), Cause: err}
+		}
+		if c = t.connAt(addr); c == nil {
+			return "", &NotLinkedError{Peer: model.InstanceID(addr)}
+		}
+	}
+	return c.link.Peer, t.CallAt(ctx, c.link.Peer, addr, op, body, answer)
+}
+
+// connAt returns the connection to an address, or nil.
+func (t *Transport) connAt(addr string) *conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.links {
+		if c.link.Addr == addr && c.Context().Err() == nil {
+			return c
+		}
+	}
+	return nil
+}
+
 // Call sends a request to a peer and reads its answer. It returns
 // *NotLinkedError, *ConnectionError, *RefusedError or *CodecError.
 func (t *Transport) Call(ctx context.Context, peer model.InstanceID, op Op, body, answer any) error {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -80,6 +80,14 @@
 	return r.Backends[len(r.Backends)-1].Service
 }
 
+// copy returns the rule as its source delivered it.
+func (r *Rule) copy() *Rule {
+	return &Rule{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Class: r.Class, Objective: r.Objective, Timeout: r.Timeout,
+		MaxAttempts: r.MaxAttempts, Priority: r.Priority, Backends: r.Backends,
+	}
+}
+
 // prepare adds up the weights and begins the split at a random place, so that
 // instances don't send their first requests to the same service.
 func (r *Rule) prepare() {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -108,6 +108,21 @@
 	return strings.ToLower(host)
 }
 
+// Config returns what the table was built from, for another instance: its rules are
+// copies without the position of their splits.
+func (t *Table) Config() Config {
+	c := Config{Revision: t.Revision, Limits: t.Limits}
+	for _, rules := range t.hosts {
+		for _, r := range rules {
+			c.Rules = append(c.Rules, r.copy())
+		}
+	}
+	for _, s := range t.services {
+		c.Services = append(c.Services, s)
+	}
+	return c
+}
+
 // Match returns the rule of a host with the longest prefix of an escaped path,
 // or nil.
 func (t *Table) Match(host, path string) *Rule {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -25,6 +25,7 @@
 	Store string `yaml:"store" required:"true"`
 	// Regions maps failure domains to regions.
 	Regions map[string]string `yaml:"regions" required:"true"`
+	Peers   GatewayPeers      `yaml:"peers"`
 	Resend  Resend            `yaml:"resend"`
 	Probes  Probes            `yaml:"probes"`
 	// Settle is the time after a disturbance of the store by which what it says has
@@ -34,6 +35,15 @@
 	Grace time.Duration `yaml:"grace" range:"1s..1h"`
 }
 
+// GatewayPeers say how gateways reach each other while the store is away.
+type GatewayPeers struct {
+	// Listen is the UDP address for peers; empty means that nothing is shared.
+	Listen string `yaml:"listen"`
+	// Seeds are addresses of a few machines of the fleet. Only their hosts count:
+	// all gateways listen for peers at the same port.
+	Seeds []string `yaml:"seeds"`
+}
+
 // Resend bounds the arrivals at targets beyond the first of each request.
 type Resend struct {
 	// Share is the part of a service's requests that may be sent once more.
@@ -109,5 +119,6 @@
 	c.address("ready", g.Ready)
 	c.address("metrics", g.Metrics)
 	c.address("store", g.Store)
+	c.address("peers.listen", g.Peers.Listen)
 	return c.found
 }
--- /dev/null
+++ b/internal/share/share.go
@@ -0,0 +1,123 @@
+// Package share lets gateways that have lost the store learn routes and targets from
+// each other. Whoever lacks the store asks the seeds in turn, takes over what is
+// newer there and hands over what is newer here; so one gateway that still knows is
+// enough for all that start meanwhile. While the store answers, nothing is sent.
+package share
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"redwingpoint.org/redwingpoint/internal/catalog"
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/peer"
+	"redwingpoint.org/redwingpoint/internal/wait"
+)
+
+const (
+	// startDelay is how long a gateway that starts waits for the store alone: a list
+	// takes some 60 ms from another region.
+	startDelay = 150 * time.Millisecond
+	// hungryPause is the time between two exchanges of a gateway that can't serve yet:
+	// callers that it turned away come back within a second. calmPause is that of
+	// one that has lost the store; what it knows may be as old as a watch, 1.6 s.
+	hungryPause = 400 * time.Millisecond
+	calmPause   = 1500 * time.Millisecond
+	// callTimeout bounds one exchange; a handshake and a call between regions take
+	// some 75 ms.
+	callTimeout = 500 * time.Millisecond
+)
+
+// Caller sends requests to peers; *peer.Transport implements it.
+type Caller interface {
+	CallAddr(ctx context.Context, addr string, op peer.Op, body, answer any) (model.InstanceID, error)
+}
+
+// Sharer exchanges what it knows with the seeds while it lacks the store. One
+// goroutine runs it; its routes may be called from several.
+type Sharer struct {
+	Known *catalog.Known
+	// Lacking reports whether the store is away.
+	Lacking func() bool
+	// Adopted is called after something was taken over.
+	Adopted func()
+	Caller  Caller
+	// Seeds are peer addresses, without the own one.
+	Seeds []string
+	Log   *zap.Logger
+}
+
+// Serve answers peer.OpState.
+func (s *Sharer) Serve(_ model.InstanceID, body []byte) (any, error) {
+	var asker catalog.Versions
+	if err := peer.Decode(body, &asker); err != nil {
+		return nil, err
+	}
+	return s.Known.Beyond(asker), nil
+}
+
+// Take answers peer.OpOffer. While the store answers, it knows better.
+func (s *Sharer) Take(from model.InstanceID, body []byte) (any, error) {
+	var offer catalog.State
+	if err := peer.Decode(body, &offer); err != nil {
+		return nil, err
+	}
+	if s.Lacking() {
+		s.adopt(from, offer)
+	}
+	return s.Known.Versions(), nil
+}
+
+// Run exchanges states until its context ends.
+func (s *Sharer) Run(ctx context.Context) {
+	wait.For(ctx, startDelay)
+	for ctx.Err() == nil {
+		if len(s.Seeds) > 0 && s.Lacking() {
+			s.exchange(ctx, s.Seeds[rand.IntN(len(s.Seeds))])
+		}
+		pause := s.pause()
+		wait.For(ctx, pause*3/4+rand.N(pause/2))
+	}
+}
+
+func (s *Sharer) pause() time.Duration {
+	if own := s.Known.Versions(); own.AsOf == 0 || own.Routes == 0 {
+		return hungryPause
+	}
+	return calmPause
+}
+
+// exchange asks one seed, and offers what the seed lacks.
+func (s *Sharer) exchange(ctx context.Context, seed string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var theirs catalog.State
+	from, err := s.Caller.CallAddr(ctx, seed, peer.OpState, s.Known.Versions(), &theirs)
+	if err != nil {
+		s.Log.Info("peer not reached", zap.String("address", seed), zap.Error(err))
+		return
+	}
+	s.adopt(from, theirs)
+	offer := s.Known.Beyond(theirs.Versions)
+	if offer.Routes == nil && offer.Present == nil {
+		return
+	}
+	var after catalog.Versions
+	if _, err := s.Caller.CallAddr(ctx, seed, peer.OpOffer, offer, &after); err != nil {
+		s.Log.Info("offer not taken", zap.String("peer", string(from)), zap.Error(err))
+	}
+}
+
+// adopt takes over what a peer has told.
+func (s *Sharer) adopt(from model.InstanceID, state catalog.State) {
+	if state.Routes == nil && state.Present == nil {
+		return
+	}
+	s.Known.Adopt(state)
+	s.Log.Info("learnt from peer", zap.String("peer", string(from)), zap.Uint64("routes", uint64(state.Versions.Routes)),
+		zap.Uint64("as_of", state.Versions.AsOf), zap.Int("targets", len(state.Targets)))
+	s.Adopted()
+}
