Let changes of targets gather for a quarter of the drain time

Change: the pause after news is a setting of the platform's drain bound; 0.5 s where that is 2 s, 0.75 s at 3 s.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -148,7 +148,7 @@
 func follow(t *testing.T, s *script, lasting time.Duration) *table {
 	t.Helper()
 	v, out := newTargets()
-	f := &Follower{Source: s, View: v, Observer: quiet{}, WatchWait: 1600 * time.Millisecond, MaxPause: 700 * time.Millisecond, LapseGrace: time.Second, Link: new(Link)}
+	f := &Follower{Source: s, View: v, Observer: quiet{}, WatchWait: 1600 * time.Millisecond, MaxPause: 700 * time.Millisecond, LapseGrace: time.Second, Gather: 300 * time.Millisecond, Link: new(Link)}
 	ctx, cancel := context.WithTimeout(context.Background(), lasting)
 	defer cancel()
 	f.Run(ctx)
@@ -210,6 +210,22 @@
 	})
 }
 
+// TestNewsGathersBeforeTheNextCall checks that a call that brought nothing is
+// followed at once, and one that brought news after the time to gather.
+func TestNewsGathersBeforeTheNextCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		news := step{batch: Batch{Objects: []Object{object("1", 7, "a")}, AsOf: 7}}
+		s := &script{
+			lists:   []step{{batch: Batch{AsOf: 5}}},
+			watches: []step{{batch: Batch{AsOf: 6}}, news, {batch: Batch{AsOf: 8}}},
+		}
+		follow(t, s, 2*time.Second)
+		if first, second := s.at[1].Sub(s.at[0]), s.at[2].Sub(s.at[1]); first != 0 || second != 300*time.Millisecond {
+			t.Errorf("the next calls came after %v and %v, want 0 and 300 ms", first, second)
+		}
+	})
+}
+
 func TestRoutesKeepTheLastGoodOnes(t *testing.T) {
 	holder := route.NewHolder()
 	config := func(revision model.Revision, attempts int) route.Config {
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -19,9 +19,6 @@
 	doubtTime = 15 * time.Second
 	// minPause is the wait after the first failed call; it doubles up to MaxPause.
 	minPause = 100 * time.Millisecond
-	// gatherTime is how long news gathers at the store before the next watch, so
-	// that changes which come together cost one call.
-	gatherTime = 300 * time.Millisecond
 )
 
 // View is what a Follower keeps up to date. One goroutine calls it.
@@ -57,6 +54,9 @@
 	// that lapsed meanwhile come back. It is counted from the beginning of the last
 	// failed call: the store returned after that.
 	LapseGrace time.Duration
+	// Gather is how long news gathers at the store before the next watch, so that
+	// changes which come together cost one call.
+	Gather time.Duration
 	// Link is shared by the followers of one store.
 	Link *Link
 
@@ -131,7 +131,7 @@
 	f.succeeded()
 	f.View.Update(batch, f.settled)
 	if len(batch.Objects) > 0 {
-		wait.For(ctx, gatherTime)
+		wait.For(ctx, f.Gather)
 	}
 	return max(after, batch.AsOf), nil
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -46,6 +46,12 @@
 	// lapseGrace is how long after the beginning of the last failed call a target's
 	// entry may stay away: it is back about two seconds after the store's return.
 	lapseGrace = 2900 * time.Millisecond
+	// gatherRoutes is how long changes of the routes gather before they are read: an
+	// operator's come seconds apart, but in a storm.
+	gatherRoutes = 300 * time.Millisecond
+	// gatherTargets is the part of Settings.Drain for which changes of targets gather:
+	// a release changes several a second. The rest is for the call and its delays.
+	gatherTargets = 0.25
 	// leaveLag is how long a leaving gateway takes new connections: it is asked
 	// for its readiness each second and left out after two misses.
 	leaveLag = 2300 * time.Millisecond
@@ -119,8 +125,9 @@
 		Routes:  &catalog.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
 		Targets: &catalog.Targets{Decode: g.provider.DecodeTarget, Table: g.table, Observer: g},
 	}
-	runLoop(lc, g.follow("routes", g.provider.Routes, known.Routes))
-	runLoop(lc, g.follow("targets", g.provider.Targets, known.Targets))
+	runLoop(lc, g.follow("routes", g.provider.Routes, known.Routes, gatherRoutes))
+	gather := time.Duration(gatherTargets * float64(g.settings.Drain))
+	runLoop(lc, g.follow("targets", g.provider.Targets, known.Targets, gather))
 	g.share(lc, known)
 	if g.provider.Reload != nil {
 		runLoop(lc, g.reload)
@@ -129,7 +136,7 @@
 }
 
 // follow returns the loop that keeps a view up to date.
-func (g *gateway) follow(what string, source catalog.Source, view catalog.View) func(context.Context) {
+func (g *gateway) follow(what string, source catalog.Source, view catalog.View, gather time.Duration) func(context.Context) {
 	f := &catalog.Follower{
 		Source:     source,
 		View:       view,
@@ -137,6 +144,7 @@
 		WatchWait:  g.settings.Settle - settleTime,
 		MaxPause:   g.settings.Settle - pauseTime,
 		LapseGrace: lapseGrace,
+		Gather:     gather,
 		Link:       &g.link,
 	}
 	return f.Run
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -31,6 +31,8 @@
 	// Settle is the time after a disturbance of the store by which what it says has
 	// to be in force.
 	Settle time.Duration `yaml:"settle" range:"3s..1m"`
+	// Drain is the time by which a target that leaves has to be out of use.
+	Drain time.Duration `yaml:"drain" range:"500ms..1m"`
 	// Grace is how long after SIGTERM the process may run.
 	Grace time.Duration `yaml:"grace" range:"1s..1h"`
 }
@@ -74,6 +76,8 @@
 	defaultGrace       = 6 * time.Second
 	// defaultSettle is the platform's usual bound.
 	defaultSettle = 3 * time.Second
+	// defaultDrain is the platform's usual bound.
+	defaultDrain = 2 * time.Second
 )
 
 // DefaultGateway returns the settings that a file starts from.
@@ -82,6 +86,7 @@
 		Resend: Resend{Share: defaultResendShare, Burst: defaultResendBurst},
 		Probes: Probes{PerSecond: defaultProbes, Burst: defaultProbeBurst},
 		Settle: defaultSettle,
+		Drain:  defaultDrain,
 		Grace:  defaultGrace,
 	}
 }
