Keep the common budget of further arrivals also when a whole fleet restarts

Change: a process starts with none, and keeps 1.4 at most. The test lets a fleet of 125 spend what ten requests each earn, restart twice and spend again; it failed before (750 further arrivals, 438 allowed).

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -85,7 +85,7 @@
 		Picker:   routing.NewFreshPicker(table, client, routing.Monotonic, probes),
 		Upstream: client,
 		Signals:  p.Signals,
-		Budget:   dispatch.Budget{Share: s.Resend.Share, Burst: int64(s.Resend.Burst)},
+		Budget:   dispatch.Budget{Share: s.Resend.Share, Burst: s.Resend.Burst},
 		Log:      log,
 		Meters:   dispatch.NewMeters(set),
 	})
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -20,6 +20,7 @@
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/route"
 	"redwingpoint.org/redwingpoint/internal/routing"
+	"redwingpoint.org/redwingpoint/internal/settings"
 	"redwingpoint.org/redwingpoint/internal/standin"
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
@@ -143,6 +144,10 @@
 		Routes: routes, Picker: f.picker, Upstream: upstream.NewSignalsClient(signals), Signals: signals,
 		Budget: Budget{Share: 0.2, Burst: 2}, Log: zap.NewNop(), Meters: NewMeters(metrics.NewSet()),
 	})
+	for range 10 {
+		// The service has had requests that needed no further arrival.
+		f.services.get("s").received()
+	}
 	return f
 }
 
@@ -236,6 +241,34 @@
 	}
 }
 
+// TestFleetsThatRestartKeepTheCommonBudget lets every instance of a fleet spend what
+// ten requests earn, restart twice and spend again. The platform allows 188 arrivals
+// beyond a fifth of the requests to 125 instances.
+func TestFleetsThatRestartKeepTheCommonBudget(t *testing.T) {
+	const instances, slack = 125, 188
+	requests, extra := 0, 0
+	for range instances {
+		for start := range 3 {
+			var all services
+			all.setShare(0.2)
+			all.burst = settings.DefaultGateway().Resend.Burst
+			s := all.get("s")
+			for range 10 {
+				if start == 0 {
+					s.received()
+					requests++
+				}
+			}
+			for s.spend() {
+				extra++
+			}
+		}
+	}
+	if allowed := requests/5 + slack; extra > allowed || extra == 0 {
+		t.Errorf("%d further arrivals of %d requests, allowed are %d", extra, requests, allowed)
+	}
+}
+
 func TestFullTargetsAreLeftAloneAndTheCallerToldWhenToComeBack(t *testing.T) {
 	f := newFixture(t, model.NonIdempotent, works)
 	f.picker.full = true
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -15,15 +15,16 @@
 type Budget struct {
 	// Share is the part of a service's requests that may be sent once more.
 	Share float64
-	// Burst is what one instance may spend at once after a pause.
-	Burst int64
+	// Burst is what one instance may spend at once after a pause. A process starts
+	// with none of it.
+	Burst float64
 }
 
 // services finds the state of a service.
 type services struct {
 	// share holds Budget.Share as bits; it may change while the process runs.
 	share  atomic.Uint64
-	burst  int64
+	burst  float64
 	byName sync.Map
 }
 
@@ -44,6 +45,7 @@
 		return known.(*service)
 	}
 	fresh := &service{all: s, extra: limit.Ratio{Burst: s.burst}}
+	fresh.extra.Exhaust()
 	known, _ := s.byName.LoadOrStore(name, fresh)
 	return known.(*service)
 }
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -16,7 +16,7 @@
 type Ratio struct {
 	// Burst is the number of actions that are allowed at once after a pause; zero
 	// means 10. It is set before the first use.
-	Burst int64
+	Burst float64
 	// missing counts the units below a full bucket, so that the zero value is full.
 	missing atomic.Int64
 }
@@ -40,7 +40,7 @@
 func (r *Ratio) Spend(share float64) bool {
 	for share > 0 {
 		missing := r.missing.Load()
-		if missing+tokenUnits > r.burst()*tokenUnits {
+		if missing+tokenUnits > r.full() {
 			return false
 		}
 		if r.missing.CompareAndSwap(missing, missing+tokenUnits) {
@@ -50,9 +50,14 @@
 	return false
 }
 
-func (r *Ratio) burst() int64 {
+// Exhaust empties the budget, as for a process that starts: its predecessor may just
+// have spent all of it.
+func (r *Ratio) Exhaust() { r.missing.Store(r.full()) }
+
+// full returns the units of a full bucket.
+func (r *Ratio) full() int64 {
 	if r.Burst == 0 {
-		return ratioBurst
+		return ratioBurst * tokenUnits
 	}
-	return r.Burst
+	return int64(r.Burst * tokenUnits)
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -51,7 +51,7 @@
 	// Share is the part of a service's requests that may be sent once more.
 	Share float64 `yaml:"share" range:"0..1"`
 	// Burst is what one instance may send at once after a pause.
-	Burst int `yaml:"burst" range:"0..1000"`
+	Burst float64 `yaml:"burst" range:"0..1000"`
 }
 
 // Probes bound how often an instance asks targets for their load.
@@ -70,9 +70,9 @@
 	defaultProbeBurst = 2000
 	// defaultResendShare is the platform's usual ratio.
 	defaultResendShare = 0.2
-	// defaultResendBurst keeps a fleet of 20 instances, some of them restarted
-	// within a window, below a common allowance of 60.
-	defaultResendBurst = 2
+	// defaultResendBurst keeps a fleet within its common allowance even if all spend
+	// at once: the platform allows at least 1.5 an instance (188 for 125 of them).
+	defaultResendBurst = 1.4
 	defaultGrace       = 6 * time.Second
 	// defaultSettle is the platform's usual bound.
 	defaultSettle = 3 * time.Second
