Soak gateways as processes under planned work and faults

Change: three gateways as processes, stand-ins of the platform's store and targets (platform/platformtest, shared with the gateway's tests), a loopback proxy before each target and each way to the store; planned work first, then kills, freezes, cuts, a store that refuses or forgets, and targets that decline, fail or lose answers, all over each other; callers and targets judge. Found on the way: the harness started two processes in one place when faults overlapped, so that one outlived its run and the next run waited for ever; restarts are now one at a time, and a run that doesn't come back within a minute fails.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -1,3 +1,4 @@
-// Package soak runs whole instances as processes of their own under kills,
-// freezes and cuts. It holds tests only.
+// Package soak runs whole instances and gateways as processes of their own under
+// kills, freezes and cuts, and judges them by what callers and targets see. It holds
+// tests only.
 package soak
--- /dev/null
+++ b/internal/soak/gateway_test.go
@@ -0,0 +1,412 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/standin"
+	"redwingpoint.org/redwingpoint/platform"
+	"redwingpoint.org/redwingpoint/platform/platformtest"
+)
+
+const (
+	gateways        = 3
+	firstGatewayIP  = 150
+	callersEach     = 3
+	targetsEach     = 2
+	routeVersions   = 5
+	plannedSteps    = 6
+	unplannedFaults = 14
+	onceHost        = "once.example"
+	safeHost        = "safe.example"
+	callDeadline    = 1200 * time.Millisecond
+	callPause       = 15 * time.Millisecond
+	soakGrace       = 4 * time.Second
+	// settleLimit ends a run that doesn't come back; the platform allows 15 s, and
+	// this machine may be busy.
+	settleLimit = time.Minute
+)
+
+// regressions are seeds that have failed, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// gatewayProcess is one machine, run by one process after another.
+type gatewayProcess struct {
+	r     *gatewayRun
+	index int
+	ip    string
+	store *proxy
+
+	// life lets one fault at a time end the process and start another.
+	life sync.Mutex
+	mu   sync.Mutex
+	// command is nil between two processes.
+	command *exec.Cmd
+	// boot counts processes, seen is the newest version of the routes that the
+	// present one has shown.
+	boot atomic.Int64
+	seen atomic.Int64
+}
+
+// gatewayRun is a fleet of gateways with its store, targets and callers.
+type gatewayRun struct {
+	*promises
+	binary   string
+	dir      string
+	random   *rand.Rand
+	store    *platformtest.Store
+	gateways []*gatewayProcess
+	targets  []*soakTarget
+	version  int
+	nextID   atomic.Int64
+}
+
+type soakTarget struct {
+	*platformtest.Target
+	service string
+	proxy   *proxy
+}
+
+func serviceOf(version int) string { return fmt.Sprintf("v%d", version) }
+
+func versionOf(service string) (version int64) {
+	_, _ = fmt.Sscanf(service, "v%d", &version)
+	return version
+}
+
+func newGatewayRun(t *testing.T, binary string, seed uint64) *gatewayRun {
+	t.Helper()
+	r := &gatewayRun{promises: newPromises(t), binary: binary, dir: t.TempDir(), random: rand.New(rand.NewPCG(seed, 12)), store: platformtest.NewStore()}
+	storeServer := httptest.NewServer(r.store)
+	t.Cleanup(storeServer.Close)
+	for version := 1; version <= routeVersions; version++ {
+		for n := range targetsEach {
+			r.addTarget(version, n)
+		}
+	}
+	r.changeRoutes()
+	for i := range gateways {
+		g := &gatewayProcess{r: r, index: i, ip: standin.LoopbackIP(firstGatewayIP + i), store: newProxy(t, storeServer.Listener.Addr().String())}
+		r.gateways = append(r.gateways, g)
+		g.start()
+		t.Cleanup(g.kill)
+	}
+	return r
+}
+
+func (r *gatewayRun) addTarget(version, n int) {
+	service := serviceOf(version)
+	target := &soakTarget{service: service, Target: &platformtest.Target{ID: fmt.Sprintf("%s/%d", service, n), Slots: 4, Work: 20 * time.Millisecond, Ran: r.ran}}
+	server := httptest.NewServer(target)
+	r.t.Cleanup(server.Close)
+	target.proxy = newProxy(r.t, server.Listener.Addr().String())
+	target.Address = target.proxy.addr()
+	r.targets = append(r.targets, target)
+	r.store.Put(platform.TargetsKind, target.ID, target.Entry(service, "ready"))
+}
+
+// changeRoutes lets the next service take all requests.
+func (r *gatewayRun) changeRoutes() {
+	if r.version == routeVersions {
+		return
+	}
+	r.version++
+	var services []string
+	for version := 1; version <= routeVersions; version++ {
+		services = append(services, serviceOf(version))
+	}
+	once := platformtest.Rule{
+		Name: "once", Host: onceHost, Prefix: "/p/", Service: serviceOf(r.version),
+		Objective: 500 * time.Millisecond, Timeout: time.Second, Attempts: 2,
+	}
+	safe := once
+	safe.Name, safe.Host, safe.Repeatable = "safe", safeHost, true
+	r.store.Put(platform.RoutesKind, "main", platformtest.Routes(r.version, services, once, safe))
+}
+
+func (g *gatewayProcess) settings(probes int) string {
+	var seeds []string
+	for i := range gateways {
+		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(standin.LoopbackIP(firstGatewayIP+i), "1")))
+	}
+	return fmt.Sprintf(`instance: soak-%d
+location: {region: praha, failureDomain: praha-a}
+callers: "%[2]s:8080"
+ready: "%[2]s:8081"
+store: %[3]q
+regions: {praha-a: praha}
+peers: {listen: "%[2]s:8082", seeds: [%[4]s]}
+probes: {perSecond: %[5]d}
+grace: %[6]s
+`, g.index, g.ip, g.store.addr(), strings.Join(seeds, ","), probes, soakGrace)
+}
+
+func (g *gatewayProcess) path() string {
+	return filepath.Join(g.r.dir, fmt.Sprintf("%d.yaml", g.index))
+}
+
+func (g *gatewayProcess) start() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := os.WriteFile(g.path(), []byte(g.settings(1000)), 0o600); err != nil {
+		g.r.t.Error(err)
+		return
+	}
+	g.boot.Add(1)
+	g.seen.Store(0)
+	g.command = exec.Command(g.r.binary, "gateway", "--settings", g.path())
+	g.command.Stdout = g.r.log(g.index)
+	if err := g.command.Start(); err != nil {
+		g.r.t.Error(err)
+		g.command = nil
+	}
+}
+
+// restart ends the process by a signal and starts another after a pause.
+func (g *gatewayProcess) restart(s os.Signal, pause time.Duration) {
+	g.life.Lock()
+	defer g.life.Unlock()
+	g.end(s)
+	time.Sleep(pause)
+	g.start()
+}
+
+// log returns where a gateway's log goes, nil without -logs.
+func (r *gatewayRun) log(index int) io.Writer {
+	if *logs == "" {
+		return nil
+	}
+	name := strings.ReplaceAll(r.t.Name(), "/", "-") + fmt.Sprintf("-%d.log", index)
+	file, err := os.OpenFile(filepath.Join(*logs, name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		r.t.Error(err)
+		return nil
+	}
+	r.t.Cleanup(func() { _ = file.Close() })
+	return file
+}
+
+// end signals the process and waits for its end.
+func (g *gatewayProcess) end(s os.Signal) {
+	g.mu.Lock()
+	command := g.command
+	g.command = nil
+	g.mu.Unlock()
+	if command == nil {
+		return
+	}
+	_ = command.Process.Signal(s)
+	_ = command.Process.Signal(syscall.SIGCONT)
+	_ = command.Wait()
+}
+
+func (g *gatewayProcess) kill() { g.end(syscall.SIGKILL) }
+
+func (g *gatewayProcess) signal(s os.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.command != nil {
+		_ = g.command.Process.Signal(s)
+	}
+}
+
+// reload changes the settings file and says so.
+func (g *gatewayProcess) reload(probes int) {
+	if err := os.WriteFile(g.path(), []byte(g.settings(probes)), 0o600); err != nil {
+		g.r.t.Error(err)
+	}
+	g.signal(syscall.SIGHUP)
+}
+
+// caller sends requests to one gateway after the other until stop is closed. It
+// keeps its connection until that ends.
+func (r *gatewayRun) caller(number int, stop <-chan struct{}) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 2 * callDeadline}
+	defer client.CloseIdleConnections()
+	for at := number; ; {
+		select {
+		case <-stop:
+			return
+		case <-time.After(callPause):
+		}
+		if !r.send(client, r.gateways[at%gateways], number%2 == 0) {
+			at++
+		}
+	}
+}
+
+// send sends one request to a gateway and reports whether it was served. Within one
+// process the routes never go back.
+func (r *gatewayRun) send(client *http.Client, g *gatewayProcess, once bool) bool {
+	boot, floor := g.boot.Load(), g.seen.Load()
+	id := fmt.Sprintf("r-%d", r.nextID.Add(1))
+	host, method, body := onceHost, http.MethodPost, "letters"
+	if !once {
+		host, method, body = safeHost, http.MethodGet, ""
+	}
+	service := r.call(client, "http://"+g.ip+":8080", host, id, method, body)
+	if service == "" {
+		return false
+	}
+	version := versionOf(service)
+	if version < floor && g.boot.Load() == boot {
+		r.t.Errorf("gateway %d went back from version %d of the routes to %d", g.index, floor, version)
+	}
+	for old := g.seen.Load(); version > old && g.boot.Load() == boot && !g.seen.CompareAndSwap(old, version); old = g.seen.Load() {
+	}
+	return true
+}
+
+// planned restarts, reloads and changes one after the other, overlapping at times.
+func (r *gatewayRun) planned() {
+	var steps sync.WaitGroup
+	for range plannedSteps {
+		g := r.gateways[r.random.IntN(gateways)]
+		switch r.random.IntN(4) {
+		case 0:
+			steps.Go(func() { g.restart(syscall.SIGTERM, 0) })
+		case 1:
+			probes := 500 + r.random.IntN(500)
+			steps.Go(func() { g.reload(probes) })
+		case 2:
+			r.changeRoutes()
+		case 3:
+			r.replaceTarget()
+		}
+		time.Sleep(time.Duration(100+r.random.IntN(500)) * time.Millisecond)
+	}
+	steps.Wait()
+}
+
+// replaceTarget takes a target out of the store, which goes on serving, and puts it
+// back later.
+func (r *gatewayRun) replaceTarget() {
+	target := r.usedTarget()
+	r.store.Put(platform.TargetsKind, target.ID, target.Entry(target.service, "draining"))
+	time.AfterFunc(time.Second, func() {
+		r.store.Put(platform.TargetsKind, target.ID, target.Entry(target.service, "ready"))
+	})
+}
+
+// unplanned lets faults overlap with each other and with planned work.
+func (r *gatewayRun) unplanned() {
+	var faults sync.WaitGroup
+	for range unplannedFaults {
+		act := r.drawFault()
+		faults.Go(func() { r.fault(act) })
+		if r.random.IntN(4) == 0 {
+			r.changeRoutes()
+		}
+		time.Sleep(time.Duration(r.random.IntN(400)) * time.Millisecond)
+	}
+	faults.Wait()
+}
+
+// usedTarget returns a target of the service that the routes name.
+func (r *gatewayRun) usedTarget() *soakTarget {
+	return r.targets[(r.version-1)*targetsEach+r.random.IntN(targetsEach)]
+}
+
+// drawFault returns a fault that ends by itself.
+func (r *gatewayRun) drawFault() func() {
+	g := r.gateways[r.random.IntN(gateways)]
+	target := r.usedTarget()
+	lasting := time.Duration(200+r.random.IntN(1300)) * time.Millisecond
+	way := passage(1 + r.random.IntN(3))
+	during := func(begin, end func()) func() {
+		return func() {
+			begin()
+			time.Sleep(lasting)
+			end()
+		}
+	}
+	behave := func(b platformtest.Behavior) func() {
+		return during(func() { target.Behave(b) }, func() { target.Behave(platformtest.Works) })
+	}
+	switch r.random.IntN(10) {
+	case 0:
+		return func() { g.restart(syscall.SIGKILL, lasting/4) }
+	case 1:
+		return during(func() { g.signal(syscall.SIGSTOP) }, func() { g.signal(syscall.SIGCONT) })
+	case 2:
+		return during(func() { r.store.SetDown(true) }, func() { r.store.SetDown(false) })
+	case 3:
+		return r.store.Forget
+	case 4:
+		return during(func() { g.store.set(way) }, func() { g.store.set(passes) })
+	case 5:
+		return during(func() { target.proxy.set(way) }, func() { target.proxy.set(passes) })
+	case 6:
+		return during(func() { target.proxy.delay.Store(int64(lasting / 8)) }, func() { target.proxy.delay.Store(0) })
+	case 7:
+		return behave(platformtest.Behavior(1 + r.random.IntN(3)))
+	case 8:
+		return behave(platformtest.Loses)
+	default:
+		return func() { g.restart(syscall.SIGTERM, 0) }
+	}
+}
+
+// settle waits until every gateway serves both classes by the newest routes.
+func (r *gatewayRun) settle() {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * callDeadline}
+	began := time.Now()
+	for _, g := range r.gateways {
+		for _, once := range []bool{true, false} {
+			for !(r.send(client, g, once) && g.seen.Load() == int64(r.version)) {
+				if time.Since(began) > settleLimit {
+					r.t.Fatalf("gateway %d does not come back", g.index)
+				}
+				time.Sleep(callPause)
+			}
+		}
+	}
+}
+
+// TestGatewaysKeepTheirPromises plays planned work alone, then faults of all kinds
+// over each other, then waits until all gateways serve again.
+func TestGatewaysKeepTheirPromises(t *testing.T) {
+	binary := buildBinary(t)
+	play := func(seed uint64) func(*testing.T) {
+		return func(t *testing.T) {
+			r := newGatewayRun(t, binary, seed)
+			r.settle()
+			stop := make(chan struct{})
+			var callers sync.WaitGroup
+			for n := range gateways * callersEach {
+				callers.Go(func() { r.caller(n, stop) })
+			}
+			r.planned()
+			r.unplanned()
+			r.settle()
+			close(stop)
+			callers.Wait()
+			t.Logf("served %d, refused %d, unknown %d, faults %d", r.served, r.refusal, r.unknown, r.disturbed.Load())
+			if r.served == 0 {
+				t.Error("nothing was served")
+			}
+		}
+	}
+	for _, old := range regressions {
+		t.Run(fmt.Sprintf("regression=%d", old.seed), play(old.seed))
+	}
+	for seed := range uint64(*seeds) {
+		t.Run(fmt.Sprintf("seed=%d", *firstSeed+seed), play(*firstSeed+seed))
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,7 +26,11 @@
 	"redwingpoint.org/redwingpoint/internal/store"
 )
 
-var seeds = flag.Int("seeds", 2, "number of seeds to run; with odd ones the instances are peers")
+var (
+	seeds     = flag.Int("seeds", 2, "number of seeds to run; with odd ones the instances are peers")
+	firstSeed = flag.Uint64("first", 0, "first seed of the gateways' soak")
+	logs      = flag.String("logs", "", "directory that keeps the gateways' logs")
+)
 
 const (
 	instances = 3
