After a lost history let the seeds alone pay for newest answers

Ruled out: cheap answers alone (up to 5.5 s behind in such a time, which the bound of the smaller sites hardly leaves); fewer followers (both kinds are needed by all). Change: in a doubt the seeds go on as before and say so; the others exchange with a seed each 1.5 s over the inner protocol and watch at the cheap price while a seed's word is younger than 3 s. Entries that a lagging watch tells of, but the adopted list lacks, stay away. Tests fail without the relay, the guard and the assurance.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -146,9 +146,14 @@
 }
 
 func follow(t *testing.T, s *script, lasting time.Duration) *table {
+	t.Helper()
+	return followRelayed(t, s, lasting, nil)
+}
+
+func followRelayed(t *testing.T, s *script, lasting time.Duration, relayed func() bool) *table {
 	t.Helper()
 	v, out := newTargets()
-	f := &Follower{Source: s, View: v, Observer: quiet{}, WatchWait: 1600 * time.Millisecond, MaxPause: 700 * time.Millisecond, LapseGrace: time.Second, Gather: 300 * time.Millisecond, Link: new(Link)}
+	f := &Follower{Relayed: relayed, Source: s, View: v, Observer: quiet{}, WatchWait: 1600 * time.Millisecond, MaxPause: 700 * time.Millisecond, LapseGrace: time.Second, Gather: 300 * time.Millisecond, Link: new(Link)}
 	ctx, cancel := context.WithTimeout(context.Background(), lasting)
 	defer cancel()
 	f.Run(ctx)
@@ -190,6 +195,26 @@
 	})
 }
 
+// TestInADoubtCheapAnswersDoWhilePeersRelay checks that a gateway pays for newest
+// answers only as long as nobody tells it the news.
+func TestInADoubtCheapAnswersDoWhilePeersRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := step{batch: Batch{AsOf: 5}}
+		calm := step{batch: Batch{AsOf: 5}}
+		s := &script{
+			lists:   []step{list, list},
+			watches: []step{{err: &HistoryGoneError{After: 5}}, calm, calm, calm, {err: errDown}, calm, calm},
+		}
+		followRelayed(t, s, 2*time.Second, func() bool { return len(s.asked) != 1 })
+		want := []Freshness{Cheap, Newest, Cheap, Cheap, Cheap, Cheap, Newest}
+		for i := range want {
+			if s.asked[i] != want[i] {
+				t.Fatalf("watch %d asked for %v, want %v (all: %v)", i, s.asked[i], want[i], s.asked)
+			}
+		}
+	})
+}
+
 func TestASilentWatchIsGivenUpInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &script{
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -59,16 +59,17 @@
 	Gather time.Duration
 	// Link is shared by the followers of one store.
 	Link *Link
+	// Relayed, if set, reports whether peers that accept only the newest answers tell
+	// this instance the news meanwhile, so that cheap answers do in a doubt.
+	Relayed func() bool
 
 	lostAt   time.Time
 	calledAt time.Time
 	failedAt time.Time
 	failures int
 	// verify is set if the next answer after a failure has to be the newest.
-	verify bool
-	// doubtedUntil is until when cheap answers are not accepted.
-	doubtedUntil time.Time
-	settled      time.Time
+	verify  bool
+	settled time.Time
 }
 
 // Run follows the source.
@@ -118,7 +119,7 @@
 	var gone *HistoryGoneError
 	switch {
 	case errors.As(err, &gone):
-		f.doubt()
+		f.Link.doubt()
 		f.succeeded()
 		return 0, err
 	case err != nil:
@@ -166,10 +167,13 @@
 	wait.For(ctx, backoff*3/4+rand.N(backoff/4))
 }
 
-func (f *Follower) doubt() { f.doubtedUntil = time.Now().Add(doubtTime) }
-
 func (f *Follower) freshness() Freshness {
-	if f.failures == 0 && (f.verify || time.Now().Before(f.doubtedUntil)) {
+	switch {
+	case f.failures > 0:
+		return Cheap
+	case f.verify:
+		return Newest
+	case f.Link.Doubted() && (f.Relayed == nil || !f.Relayed()):
 		return Newest
 	}
 	return Cheap
--- a/internal/catalog/known.go
+++ b/internal/catalog/known.go
@@ -19,6 +19,9 @@
 	// listed, and Digest stands for the list itself.
 	AsOf   uint64 `cbor:"2,keyasint,omitempty"`
 	Digest uint64 `cbor:"3,keyasint,omitempty"`
+	// Assured is set while the instance reaches the store and accepts only the newest
+	// answers.
+	Assured bool `cbor:"4,keyasint,omitempty"`
 }
 
 // State is what one instance tells another: its versions, and the parts that the
@@ -50,6 +53,8 @@
 type Known struct {
 	Routes  *Routes
 	Targets *Targets
+	// Assured, if set, says what Versions.Assured tells others.
+	Assured func() bool
 }
 
 // Versions returns how new it is.
@@ -58,6 +63,7 @@
 	if t := k.Routes.Holder.Current(); t != nil {
 		v.Routes = t.Revision
 	}
+	v.Assured = k.Assured != nil && k.Assured()
 	return v
 }
 
@@ -138,8 +144,8 @@
 	if len(s.Present) == 0 {
 		return
 	}
-	v.asOf = s.Versions.AsOf
 	v.merge(s.Targets, s.Present)
+	v.asOf, v.adopted = s.Versions.AsOf, s.Versions.AsOf
 }
 
 // merge puts entries that have changed and drops those without a mark. The caller
--- a/internal/catalog/known_test.go
+++ b/internal/catalog/known_test.go
@@ -110,3 +110,22 @@
 		t.Errorf("lists %v, versions %+v, want %+v", out.lists, b.Versions(), a.Versions())
 	}
 }
+
+// TestALaggingWatchBringsNothingBack checks that entries which a peer's newer list
+// lacks stay away when an own watch that is behind tells of them.
+func TestALaggingWatchBringsNothingBack(t *testing.T) {
+	ahead, _ := newKnown()
+	ahead.Targets.Replace(Batch{AsOf: 50, Objects: []Object{object("1", 5, "a")}}, settledLongAgo)
+	own, out := newKnown()
+	own.Targets.Replace(Batch{AsOf: 20, Objects: []Object{object("1", 5, "a")}}, settledLongAgo)
+	own.Targets.Update(Batch{AsOf: 30, Objects: []Object{object("2", 25, "a")}}, settledLongAgo)
+	own.Adopt(told(t, ahead.Beyond(own.Versions())))
+	own.Targets.Update(Batch{AsOf: 40, Objects: []Object{object("2", 25, "a"), object("3", 35, "a")}}, settledLongAgo)
+	if out.has("2") || out.has("3") || !out.has("1") {
+		t.Errorf("after a watch that is behind: %v", out.lists)
+	}
+	own.Targets.Update(Batch{AsOf: 60, Objects: []Object{object("4", 55, "a")}}, settledLongAgo)
+	if !out.has("4") {
+		t.Error("news after the adopted list is lost")
+	}
+}
--- a/internal/catalog/link.go
+++ b/internal/catalog/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Link is what several followers of one store know of the way there. While it is
@@ -14,6 +15,8 @@
 	asking *Follower
 	// up is closed when the link comes back; it is nil while the link is up.
 	up chan struct{}
+	// doubtedUntil is until when cheap answers may be seconds behind.
+	doubtedUntil time.Time
 	// calls ends the running call of each follower.
 	calls map[*Follower]context.CancelFunc
 }
@@ -75,3 +78,17 @@
 	defer l.mu.Unlock()
 	return l.asking != nil
 }
+
+// doubt takes note of a lost history.
+func (l *Link) doubt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubtedUntil = time.Now().Add(doubtTime)
+}
+
+// Doubted reports whether cheap answers may be seconds behind.
+func (l *Link) Doubted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Now().Before(l.doubtedUntil)
+}
--- a/internal/catalog/targets.go
+++ b/internal/catalog/targets.go
@@ -36,6 +36,9 @@
 	entries map[string]*entry
 	// asOf is the store's revision that the entries reflect.
 	asOf uint64
+	// adopted is the revision of the last list that a peer told; a watch that is
+	// further behind brings entries that are gone by then.
+	adopted uint64
 }
 
 type entry struct {
@@ -50,6 +53,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.asOf = max(v.asOf, all.AsOf)
+	v.adopted = 0
 	listed := make(map[string]bool, len(all.Objects))
 	touched := make(services)
 	for _, o := range all.Objects {
@@ -97,6 +101,9 @@
 
 func (v *Targets) put(l Listed, touched services) {
 	old := v.entries[l.Name]
+	if old == nil && l.Revision <= v.adopted {
+		return
+	}
 	if old != nil {
 		v.keep(old)
 		if old.revision >= l.Revision {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -125,10 +125,10 @@
 		Routes:  &catalog.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
 		Targets: &catalog.Targets{Decode: g.provider.DecodeTarget, Table: g.table, Observer: g},
 	}
-	runLoop(lc, g.follow("routes", g.provider.Routes, known.Routes, gatherRoutes))
+	relayed := g.share(lc, known)
+	runLoop(lc, g.follow("routes", g.provider.Routes, known.Routes, gatherRoutes, relayed))
 	gather := time.Duration(gatherTargets * float64(g.settings.Drain))
-	runLoop(lc, g.follow("targets", g.provider.Targets, known.Targets, gather))
-	g.share(lc, known)
+	runLoop(lc, g.follow("targets", g.provider.Targets, known.Targets, gather, relayed))
 	if g.provider.Reload != nil {
 		runLoop(lc, g.reload)
 	}
@@ -136,7 +136,7 @@
 }
 
 // follow returns the loop that keeps a view up to date.
-func (g *gateway) follow(what string, source catalog.Source, view catalog.View, gather time.Duration) func(context.Context) {
+func (g *gateway) follow(what string, source catalog.Source, view catalog.View, gather time.Duration, relayed func() bool) func(context.Context) {
 	f := &catalog.Follower{
 		Source:     source,
 		View:       view,
@@ -146,6 +146,7 @@
 		LapseGrace: lapseGrace,
 		Gather:     gather,
 		Link:       &g.link,
+		Relayed:    relayed,
 	}
 	return f.Run
 }
--- a/internal/daemon/share.go
+++ b/internal/daemon/share.go
@@ -27,22 +27,26 @@
 	maxShareLinks = 4096
 )
 
-// share lets this gateway learn from others while it lacks the store.
-func (g *gateway) share(lc fx.Lifecycle, known *catalog.Known) {
+// share lets this gateway learn from others while it lacks the store. It returns what
+// tells whether peers relay the news, nil for a seed: it relays to others.
+func (g *gateway) share(lc fx.Lifecycle, known *catalog.Known) (relayed func() bool) {
 	if g.settings.Peers.Listen == "" {
-		return
+		return nil
 	}
 	transport, err := g.listenForPeers()
 	if err != nil {
 		g.log.Warn("nothing is shared with peers", zap.Error(err))
-		return
+		return nil
 	}
+	own, others := peerAddresses(g.settings.Peers.Listen, g.settings.Peers.Seeds)
+	lacking := func() bool { return g.link.Down() || !g.targets.Load() }
+	known.Assured = func() bool { return own && !lacking() && g.link.Doubted() }
 	s := &share.Sharer{
 		Known:   known,
-		Lacking: func() bool { return g.link.Down() || !g.targets.Load() },
+		Lacking: func() bool { return lacking() || (!own && g.link.Doubted()) },
 		Adopted: func() { g.targets.Store(known.Versions().AsOf > 0) },
 		Caller:  transport,
-		Seeds:   peerAddresses(g.settings.Peers.Listen, g.settings.Peers.Seeds),
+		Seeds:   others,
 		Log:     g.log,
 	}
 	transport.Handle(peer.OpState, s.Serve)
@@ -52,6 +56,10 @@
 		OnStop:  func(context.Context) error { transport.Stop(); return nil },
 	})
 	runLoop(lc, s.Run)
+	if own {
+		return nil
+	}
+	return s.Relayed
 }
 
 func (g *gateway) listenForPeers() (*peer.Transport, error) {
@@ -78,22 +86,24 @@
 func (onDemand) DialFailed(string)                 {}
 func (onDemand) Datagram(model.InstanceID, []byte) {}
 
-// peerAddresses returns where the machines of some addresses listen for peers,
-// without this one.
-func peerAddresses(own string, machines []string) []string {
-	_, port, err := net.SplitHostPort(own)
+// peerAddresses returns where the machines of some addresses listen for peers, and
+// whether this one is among them.
+func peerAddresses(self string, machines []string) (own bool, others []string) {
+	_, port, err := net.SplitHostPort(self)
 	if err != nil {
-		return nil
+		return false, nil
 	}
-	var list []string
 	for _, m := range machines {
 		host, _, err := net.SplitHostPort(m)
 		if err != nil {
 			continue
 		}
-		if a := net.JoinHostPort(host, port); a != own && !slices.Contains(list, a) {
-			list = append(list, a)
+		switch a := net.JoinHostPort(host, port); {
+		case a == self:
+			own = true
+		case !slices.Contains(others, a):
+			others = append(others, a)
 		}
 	}
-	return list
+	return own, others
 }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -1,12 +1,15 @@
 // Package share lets gateways that have lost the store learn routes and targets from
 // each other. Whoever lacks the store asks the seeds in turn, takes over what is
 // newer there and hands over what is newer here; so one gateway that still knows is
-// enough for all that start meanwhile. While the store answers, nothing is sent.
+// enough for all that start meanwhile. While cheap answers of the store may be seconds
+// behind, the seeds alone pay for the newest ones and the others learn from them. At
+// all other times nothing is sent.
 package share
 
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,7 +43,7 @@
 // goroutine runs it; its routes may be called from several.
 type Sharer struct {
 	Known *catalog.Known
-	// Lacking reports whether the store is away.
+	// Lacking reports whether the store is away, or cheap answers may be behind.
 	Lacking func() bool
 	// Adopted is called after something was taken over.
 	Adopted func()
@@ -48,6 +51,18 @@
 	// Seeds are peer addresses, without the own one.
 	Seeds []string
 	Log   *zap.Logger
+
+	// assured is when a peer last told that it accepts only the newest answers, in
+	// nanoseconds since 1970.
+	assured atomic.Int64
+}
+
+// relayLife is how long the word of an assured peer counts: two exchanges.
+const relayLife = 2 * calmPause
+
+// Relayed reports whether an assured peer tells this instance the news.
+func (s *Sharer) Relayed() bool {
+	return time.Since(time.Unix(0, s.assured.Load())) < relayLife
 }
 
 // Serve answers peer.OpState.
@@ -100,6 +115,9 @@
 		s.Log.Info("peer not reached", zap.String("address", seed), zap.Error(err))
 		return
 	}
+	if theirs.Versions.Assured {
+		s.assured.Store(time.Now().UnixNano())
+	}
 	s.adopt(from, theirs)
 	offer := s.Known.Beyond(theirs.Versions)
 	if offer.Routes == nil && offer.Present == nil {
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -121,3 +121,26 @@
 		}
 	})
 }
+
+// TestOnlyAnAssuredPeerRelays checks that the word of a peer counts for a while if it
+// accepts only the newest answers, and not otherwise.
+func TestOnlyAnAssuredPeerRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := make(network)
+		seed := n.add("seed", false)
+		asker := n.add("asker", true, "seed")
+		asker.runFor(t, 4*time.Second)
+		if asker.Relayed() {
+			t.Error("a peer that accepts cheap answers counts")
+		}
+		seed.Known.Assured = func() bool { return true }
+		asker.runFor(t, 4*time.Second)
+		if !asker.Relayed() {
+			t.Error("an assured peer doesn't count")
+		}
+		time.Sleep(relayLife)
+		if asker.Relayed() {
+			t.Error("old word still counts")
+		}
+	})
+}
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -328,7 +328,7 @@
 	g := r.gateways[r.random.IntN(gateways)]
 	target := r.usedTarget()
 	lasting := time.Duration(200+r.random.IntN(1300)) * time.Millisecond
-	way := passage(1 + r.random.IntN(3))
+	way := []passage{silent, oneWay, resets}[r.random.IntN(3)]
 	during := func(begin, end func()) func() {
 		return func() {
 			begin()
