--- a/internal/fleet/facts.go
+++ b/internal/fleet/facts.go
@@ -58,13 +58,7 @@
 	if old, ok := b.facts[factID{kind, key}]; ok {
 		f.Stamp = max(f.Stamp, old.Stamp+1)
 	}
-	b.put(f)
-	published := b.published
-	b.mu.Unlock()
-	if published != nil {
-		published(f)
-	}
-	b.notify()
+	b.tell(f)
 }
 
 // Accuse states a fact about another instance that replaces what it said last.
@@ -80,6 +74,11 @@
 		return
 	}
 	f := Fact{Kind: kind, Key: key, Stamp: old.Stamp + 1, Origin: model.InstanceID(key), Expires: expires.UnixMilli(), Value: value}
+	b.tell(f)
+}
+
+// tell puts a fact and passes it on. The caller holds b.mu, which is released.
+func (b *Facts) tell(f Fact) {
 	b.put(f)
 	published := b.published
 	b.mu.Unlock()
