Exchange long lists rarely

With each change of the list the marks of all targets travel, 12 kB there, to every gateway each 1.5 s. Change: the pause between exchanges of a gateway that can serve is at least the marks' size at 1 kB a second, 12 s at 3,000 targets.

--- a/internal/catalog/known.go
+++ b/internal/catalog/known.go
@@ -95,6 +95,13 @@
 	return Versions{AsOf: v.asOf, Digest: v.digest()}
 }
 
+// MarkBytes returns the size of the marks of all entries, which a changed list costs.
+func (v *Targets) MarkBytes() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return markBytes * len(v.entries)
+}
+
 // digest returns a hash of the entries. The caller holds v.mu.
 func (v *Targets) digest() uint64 {
 	h := xxhash.New()
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -29,6 +29,9 @@
 	// one that has lost the store; what it knows may be as old as a watch, 1.6 s.
 	hungryPause = 400 * time.Millisecond
 	calmPause   = 1500 * time.Millisecond
+	// bytesPerSecond bounds what an exchange costs a gateway that can serve: half of
+	// the 2 KB a second that control may send. Above 375 targets the pause grows.
+	bytesPerSecond = 1000
 	// callTimeout bounds one exchange; a handshake and a call between regions take
 	// some 75 ms.
 	callTimeout = 500 * time.Millisecond
@@ -103,7 +106,7 @@
 	if own := s.Known.Versions(); own.AsOf == 0 || own.Routes == 0 {
 		return hungryPause
 	}
-	return calmPause
+	return max(calmPause, time.Duration(s.Known.Targets.MarkBytes())*time.Second/bytesPerSecond)
 }
 
 // exchange asks one seed, and offers what the seed lacks.
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -144,3 +145,26 @@
 		}
 	})
 }
+
+// TestLongListsAreExchangedRarely holds the cost of exchanges within 1 kB a second.
+func TestLongListsAreExchangedRarely(t *testing.T) {
+	s := make(network).add("a", true)
+	if got := s.pause(); got != hungryPause {
+		t.Errorf("a gateway that knows nothing pauses %v", got)
+	}
+	table, err := route.NewTable(route.Config{Revision: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Known.Routes.Holder.Offer(table)
+	for targets, want := range map[int]time.Duration{269: calmPause, 3000: 12 * time.Second} {
+		list := catalog.Batch{AsOf: 9}
+		for n := range targets {
+			list.Objects = append(list.Objects, catalog.Object{Name: strconv.Itoa(n), Revision: 3})
+		}
+		s.Known.Targets.Replace(list, time.Time{})
+		if got := s.pause(); got != want {
+			t.Errorf("with %d targets the pause is %v, want %v", targets, got, want)
+		}
+	}
+}
