--- a/internal/daemon/share.go
+++ b/internal/daemon/share.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 	own, others := peerAddresses(g.settings.Peers.Listen, g.settings.Peers.Seeds)
-	lacking := func() bool { return g.link.Down() || !g.targets.Load() }
+	lacking := g.link.Down
 	known.Assured = func() bool { return own && !lacking() && g.link.Doubted() }
 	s := &share.Sharer{
 		Known:   known,
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// startDelay is how long a gateway that starts waits for the store alone: a list
-	// takes some 60 ms from another region.
+	// startDelay is how long a gateway that starts asks the store alone. What peers
+	// tell is a whole list then, so that they are asked only once a call has failed.
 	startDelay = 150 * time.Millisecond
 	// hungryPause is the time between two exchanges of a gateway that can't serve yet:
 	// callers that it turned away come back within a second. calmPause is that of
