Don't rely on a relay where exchanges are rare

Change: where long lists make exchanges rare there is no relay, and no exchange in a doubt; each gateway pays for newest answers as before.

--- a/internal/daemon/share.go
+++ b/internal/daemon/share.go
@@ -43,12 +43,12 @@
 	known.Assured = func() bool { return own && !lacking() && g.link.Doubted() }
 	s := &share.Sharer{
 		Known:   known,
-		Lacking: func() bool { return lacking() || (!own && g.link.Doubted()) },
 		Adopted: func() { g.targets.Store(known.Versions().AsOf > 0) },
 		Caller:  transport,
 		Seeds:   others,
 		Log:     g.log,
 	}
+	s.Lacking = func() bool { return lacking() || (!own && g.link.Doubted() && s.CanRelay()) }
 	transport.Handle(peer.OpState, s.Serve)
 	transport.Handle(peer.OpOffer, s.Take)
 	lc.Append(fx.Hook{
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -66,9 +66,13 @@
 // Relayed reports whether an assured peer tells this instance the news.
 func (s *Sharer) Relayed() bool {
 	at := s.assured.Load()
-	return at != nil && time.Since(*at) < relayLife
+	return at != nil && time.Since(*at) < relayLife && s.CanRelay()
 }
 
+// CanRelay reports whether exchanges come often enough to replace newest answers. Of
+// long lists they don't.
+func (s *Sharer) CanRelay() bool { return s.pause() <= calmPause }
+
 // Serve answers peer.OpState.
 func (s *Sharer) Serve(_ model.InstanceID, body []byte) (any, error) {
 	var asker catalog.Versions
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -166,5 +166,8 @@
 		if got := s.pause(); got != want {
 			t.Errorf("with %d targets the pause is %v, want %v", targets, got, want)
 		}
+		if s.CanRelay() != (want == calmPause) {
+			t.Errorf("with %d targets a relay is taken for possible: %v", targets, s.CanRelay())
+		}
 	}
 }
