Send a streamed body to one target only, and hold chunked bodies to the limit

Cause: a body above 512 KiB isn't buffered. After a 5xx or a broken response an idempotent request was sent again with the stream that the first attempt had read: with chunked framing the second target took the empty rest for the whole body and the caller got 201; with Content-Length the second target saw an unexpected end. The limit on request bodies was compared with Content-Length alone, so a chunked body passed it.

Ruled out: replaying from the buffer, since only the first 512 KiB are kept and more would not fit an instance's memory beside other requests.

Change: each attempt reads the stream through a reader of its own. One that has read nothing when its attempt ends is cut off, and another target may be tried; after that the first failure is the response. A body of exactly 512 KiB is now buffered. The limit counts the bytes read: 413, and the target sees the body break off.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -89,7 +89,7 @@
 		KeepAlive: true,
 	}
 	if f.stream != nil {
-		call.Body, call.ContentLength = f.stream, f.inbound.HTTP.ContentLength
+		call.Body, call.ContentLength = f.stream.newReader(), f.inbound.HTTP.ContentLength
 		call.MaxIdle, call.KeepAlive = 0, false
 		return call
 	}
@@ -115,7 +115,7 @@
 		e.Load.End()
 		e.Load.Reliability.Observe(false, routing.Monotonic())
 		f.d.Log.Info("target declined", f.logFields(zap.Object("target", candidateFields(c)), zap.Int("status", result.Status))...)
-		return outcome{retryable: f.stream == nil, reply: localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsDeclined, retryAfter: busyRetryAfter}}
+		return outcome{retryable: f.mayResendBody(), reply: localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsDeclined, retryAfter: busyRetryAfter}}
 	}
 	f.mayHaveRun = true
 	return f.receiveResponse(ctx, cancel, c, result, startedAt)
@@ -126,17 +126,22 @@
 	failed := f.recordFailure(c, err)
 	if !failed.Sent {
 		reply := localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsUnreachable, retryAfter: busyRetryAfter}
-		return outcome{retryable: true, budgetExempt: true, reply: reply}
+		return outcome{retryable: f.mayResendBody(), budgetExempt: true, reply: reply}
 	}
 	f.deliveries++
+	if f.stream != nil && exceedsBodyLimit(f.stream.err()) {
+		return outcome{reply: localReply{status: http.StatusRequestEntityTooLarge, cause: CauseBodyTooLarge}}
+	}
 	return f.classifyUnknownOutcome(failed)
 }
 
 // classifyUnknownOutcome returns the outcome of an attempt that the target may have run
-// but did not answer completely. Only idempotent requests are retried.
+// but did not answer completely. Only idempotent requests whose body can be sent again are
+// retried.
 func (f *forwarder) classifyUnknownOutcome(failed *upstream.CallError) outcome {
 	f.mayHaveRun = true
-	return outcome{retryable: f.rule.Class == model.Idempotent, reply: f.unknownOutcomeReply(failed.Reason)}
+	retryable := f.rule.Class == model.Idempotent && f.mayResendBody()
+	return outcome{retryable: retryable, reply: f.unknownOutcomeReply(failed.Reason)}
 }
 
 // recordFailure logs a failed attempt and counts it against the target's reliability,
@@ -165,8 +170,8 @@
 }
 
 // receiveResponse reads the response body, or its first responsePrefixBytes, and returns
-// the outcome. A server error of an idempotent request is retried if the body was read
-// completely and the retry budget allows it.
+// the outcome. A server error of an idempotent request is retried if the response body was
+// read completely, the request body can be sent again and the retry budget allows it.
 func (f *forwarder) receiveResponse(ctx context.Context, cancel context.CancelFunc, c routing.Candidate, result *upstream.Response, startedAt time.Time) outcome {
 	body, complete, err := readPrefix(result.Body, result.ContentLength)
 	if err != nil {
@@ -181,7 +186,7 @@
 	if complete {
 		_ = result.Body.Close()
 		c.Endpoint.Load.End()
-		if failed && f.rule.Class == model.Idempotent {
+		if failed && f.rule.Class == model.Idempotent && f.mayResendBody() {
 			if out := (outcome{retryable: true, reply: localReply{status: result.Status, cause: CauseTargetsFailed}}); f.mayRetry(ctx, out) {
 				return outcome{retryable: true, budgetExempt: true, reply: out.reply}
 			}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -112,6 +112,12 @@
 }
 
 func newFixture(t *testing.T, class model.Class, behaviors ...http.HandlerFunc) *fixture {
+	t.Helper()
+	return newFixtureWithBodyLimit(t, 1000, class, behaviors...)
+}
+
+// newFixtureWithBodyLimit is like newFixture with the given limit on request bodies in bytes.
+func newFixtureWithBodyLimit(t *testing.T, bodyLimit int64, class model.Class, behaviors ...http.HandlerFunc) *fixture {
 	t.Helper()
 	f := &fixture{picker: new(orderedPicker)}
 	for i, behavior := range behaviors {
@@ -133,7 +139,7 @@
 	routes := route.NewHolder()
 	table, err := route.NewTable(route.Config{
 		Revision: 1,
-		Limits:   route.Limits{BodyBytes: 1000},
+		Limits:   route.Limits{BodyBytes: bodyLimit},
 		Services: []route.Service{{Name: "s"}},
 		Rules: []*route.Rule{{
 			Name: "r", Host: "h", Prefix: "/a/", Class: class, Objective: time.Minute, Timeout: time.Minute, MaxAttempts: 2,
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -24,8 +24,8 @@
 	// to the caller. A response that breaks off earlier can still be replaced by a retry.
 	responsePrefixBytes = 64 << 10
 	// maxBufferedBody is the largest request body in bytes that is read completely before
-	// a target is chosen. A larger body is streamed; it is not sent again once a target
-	// has declined it.
+	// a target is chosen. A larger body is streamed; it is not sent again once an attempt
+	// has read from it.
 	maxBufferedBody = 512 << 10
 	// maxReuseIdle is the longest idle time after which a connection is reused for a
 	// request. Targets close idle connections after 10 s or after the timeout that they
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -35,7 +35,7 @@
 	// body is the complete request body if it was buffered. A larger body is read from
 	// stream, which starts with the bytes read so far.
 	body         []byte
-	stream       io.Reader
+	stream       *streamedBody
 	triedTargets []model.TargetID
 	// deliveries counts the attempts that a target received or may have received.
 	// mayHaveRun is set once a target may have run the request.
@@ -91,13 +91,19 @@
 	}
 	f.inbound.BodyDeadline(f.deadline)
 	defer f.inbound.BodyDeadline(time.Time{})
+	body := req.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(nil, body, limit)
+	}
 	buffered := bytes.NewBuffer(make([]byte, 0, max(0, min(req.ContentLength, maxBufferedBody))))
-	_, err := io.CopyN(buffered, req.Body, maxBufferedBody)
+	_, err := io.CopyN(buffered, body, maxBufferedBody+1)
 	switch {
 	case err == nil:
-		f.stream = io.MultiReader(bytes.NewReader(buffered.Bytes()), req.Body)
+		f.stream = &streamedBody{src: io.MultiReader(bytes.NewReader(buffered.Bytes()), body)}
 	case err == io.EOF:
 		f.body = buffered.Bytes()
+	case exceedsBodyLimit(err):
+		return localReply{status: http.StatusRequestEntityTooLarge, cause: CauseBodyTooLarge}, false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return localReply{status: http.StatusRequestTimeout, cause: CauseBodyLate}, false
 	default:
@@ -106,6 +112,16 @@
 	return localReply{}, true
 }
 
+// exceedsBodyLimit reports whether the read of a body ended at the limit on its size.
+func exceedsBodyLimit(err error) bool {
+	var tooLarge *http.MaxBytesError
+	return errors.As(err, &tooLarge)
+}
+
+// mayResendBody reports whether another attempt would send the whole body. If the body is
+// streamed, it ends the current attempt's use of it.
+func (f *forwarder) mayResendBody() bool { return f.stream == nil || f.stream.release() }
+
 // finishFailed returns the response to a request for which no further attempt is made. If
 // a target may have run the request, the status is 504 after a timeout, else 502 without
 // Retry-After, so that the caller does not take the request for unsent. If the caller has
