Report a packet before it is sent

Cause of the panic of TestWireCosts (1 of 24 runs beside load): OnSend ran after the write, so that the acknowledgement could arrive before the sender had recorded the packet it answers, and the list of sizes was empty. Budgets were charged late alike.

Change: OnSend runs before the write. A packet whose write fails is charged too, which errs on the safe side of a budget.

--- a/internal/peer/socket.go
+++ b/internal/peer/socket.go
@@ -13,13 +13,14 @@
 	onSend func(bytes int)
 }
 
-// WriteTo implements net.PacketConn.
+// WriteTo implements net.PacketConn. It reports the packet before the write, so that a
+// reply is never received before its cause was reported; a packet whose write fails is
+// reported too.
 func (c *countingPacketConn) WriteTo(p []byte, addr net.Addr) (int, error) {
-	n, err := c.PacketConn.WriteTo(p, addr)
-	if err == nil && c.onSend != nil {
-		c.onSend(n + packetOverheadBytes)
+	if c.onSend != nil {
+		c.onSend(len(p) + packetOverheadBytes)
 	}
-	return n, err
+	return c.PacketConn.WriteTo(p, addr)
 }
 
 // SetReadBuffer sets the size of the socket's receive buffer.
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -87,8 +87,8 @@
 	Credentials *keys.Credentials
 	Handler     Handler
 	Recorder    events.Recorder
-	// OnSend, if set, is called with the size of every packet sent, including the IP
-	// and UDP headers.
+	// OnSend, if set, is called with the size of every packet before it is sent, including
+	// the IP and UDP headers.
 	OnSend func(bytes int)
 	// MaxLinks is the number of connections from which no more are accepted from peers.
 	// Connections that this instance dials are not limited.
