Let calls to the store wait for their budget, and retry each call of a claim

Cause of TestOneInstanceCommitsForAShard: the first claim in a new bucket is followed by a confirmed read of the watermark. That read was not retried when the client's call budget was spent, so the whole batch failed as not confirmed although it had been written, and its keys stayed claimed by attempts that had given up. Beside it, a write that was refused by the budget backed off at random up to 300 ms while newer writers began at 5 ms, so the one that had waited longest came last.

Change: a call waits for the budget in the order of arrival, up to 250 ms, before it is refused; the watermark's read and write are retried like the shard's. The test of the rate limit makes its calls at the same time, since calls in turn now wait for each other; its bounds are the same.

--- a/internal/ledger/watermark.go
+++ b/internal/ledger/watermark.go
@@ -142,26 +142,27 @@
 }
 
 // update applies a change to the watermark with conditional writes until one is
-// confirmed. The change must depend only on the stored state, since it may be
+// confirmed; it also retries calls for which the call budget was spent. The change must depend only on the stored state, since it may be
 // applied several times.
 func (w *watermarks) update(ctx context.Context, service model.ServiceName, update func(store.Object) (watermark, error)) (watermark, error) {
 	backoff := store.Backoff{Base: conflictBackoffBase, Max: conflictBackoffMax}
-	object, err := w.cachedOrRead(ctx, service)
-	for err == nil {
-		var next watermark
-		next, err = w.tryUpdate(ctx, service, object, update)
+	read := w.cachedOrRead
+	for {
+		object, err := read(ctx, service)
 		if err == nil {
-			return next, nil
+			var next watermark
+			next, err = w.tryUpdate(ctx, service, object, update)
+			if err == nil {
+				return next, nil
+			}
+			if isRetryableWrite(err) {
+				read = w.read
+			}
 		}
-		if !isRetryableWrite(err) {
+		if !isRetryableWrite(err) && !isOverCallBudget(err) || backoff.Wait(ctx) != nil {
 			return watermark{}, err
 		}
-		if backoff.Wait(ctx) != nil {
-			return watermark{}, err
-		}
-		object, err = store.GetOrZero(ctx, w.store, watermarkKey(service))
 	}
-	return watermark{}, err
 }
 
 // tryUpdate writes the changed watermark on condition that object is current.
@@ -198,6 +199,11 @@
 	if ok {
 		return object, nil
 	}
+	return w.read(ctx, service)
+}
+
+// read reads the watermark object from the store.
+func (w *watermarks) read(ctx context.Context, service model.ServiceName) (store.Object, error) {
 	return store.GetOrZero(ctx, w.store, watermarkKey(service))
 }
 
--- a/internal/store/admission.go
+++ b/internal/store/admission.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -14,11 +15,14 @@
 	probeBase = 100 * time.Millisecond
 	// probeMax is the longest delay between two probes, before jitter.
 	probeMax = 5 * time.Second
+	// maxBudgetWait is the longest time that a call waits for the call budget. A claim of
+	// the ledger takes several calls in turn, all within a second.
+	maxBudgetWait = 250 * time.Millisecond
 )
 
 // admission decides which calls of a client may be made. It limits the rate of
 // calls, separately for reads and writes, so that reads can't use up the share of
-// the writes. It is also a circuit breaker: during an outage it admits one call at
+// the writes; calls wait for the budget in the order in which they arrive. It is also a circuit breaker: during an outage it admits one call at
 // a time as a probe, with exponential delays, and rejects all others at once. It is
 // safe for concurrent use.
 type admission struct {
@@ -43,27 +47,70 @@
 	}
 }
 
-// admit admits a call and reports whether it is a probe. The error is *UnavailableError
-// with *OutageError as its cause, or *RateLimitError.
-func (a *admission) admit(op string, write bool) (probe bool, err error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.outage {
-		if wait := time.Until(a.probeAt); a.probing || wait > 0 {
-			return false, &UnavailableError{Op: op, Cause: &OutageError{RetryAfter: max(wait, 0)}}
-		}
+// admit admits a call and reports whether it is a probe. It may wait up to maxBudgetWait.
+// The error is *UnavailableError with *OutageError or the context's error as its cause, or
+// *RateLimitError.
+func (a *admission) admit(ctx context.Context, op string, write bool) (probe bool, err error) {
+	if err := a.checkOutage(op); err != nil {
+		return false, err
 	}
 	limiter := a.reads
 	if write {
 		limiter = a.writes
 	}
-	if !limiter.Allow() {
-		return false, &RateLimitError{Op: op}
+	if err := awaitBudget(ctx, limiter, op); err != nil {
+		return false, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.outageError(op); err != nil {
+		return false, err
 	}
 	a.probing = a.outage
 	return a.outage, nil
 }
 
+// checkOutage returns an *UnavailableError if an outage rejects calls at the moment.
+func (a *admission) checkOutage(op string) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.outageError(op)
+}
+
+// outageError is checkOutage for callers that hold mu.
+func (a *admission) outageError(op string) error {
+	if !a.outage {
+		return nil
+	}
+	if wait := time.Until(a.probeAt); a.probing || wait > 0 {
+		return &UnavailableError{Op: op, Cause: &OutageError{RetryAfter: max(wait, 0)}}
+	}
+	return nil
+}
+
+// awaitBudget takes one call from the budget. If it is spent, it waits for its turn, up to
+// maxBudgetWait. The error is *RateLimitError or, if ctx ends, *UnavailableError.
+func awaitBudget(ctx context.Context, limiter *rate.Limiter, op string) error {
+	reservation := limiter.Reserve()
+	delay := reservation.Delay()
+	if !reservation.OK() || delay > maxBudgetWait {
+		reservation.Cancel()
+		return &RateLimitError{Op: op}
+	}
+	if delay <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		reservation.Cancel()
+		return &UnavailableError{Op: op, Cause: ctx.Err()}
+	}
+}
+
 // recordSuccess records a call that the platform answered.
 func (a *admission) recordSuccess(probe bool) {
 	a.mu.Lock()
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -16,7 +16,8 @@
 )
 
 // Client is an HTTP client of the Object API and the instance list. Each method
-// makes at most one call and doesn't retry. It is safe for concurrent use.
+// makes at most one call, for which it may wait until the call budget allows it, and
+// doesn't retry. It is safe for concurrent use.
 type Client struct {
 	base      string
 	http      *http.Client
@@ -233,7 +234,7 @@
 // an outage asks for an immediate response. The error is *UnavailableError or
 // *RateLimitError.
 func (c *Client) call(ctx context.Context, r request) (*response, error) {
-	probe, err := c.admission.admit(r.op, r.method != http.MethodGet)
+	probe, err := c.admission.admit(ctx, r.op, r.method != http.MethodGet)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http/httptest"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -221,7 +224,7 @@
 	}
 }
 
-// TestRateLimitsReadsAndWrites makes far more calls than the rate limit allows.
+// TestRateLimitsReadsAndWrites makes far more calls at once than the rate limit allows.
 func TestRateLimitsReadsAndWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := standin.NewPlatform()
@@ -232,13 +235,16 @@
 			Burst:           5,
 			Transport:       &standin.Transport{Handler: p.Handler()},
 		})
-		var limited *store.RateLimitError
-		rejected := 0
+		var rejected atomic.Int32
+		var wg sync.WaitGroup
 		for range 1000 {
-			_, _ = client.Get(t.Context(), "config/a")
-			if _, err := client.Put(t.Context(), "config/b", 0, nil); errors.As(err, &limited) {
-				rejected++
-			}
+			wg.Go(func() { _, _ = client.Get(t.Context(), "config/a") })
+			wg.Go(func() {
+				var limited *store.RateLimitError
+				if _, err := client.Put(t.Context(), "config/b", 0, nil); errors.As(err, &limited) {
+					rejected.Add(1)
+				}
+			})
 			time.Sleep(10 * time.Millisecond)
 		}
 		stats := p.Stats()
@@ -248,8 +254,44 @@
 		if stats.Calls < 450 || stats.Calls > 510 {
 			t.Errorf("%d calls in 10 s within 50 a second and two bursts of 5", stats.Calls)
 		}
-		if rejected == 0 {
+		if rejected.Load() == 0 {
 			t.Error("no write was rejected")
 		}
+		wg.Wait()
+	})
+}
+
+// TestCallsWaitForTheBudgetInOrder checks that calls beyond the budget are made as soon as
+// it allows them, the first one first.
+func TestCallsWaitForTheBudgetInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.NewPlatform()
+		client := store.NewClient(store.ClientOptions{
+			BaseURL: "http://platform", CallsPerSecond: 100, WritesPerSecond: 50, Burst: 1,
+			Transport: &standin.Transport{Handler: p.Handler()},
+		})
+		start := time.Now()
+		var mu sync.Mutex
+		var finished []int
+		var wg sync.WaitGroup
+		const calls = 10
+		for i := range calls {
+			wg.Go(func() {
+				if _, err := client.Put(t.Context(), fmt.Sprint("config/", i), 0, nil); err != nil {
+					t.Errorf("call %d: %v", i, err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				finished = append(finished, i)
+			})
+			synctest.Wait()
+		}
+		wg.Wait()
+		if !slices.IsSorted(finished) || len(finished) != calls {
+			t.Errorf("calls finished in the order %v", finished)
+		}
+		if took, want := time.Since(start), (calls-1)*20*time.Millisecond; took > want+10*time.Millisecond {
+			t.Errorf("%d calls took %s; the budget allows them within %s", calls, took, want)
+		}
 	})
 }
