Exchange removals in place of all names, so that relays work above 375 targets

Cause: an exchange with a difference carried the hashes of all names, 4 B a target. To stay within 1 KB/s the interval grew with the list, and above 375 targets (1.5 s) the relay of changes was switched off.

Change: each instance keeps its last 1,024 removals. A peer that accepts them gets the entries changed and the names removed since its revision; all names are sent to peers that are older than the removals known, to older builds, and to an instance whose digest still differs at the same revision, at most 1 KB/s. The digest is kept as a sum instead of being computed over the sorted list in each exchange. The interval no longer depends on the size.

Before: TestExchangesFitTheBudgetAtAnySize has an interval of 2.6 s at 660 targets.

--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -51,7 +51,7 @@
 		Seeds:     otherSeeds,
 		Log:       g.log,
 	}
-	s.NeedsPeers = func() bool { return storeUnavailable() || (!isSeed && g.breaker.ReadsMayBeStale() && s.CanRelay()) }
+	s.NeedsPeers = func() bool { return storeUnavailable() || (!isSeed && g.breaker.ReadsMayBeStale()) }
 	transport.Handle(peer.OpFetchState, s.HandleFetchState)
 	transport.Handle(peer.OpPushState, s.HandlePushState)
 	lc.Append(fx.Hook{
--- a/internal/peersync/sync.go
+++ b/internal/peersync/sync.go
@@ -30,9 +30,9 @@
 	// steadyInterval is the time between two exchanges of a ready gateway without the
 	// store. Its state may be as old as one watch, 1.6 s.
 	steadyInterval = 1500 * time.Millisecond
-	// bytesPerSecond bounds the average cost of exchanges for a ready gateway, to half
-	// of the 2 KB/s allowed for control traffic. Above 375 targets the interval grows.
-	bytesPerSecond = 1000
+	// namesBytesPerSecond bounds the average cost of comparing the names of all targets,
+	// to half of the 2 KB/s allowed for control traffic.
+	namesBytesPerSecond = 1000
 	// exchangeTimeout bounds one exchange. A handshake and a call across regions take
 	// about 75 ms.
 	exchangeTimeout = 500 * time.Millisecond
@@ -59,6 +59,12 @@
 	// strongPeerSeen is the time of the last response of a peer that uses only strong
 	// reads, by the monotonic clock, or nil.
 	strongPeerSeen atomic.Pointer[time.Time]
+
+	// diverged is set if the last exchange left lists of the same revision that differ, and
+	// namesComparedAt is the time of the last exchange that compared all names. Both are
+	// used by Run only.
+	diverged        bool
+	namesComparedAt time.Time
 }
 
 // relayTTL is how long a peer with strong reads counts as a relay after its last
@@ -69,13 +75,9 @@
 // changes to this instance.
 func (s *Syncer) RelayActive() bool {
 	at := s.strongPeerSeen.Load()
-	return at != nil && time.Since(*at) < relayTTL && s.CanRelay()
+	return at != nil && time.Since(*at) < relayTTL
 }
 
-// CanRelay reports whether exchanges are frequent enough to replace strong reads,
-// which they aren't for long lists of targets.
-func (s *Syncer) CanRelay() bool { return s.interval() <= steadyInterval }
-
 // HandleFetchState handles peer.OpFetchState: it returns what the requester lacks.
 func (s *Syncer) HandleFetchState(_ model.InstanceID, body []byte) (any, error) {
 	var requester replica.Versions
@@ -115,7 +117,19 @@
 	if local := s.Replica.Versions(); local.AsOf == 0 || local.Routes == 0 {
 		return initialInterval
 	}
-	return max(steadyInterval, time.Duration(s.Replica.Targets.NameHashBytes())*time.Second/bytesPerSecond)
+	return steadyInterval
+}
+
+// ownVersions returns the versions to send to a seed. If the lists have diverged, they ask
+// for all names, as often as namesBytesPerSecond allows.
+func (s *Syncer) ownVersions() replica.Versions {
+	own := s.Replica.Versions()
+	pause := time.Duration(s.Replica.Targets.NameHashBytes()) * time.Second / namesBytesPerSecond
+	if s.diverged && time.Since(s.namesComparedAt) >= pause {
+		own.AcceptsRemovals = false
+		s.namesComparedAt = time.Now()
+	}
+	return own
 }
 
 // exchange fetches the state of a seed and pushes what the seed lacks.
@@ -123,7 +137,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var remote replica.Delta
-	from, err := s.Transport.CallAddr(ctx, seed, peer.OpFetchState, s.Replica.Versions(), &remote)
+	from, err := s.Transport.CallAddr(ctx, seed, peer.OpFetchState, s.ownVersions(), &remote)
 	if err != nil {
 		s.Log.Info("peer not reached", zap.String("address", seed), zap.Error(err))
 		return
@@ -133,8 +147,10 @@
 		s.strongPeerSeen.Store(&now)
 	}
 	s.merge(from, remote)
+	own := s.Replica.Versions()
+	s.diverged = own.AsOf == remote.Versions.AsOf && own.Digest != remote.Versions.Digest
 	delta := s.Replica.DeltaFor(remote.Versions)
-	if delta.Routes == nil && delta.NameHashes == nil {
+	if delta.Routes == nil && !delta.HasTargets() {
 		return
 	}
 	var after replica.Versions
@@ -145,7 +161,7 @@
 
 // merge merges the state of a peer, if there is any.
 func (s *Syncer) merge(from model.InstanceID, state replica.Delta) {
-	if state.Routes == nil && state.NameHashes == nil {
+	if state.Routes == nil && !state.HasTargets() && state.Versions.AsOf <= s.Replica.Versions().AsOf {
 		return
 	}
 	s.Replica.Merge(state)
--- a/internal/peersync/sync_test.go
+++ b/internal/peersync/sync_test.go
@@ -146,28 +146,90 @@
 	})
 }
 
-// TestExchangeIntervalGrowsWithTheList checks that exchanges stay within 1 kB/s.
-func TestExchangeIntervalGrowsWithTheList(t *testing.T) {
-	s := make(network).add("a", true)
-	if got := s.interval(); got != initialInterval {
-		t.Errorf("the interval of a gateway without state is %v", got)
+// TestExchangesFitTheBudgetAtAnySize checks that a ready gateway exchanges state at the same
+// interval with many targets as with few, and what an exchange costs: some tens of bytes
+// without differences, and as much as differs otherwise.
+func TestExchangesFitTheBudgetAtAnySize(t *testing.T) {
+	const (
+		equalBytes     = 100
+		differentBytes = 10 * 200
+	)
+	for _, targets := range []int{60, 660, 3700} {
+		n := make(network)
+		seed, asker := n.add("seed", true), n.add("asker", true, "seed")
+		list := replica.Batch{AsOf: 9}
+		for i := range targets {
+			list.Objects = append(list.Objects, replica.Object{Name: "target-" + strconv.Itoa(i), Revision: 3})
+		}
+		for _, s := range []*Syncer{seed, asker} {
+			applyRoutes(t, s)
+			s.Replica.Targets.Replace(list, time.Time{})
+		}
+		if got := asker.interval(); got != steadyInterval {
+			t.Errorf("with %d targets the interval is %v", targets, got)
+		}
+		if bytes := exchangeBytes(t, seed, asker); bytes > equalBytes {
+			t.Errorf("with %d equal targets an exchange takes %d bytes", targets, bytes)
+		}
+		for i := range uint64(10) {
+			change := replica.Object{Name: "target-" + strconv.FormatUint(i, 10), Revision: 10 + i, Deleted: i%2 == 0}
+			seed.Replica.Targets.Update(replica.Batch{AsOf: 10 + i, Objects: []replica.Object{change}}, time.Time{})
+		}
+		if bytes := exchangeBytes(t, seed, asker); bytes > differentBytes {
+			t.Errorf("with %d targets and 10 differences an exchange takes %d bytes", targets, bytes)
+		}
+		asker.exchange(t.Context(), "seed")
+		if got, want := asker.Replica.Versions(), seed.Replica.Versions(); got != want {
+			t.Errorf("with %d targets: %+v after an exchange, want %+v", targets, got, want)
+		}
 	}
+}
+
+func applyRoutes(t *testing.T, s *Syncer) {
+	t.Helper()
 	table, err := route.NewTable(route.Config{Revision: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.Replica.Routes.Holder.Apply(table)
-	for targets, want := range map[int]time.Duration{269: steadyInterval, 3000: 12 * time.Second} {
-		list := replica.Batch{AsOf: 9}
-		for n := range targets {
-			list.Objects = append(list.Objects, replica.Object{Name: strconv.Itoa(n), Revision: 3})
-		}
-		s.Replica.Targets.Replace(list, time.Time{})
-		if got := s.interval(); got != want {
-			t.Errorf("with %d targets the interval is %v, want %v", targets, got, want)
-		}
-		if s.CanRelay() != (want == steadyInterval) {
-			t.Errorf("with %d targets CanRelay is %v", targets, s.CanRelay())
-		}
+}
+
+// exchangeBytes returns the size of a request of asker to seed and its response.
+func exchangeBytes(t *testing.T, seed, asker *Syncer) int {
+	t.Helper()
+	request, err := peer.Encode(asker.ownVersions())
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, err := seed.HandleFetchState("asker", request)
+	if err != nil {
+		t.Fatal(err)
 	}
+	response, err := peer.Encode(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(request) + len(response)
+}
+
+// TestDivergedListsAreComparedByName checks that an entry that a peer lacks without a
+// known removal is found by comparing all names, within the budget for that.
+func TestDivergedListsAreComparedByName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := make(network)
+		seed, asker := n.add("seed", true), n.add("asker", true, "seed")
+		object := func(name string) replica.Object { return replica.Object{Name: name, Revision: 3} }
+		seed.Replica.Targets.Replace(replica.Batch{AsOf: 9, Objects: []replica.Object{object("a"), object("b")}}, time.Time{})
+		asker.Replica.Targets.Replace(replica.Batch{AsOf: 9, Objects: []replica.Object{object("a"), object("b"), object("c")}}, time.Time{})
+		go func() {
+			for revision := uint64(10); revision < 14; revision++ {
+				time.Sleep(time.Second)
+				seed.Replica.Targets.Update(replica.Batch{AsOf: revision}, time.Time{})
+			}
+		}()
+		asker.runFor(t, 8*time.Second)
+		if got, want := asker.Replica.Versions(), seed.Replica.Versions(); got != want {
+			t.Errorf("%+v, want %+v", got, want)
+		}
+	})
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -22,6 +22,9 @@
 	Digest uint64 `cbor:"3,keyasint,omitempty"`
 	// StrongReads is set while the instance reaches the store and uses only strong reads.
 	StrongReads bool `cbor:"4,keyasint,omitempty"`
+	// AcceptsRemovals is set if Delta.Removed may replace Delta.NameHashes in a response.
+	// It is not set by older builds, nor by an instance that has to compare all names.
+	AcceptsRemovals bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Delta is what one instance sends to another: its versions, and the routes and
@@ -32,10 +35,18 @@
 	// Targets are the entries that changed since the other's list.
 	Targets []TargetEntry `cbor:"3,keyasint,omitempty"`
 	// NameHashes holds the name hashes of all entries. It is empty if the other's list
-	// is equal or at least as new.
+	// is equal or at least as new, or if Since is set.
 	NameHashes []byte `cbor:"4,keyasint,omitempty"`
+	// Since is the revision of the other's list from which Targets and Removed lead to the
+	// sender's list, or 0 if NameHashes tells what was removed.
+	Since uint64 `cbor:"5,keyasint,omitempty"`
+	// Removed holds the name hashes of the entries removed after Since.
+	Removed []byte `cbor:"6,keyasint,omitempty"`
 }
 
+// HasTargets reports whether the delta changes the other's list of targets.
+func (d *Delta) HasTargets() bool { return d.Since > 0 || len(d.NameHashes) > 0 }
+
 // nameHashBytes is the size of a name's hash. With 4 bytes, 1 in 600 lists of 3,700
 // entries contains two names with the same hash.
 const nameHashBytes = 4
@@ -65,6 +76,7 @@
 		v.Routes = t.Revision
 	}
 	v.StrongReads = r.StrongReads != nil && r.StrongReads()
+	v.AcceptsRemovals = true
 	return v
 }
 
@@ -77,7 +89,7 @@
 		d.Routes = &config
 	}
 	if own.AsOf > other.AsOf && own.Digest != other.Digest {
-		d.Targets, d.NameHashes = r.Targets.changesSince(other.AsOf)
+		r.Targets.addChanges(&d, other)
 	}
 	return d
 }
@@ -93,51 +105,43 @@
 func (t *Targets) versions() Versions {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Versions{AsOf: t.asOf, Digest: t.digest()}
+	return Versions{AsOf: t.asOf, Digest: t.digest}
 }
 
-// NameHashBytes returns the size in bytes of the name hashes of all entries, which are
-// sent with every changed list.
+// NameHashBytes returns the size in bytes of the name hashes of all entries.
 func (t *Targets) NameHashBytes() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return nameHashBytes * len(t.entries)
 }
 
-// digest returns a hash of the entries. The caller must hold t.mu.
-func (t *Targets) digest() uint64 {
+// entryHash returns the hash of an entry in the digest.
+func entryHash(name string, revision uint64) uint64 {
 	h := xxhash.New()
-	var revision [8]byte
-	for _, e := range t.sortedEntries() {
-		binary.BigEndian.PutUint64(revision[:], e.Revision)
-		_, _ = h.WriteString(e.Name)
-		_, _ = h.Write(revision[:])
-	}
+	_, _ = h.WriteString(name)
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, revision))
 	return h.Sum64()
 }
 
-// changesSince returns the entries that changed after a revision and the name hashes
-// of all entries.
-func (t *Targets) changesSince(revision uint64) (changed []TargetEntry, nameHashes []byte) {
+// addChanges adds to d what an instance with the given versions lacks: the entries that
+// changed after its list and, as far as they are still known, the removals since then.
+func (t *Targets) addChanges(d *Delta, other Versions) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range t.sortedEntries() {
-		nameHashes = binary.BigEndian.AppendUint32(nameHashes, nameHash(e.Name))
-		if e.Revision > revision {
-			changed = append(changed, e)
+	d.Versions.AsOf, d.Versions.Digest = t.asOf, t.digest
+	for name, e := range t.entries {
+		if e.revision > other.AsOf {
+			d.Targets = append(d.Targets, TargetEntry{Name: name, Revision: e.revision, Target: e.target})
 		}
 	}
-	return changed, nameHashes
-}
-
-// sortedEntries returns the entries sorted by name. The caller must hold t.mu.
-func (t *Targets) sortedEntries() []TargetEntry {
-	list := make([]TargetEntry, 0, len(t.entries))
-	for name, e := range t.entries {
-		list = append(list, TargetEntry{Name: name, Revision: e.revision, Target: e.target})
+	slices.SortFunc(d.Targets, func(a, b TargetEntry) int { return cmp.Compare(a.Name, b.Name) })
+	if other.AcceptsRemovals && other.AsOf > 0 && other.AsOf >= t.removalsSince {
+		d.Since, d.Removed = other.AsOf, t.removedSince(other.AsOf)
+		return
+	}
+	for name := range t.entries {
+		d.NameHashes = binary.BigEndian.AppendUint32(d.NameHashes, nameHash(name))
 	}
-	slices.SortFunc(list, func(a, b TargetEntry) int { return cmp.Compare(a.Name, b.Name) })
-	return list
 }
 
 // mergeDelta merges a peer's list if it is newer than the own one.
@@ -147,32 +151,56 @@
 	if d.Versions.AsOf <= t.asOf {
 		return
 	}
-	if d.Versions.Digest == t.digest() {
-		t.asOf = d.Versions.AsOf
+	if d.Versions.Digest == t.digest {
+		t.advance(d.Versions.AsOf)
 		return
 	}
-	if len(d.NameHashes) == 0 {
+	if !d.HasTargets() || d.Since > t.asOf {
 		return
 	}
-	t.mergeEntries(d.Targets, d.NameHashes)
-	t.asOf, t.mergedAsOf = d.Versions.AsOf, d.Versions.AsOf
-}
-
-// mergeEntries applies changed entries and deletes those whose name hash is missing.
-// The caller must hold t.mu.
-func (t *Targets) mergeEntries(changed []TargetEntry, nameHashes []byte) {
+	t.advance(d.Versions.AsOf)
 	affected := make(serviceSet)
-	presentHashes := make(map[uint32]bool, len(nameHashes)/nameHashBytes)
-	for ; len(nameHashes) >= nameHashBytes; nameHashes = nameHashes[nameHashBytes:] {
-		presentHashes[binary.BigEndian.Uint32(nameHashes)] = true
+	if d.Since > 0 {
+		t.mergeRemovals(d.Removed, affected)
+	} else {
+		t.deleteUnlisted(d, affected)
 	}
-	for _, e := range changed {
+	for _, e := range d.Targets {
 		t.upsert(e, affected)
 	}
+	t.publish(affected)
+	t.mergedAsOf = d.Versions.AsOf
+}
+
+// mergeRemovals deletes the entries with the given name hashes. The caller must hold t.mu.
+func (t *Targets) mergeRemovals(hashes []byte, affected serviceSet) {
+	removed := decodeNameHashes(hashes)
+	if len(removed) == 0 {
+		return
+	}
 	for name := range t.entries {
-		if !presentHashes[nameHash(name)] {
-			t.deleteEntry(name, false, affected)
+		if removed[nameHash(name)] {
+			t.deleteEntry(name, t.asOf, false, affected)
 		}
 	}
-	t.publish(affected)
+}
+
+// deleteUnlisted deletes the entries that the list of a delta lacks. The caller must hold
+// t.mu.
+func (t *Targets) deleteUnlisted(d Delta, affected serviceSet) {
+	listed := decodeNameHashes(d.NameHashes)
+	for name := range t.entries {
+		if !listed[nameHash(name)] {
+			t.deleteEntry(name, t.asOf, false, affected)
+		}
+	}
+}
+
+// decodeNameHashes returns the set of concatenated name hashes.
+func decodeNameHashes(hashes []byte) map[uint32]bool {
+	set := make(map[uint32]bool, len(hashes)/nameHashBytes)
+	for ; len(hashes) >= nameHashBytes; hashes = hashes[nameHashBytes:] {
+		set[binary.BigEndian.Uint32(hashes)] = true
+	}
+	return set
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -129,3 +130,66 @@
 		t.Error("a change after the merged list is missing")
 	}
 }
+
+// TestRemovalsReplaceTheListOfNames checks what a delta contains by the revision from which
+// on the sender knows all removals and by what the receiver accepts.
+func TestRemovalsReplaceTheListOfNames(t *testing.T) {
+	a, _ := newReplica()
+	a.Targets.Replace(Batch{AsOf: 50, Objects: []Object{object("1", 5, "a"), object("2", 6, "a")}}, removeAtOnce)
+	a.Targets.Update(Batch{AsOf: 60, Objects: []Object{{Name: "1", Revision: 56, Deleted: true}, object("3", 57, "a")}}, removeAtOnce)
+	for _, c := range []struct {
+		name           string
+		other          Versions
+		names, removed int
+	}{
+		{"known since its list", Versions{AsOf: 50, AcceptsRemovals: true}, 0, 1},
+		{"known since a later revision", Versions{AsOf: 57, AcceptsRemovals: true}, 0, 1},
+		{"not known since its list", Versions{AsOf: 49, AcceptsRemovals: true}, 2, 0},
+		{"older build", Versions{AsOf: 50}, 2, 0},
+		{"without a list", Versions{AcceptsRemovals: true}, 2, 0},
+	} {
+		d := a.DeltaFor(c.other)
+		if len(d.NameHashes) != c.names*nameHashBytes || len(d.Removed) != c.removed*nameHashBytes || !d.HasTargets() {
+			t.Errorf("%s: %d bytes of names, %d of removals", c.name, len(d.NameHashes), len(d.Removed))
+		}
+	}
+}
+
+// TestReturnedEntryIsNotRemoved removes an entry that is registered again under its name.
+func TestReturnedEntryIsNotRemoved(t *testing.T) {
+	a, _ := newReplica()
+	a.Targets.Replace(Batch{AsOf: 50, Objects: []Object{object("1", 5, "a"), object("2", 6, "a")}}, removeAtOnce)
+	b, out := newReplica()
+	b.Merge(roundTrip(t, a.DeltaFor(b.Versions())))
+	a.Targets.Update(Batch{AsOf: 60, Objects: []Object{{Name: "1", Revision: 56, Deleted: true}}}, removeAtOnce)
+	a.Targets.Update(Batch{AsOf: 70, Objects: []Object{object("1", 65, "a")}}, removeAtOnce)
+	b.Merge(roundTrip(t, a.DeltaFor(b.Versions())))
+	if !out.has("1") || !out.has("2") || b.Versions() != a.Versions() {
+		t.Errorf("lists %v, versions %+v, want %+v", out.lists, b.Versions(), a.Versions())
+	}
+}
+
+// TestDroppedRemovalsAreNotAssumedKnown removes more entries than are kept.
+func TestDroppedRemovalsAreNotAssumedKnown(t *testing.T) {
+	a, _ := newReplica()
+	var list Batch
+	list.AsOf = 50
+	for i := range 2 * maxRemovals {
+		list.Objects = append(list.Objects, object(strconv.Itoa(i), 5, "a"))
+	}
+	a.Targets.Replace(list, removeAtOnce)
+	b, _ := newReplica()
+	b.Merge(roundTrip(t, a.DeltaFor(b.Versions())))
+	for i := range uint64(maxRemovals + 1) {
+		removed := Object{Name: strconv.FormatUint(i, 10), Revision: 51 + i, Deleted: true}
+		a.Targets.Update(Batch{AsOf: 51 + i, Objects: []Object{removed}}, removeAtOnce)
+	}
+	delta := a.DeltaFor(b.Versions())
+	if delta.Since != 0 || len(delta.NameHashes) != (maxRemovals-1)*nameHashBytes {
+		t.Errorf("since %d, %d bytes of names", delta.Since, len(delta.NameHashes))
+	}
+	b.Merge(roundTrip(t, delta))
+	if b.Versions() != a.Versions() {
+		t.Errorf("versions %+v, want %+v", b.Versions(), a.Versions())
+	}
+}
--- a/internal/replica/targets.go
+++ b/internal/replica/targets.go
@@ -45,11 +45,19 @@
 	// full list from the store. New entries up to this revision are ignored: a watch
 	// that lags behind the peer's list would add entries that are deleted by now.
 	mergedAsOf uint64
+	// digest is the sum of the hashes of all entries.
+	digest uint64
+	// removals lists the latest removals, the oldest first. It has all of them since
+	// removalsSince.
+	removals      []removal
+	removalsSince uint64
 }
 
 type entry struct {
 	target   model.Target
 	revision uint64
+	// hash is the entry's part of Targets.digest.
+	hash uint64
 	// removal is the timer of the entry's pending removal, or nil.
 	removal *time.Timer
 }
@@ -58,7 +66,7 @@
 func (t *Targets) Replace(snapshot Batch, removeAfter time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.asOf = max(t.asOf, snapshot.AsOf)
+	t.advance(snapshot.AsOf)
 	t.mergedAsOf = 0
 	listed := make(map[string]bool, len(snapshot.Objects))
 	affected := make(serviceSet)
@@ -78,7 +86,7 @@
 func (t *Targets) Update(changes Batch, removeAfter time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.asOf = max(t.asOf, changes.AsOf)
+	t.advance(changes.AsOf)
 	affected := make(serviceSet)
 	for _, o := range changes.Objects {
 		t.apply(o, removeAfter, affected)
@@ -99,7 +107,7 @@
 	target, err := t.Decode(o)
 	if err != nil {
 		t.Observer.TargetRejected(o.Name, err)
-		t.deleteEntry(o.Name, false, affected)
+		t.deleteEntry(o.Name, t.asOf, false, affected)
 		return
 	}
 	t.upsert(TargetEntry{Name: o.Name, Revision: o.Revision, Target: target}, affected)
@@ -117,11 +125,14 @@
 			return
 		}
 		affected[old.target.Service] = true
+		t.digest -= old.hash
 	}
 	if t.entries == nil {
 		t.entries = make(map[string]*entry)
 	}
-	t.entries[e.Name] = &entry{target: e.Target, revision: e.Revision}
+	added := &entry{target: e.Target, revision: e.Revision, hash: entryHash(e.Name, e.Revision)}
+	t.entries[e.Name] = added
+	t.digest += added.hash
 	affected[e.Target.Service] = true
 	if old == nil || old.target.Leaving != e.Target.Leaving {
 		t.Observer.TargetUpdated(e.Target, e.Revision)
@@ -144,7 +155,7 @@
 	}
 	delay := time.Until(removeAfter)
 	if delay <= 0 {
-		t.deleteEntry(name, false, affected)
+		t.deleteEntry(name, t.asOf, false, affected)
 		return
 	}
 	if e.removal == nil {
@@ -160,17 +171,21 @@
 		return
 	}
 	affected := make(serviceSet)
-	t.deleteEntry(name, true, affected)
+	// A peer whose list is of the same revision learns of this removal with the next one.
+	t.deleteEntry(name, t.asOf+1, true, affected)
 	t.publish(affected)
 }
 
-func (t *Targets) deleteEntry(name string, expired bool, affected serviceSet) {
+// deleteEntry removes an entry, if it exists, as of a revision of the store.
+func (t *Targets) deleteEntry(name string, revision uint64, expired bool, affected serviceSet) {
 	e := t.entries[name]
 	if e == nil {
 		return
 	}
 	t.cancelRemoval(e)
 	delete(t.entries, name)
+	t.digest -= e.hash
+	t.recordRemoval(name, revision)
 	affected[e.target.Service] = true
 	t.Observer.TargetRemoved(e.target.ID, expired)
 }
