Relay the store's changes through the seeds

Cause: each gateway held two watches of the store, which return every 2.6 s without a change and at every change, and after an outage each made failing probes, strong reads and lists of its own.

Ruled out: longer watches alone, since a dropped watch is noticed only at its end, and each change of a target still returns every gateway's watch.

Change: where 4 s or more may pass until a change is in force, a gateway holds one request at the nearest seed. Targets come with its response; routes are read from the store by a cheap watch, as the document would fill a seed's link. If the seed is silent or without the store, another is asked, and then the store with a strong read; a short loss of the store by all seeds is waited for, and a lost history is made up by the seed's list.

A loop without pause at a revision that can't be applied was found by TestInvalidRoutesAreNotReadForever.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -16,6 +16,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/dispatch"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
+	"redwingpoint.org/redwingpoint/internal/peersync"
 	"redwingpoint.org/redwingpoint/internal/replica"
 	"redwingpoint.org/redwingpoint/internal/route"
 	"redwingpoint.org/redwingpoint/internal/routing"
@@ -112,6 +113,8 @@
 	breaker replica.Breaker
 	// shuttingDown is set when the shutdown starts.
 	shuttingDown atomic.Bool
+	// onShutdown, if set, is called when the shutdown has started.
+	onShutdown func()
 	// targetsKnown is set once the targets were listed or received from a peer.
 	targetsKnown atomic.Bool
 }
@@ -134,31 +137,36 @@
 		Routes:  &replica.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
 		Targets: &replica.Targets{Decode: g.provider.DecodeTarget, Table: g.table, Observer: g},
 	}
-	relayActive := g.startPeerSync(lc, local)
-	runLoop(lc, g.follow("routes", g.provider.Routes, local.Routes, routesBatchDelay, relayActive))
-	targetsBatchDelay := time.Duration(targetsBatchShare * float64(g.settings.DrainTimeout))
-	runLoop(lc, g.follow("targets", g.provider.Targets, local.Targets, targetsBatchDelay, relayActive))
+	relay := g.startPeerSync(lc, local)
+	routes := g.newFollower("routes", g.provider.Routes, local.Routes, relay)
+	routes.BatchDelay, routes.Relay = routesBatchDelay, relay.routes
+	runLoop(lc, routes.Run)
+	targets := g.newFollower("targets", g.provider.Targets, local.Targets, relay)
+	targets.BatchDelay, targets.Relay = time.Duration(targetsBatchShare*float64(g.settings.DrainTimeout)), relay.targets
+	runLoop(lc, targets.Run)
 	if g.provider.SettingsUpdates != nil {
 		runLoop(lc, g.reload)
 	}
 	lc.Append(fx.Hook{OnStart: g.start, OnStop: g.shutDown})
 }
 
-// follow returns the loop that keeps a view up to date with the objects of a source. The
-// kind is "routes" or "targets".
-func (g *gateway) follow(kind string, source replica.Source, view replica.View, batchDelay time.Duration, relayActive func() bool) func(context.Context) {
-	f := &replica.Follower{
+// newFollower returns a follower that keeps a view up to date with the objects of a source.
+// The kind is "routes" or "targets".
+func (g *gateway) newFollower(kind string, source replica.Source, view replica.View, relay peerRelay) *replica.Follower {
+	watchWait := g.settings.SettleTimeout - watchReserve
+	if relay.isRelay {
+		watchWait = min(watchWait, peersync.RelayWatchWait)
+	}
+	return &replica.Follower{
 		Source:       source,
 		View:         view,
 		Observer:     &storeObserver{kind: kind, log: g.log.With(zap.String("what", kind)), set: g.set, targetsKnown: &g.targetsKnown},
-		WatchWait:    g.settings.SettleTimeout - watchReserve,
+		WatchWait:    watchWait,
 		MaxBackoff:   g.settings.SettleTimeout - backoffReserve,
 		RemovalGrace: removalGrace,
-		BatchDelay:   batchDelay,
 		Breaker:      &g.breaker,
-		RelayActive:  relayActive,
+		RelayActive:  relay.active,
 	}
-	return f.Run
 }
 
 // registerGauges registers the gauges, whose values are read at every scrape.
@@ -219,6 +227,9 @@
 func (g *gateway) shutDown(ctx context.Context) error {
 	startedAt := time.Now()
 	g.shuttingDown.Store(true)
+	if g.onShutdown != nil {
+		g.onShutdown()
+	}
 	g.server.Drain()
 	g.log.Info("shutting down", zap.Duration("grace", g.settings.ShutdownGrace), zap.Int("connections", g.server.ConnectionCount()))
 	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(g.settings.ShutdownGrace-exitMargin))
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -28,18 +28,28 @@
 	maxSyncLinks = 4096
 )
 
+// peerRelay is how a gateway learns the store's changes from its peers. The zero value is
+// that of a gateway without peers.
+type peerRelay struct {
+	// active is Follower.RelayActive, or nil.
+	active func() bool
+	// routes and targets are Follower.Relay of the two followers, or nil.
+	routes, targets replica.Relay
+	// isRelay is set if this gateway relays changes to others.
+	isRelay bool
+}
+
 // startPeerSync exchanges routes and targets with other gateways while the store is
-// unavailable or stale. It returns Follower.RelayActive: nil for a seed, which reads the
-// store for others, and for a gateway without peers. A gateway that can't listen for
-// peers logs a warning and runs without them.
-func (g *gateway) startPeerSync(lc fx.Lifecycle, local *replica.Replica) (relayActive func() bool) {
+// unavailable or stale, and has the seeds relay the store's changes otherwise. A gateway
+// that can't listen for peers logs a warning and runs without them.
+func (g *gateway) startPeerSync(lc fx.Lifecycle, local *replica.Replica) peerRelay {
 	if g.settings.Peers.Listen == "" {
-		return nil
+		return peerRelay{}
 	}
 	transport, err := g.listenForPeers()
 	if err != nil {
 		g.log.Warn("peer sync is disabled", zap.Error(err))
-		return nil
+		return peerRelay{}
 	}
 	isSeed, otherSeeds := peerAddresses(g.settings.Peers.Listen, g.settings.Peers.Seeds)
 	storeUnavailable := g.breaker.Open
@@ -51,7 +61,10 @@
 		Seeds:     otherSeeds,
 		Log:       g.log,
 	}
-	s.NeedsPeers = func() bool { return storeUnavailable() || (!isSeed && g.breaker.ReadsMayBeStale()) }
+	relayed := func() bool { return false }
+	s.NeedsPeers = func() bool {
+		return storeUnavailable() || (!isSeed && g.breaker.ReadsMayBeStale() && !relayed())
+	}
 	transport.Handle(peer.OpFetchState, s.HandleFetchState)
 	transport.Handle(peer.OpPushState, s.HandlePushState)
 	lc.Append(fx.Hook{
@@ -59,10 +72,39 @@
 		OnStop:  func(context.Context) error { transport.Stop(); return nil },
 	})
 	runLoop(lc, s.Run)
+	var relay peerRelay
+	if !isSeed {
+		relay.active = s.RelayActive
+	}
+	if g.settings.SettleTimeout-watchReserve < peersync.MaxRelayLag {
+		return relay
+	}
 	if isSeed {
-		return nil
+		g.serveRelay(transport, local)
+		relay.isRelay = true
+		return relay
 	}
-	return s.RelayActive
+	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds, Log: g.log}
+	relayed = client.Relayed
+	g.set.NewGauge("redwingpoint_store_changes_relayed", func() float64 {
+		if client.Relayed() {
+			return 1
+		}
+		return 0
+	})
+	runLoop(lc, client.Run)
+	relay.routes, relay.targets = client.RoutesRelay(), client.TargetsRelay()
+	return relay
+}
+
+// serveRelay relays the store's changes to other gateways.
+func (g *gateway) serveRelay(transport *peer.Transport, local *replica.Replica) {
+	local.Current = func() bool { return g.isReady() && !g.breaker.Open() }
+	local.Routes.OnChange = local.NotifyChanged
+	local.Targets.OnChange = local.NotifyChanged
+	g.breaker.OnOpen = local.NotifyChanged
+	g.onShutdown = local.NotifyChanged
+	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local}).HandleAwaitChange)
 }
 
 // listenForPeers returns a transport that listens for peers with a self-signed
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -25,6 +25,9 @@
 	OpFetchState
 	// OpPushState pushes routes and targets to a gateway that has older ones.
 	OpPushState
+	// OpAwaitChange waits at a gateway that follows the store until its routes or targets
+	// differ from the requester's.
+	OpAwaitChange
 )
 
 // RequestHandler handles the requests of one Op. It is called concurrently. It returns the
--- /dev/null
+++ b/internal/peersync/relay.go
@@ -0,0 +1,330 @@
+package peersync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/peer"
+	"redwingpoint.org/redwingpoint/internal/replica"
+	"redwingpoint.org/redwingpoint/internal/wait"
+)
+
+const (
+	// RelayWatchWait is how long the store may hold a watch of a relay. A relay notices a
+	// watch that the store dropped after this and the timeout of the response.
+	RelayWatchWait = 700 * time.Millisecond
+	// awaitWait is how long a relay holds a request without a change.
+	awaitWait = 600 * time.Millisecond
+	// maxAwaitWait bounds the wait that a request may ask for.
+	maxAwaitWait = 2 * time.Second
+	// searchTimeout bounds the search for a relay. A handshake and a call across regions
+	// take about 75 ms.
+	searchTimeout = 250 * time.Millisecond
+	// lossTolerance is how long the changes may be missing after all relays said that they
+	// have lost the store. A relay regains it about half a second after a lost history;
+	// then it has listed the targets for all its peers.
+	lossTolerance = time.Second
+	// searchInterval is the time between two searches during lossTolerance, and
+	// idleSearchInterval that without a relay.
+	searchInterval     = 100 * time.Millisecond
+	idleSearchInterval = time.Second
+	// MaxRelayLag is the longest time for which a relay that lost the store first, and its
+	// peer right after, delays a change: the watch and the request with their timeouts, and
+	// the search for another relay.
+	MaxRelayLag = RelayWatchWait + awaitWait + 2*exchangeTimeout + searchTimeout
+	// maxBehindReads is how often the store is read for a revision of the routes that a
+	// relay has told of. A revision that can't be applied would be read forever.
+	maxBehindReads = 4
+)
+
+// awaitRequest is the request of peer.OpAwaitChange.
+type awaitRequest struct {
+	Versions replica.Versions `cbor:"1,keyasint"`
+	// WaitMillis is how long the relay may hold the request without a change.
+	WaitMillis uint32 `cbor:"2,keyasint,omitempty"`
+}
+
+// RelayServer answers the requests of peers to which this instance relays the store's
+// changes. It is safe for concurrent use.
+type RelayServer struct{ Replica *replica.Replica }
+
+// HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets and the
+// versions held as soon as the targets differ from the requester's, newer routes are in
+// force or the instance can no longer relay; without a change it does after the wait asked
+// for. It never sends routes: every peer reads them from the store, because the same large
+// document sent to all peers would fill the instance's link.
+func (s *RelayServer) HandleAwaitChange(_ model.InstanceID, body []byte) (any, error) {
+	var req awaitRequest
+	if err := peer.Decode(body, &req); err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(min(time.Duration(req.WaitMillis)*time.Millisecond, maxAwaitWait))
+	defer timer.Stop()
+	for {
+		changed := s.Replica.Changed()
+		delta := s.Replica.DeltaFor(req.Versions)
+		delta.Routes = nil
+		if delta.HasTargets() || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
+			return delta, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return delta, nil
+		}
+	}
+}
+
+// RelayClient receives the store's changes from a relay, one of the seeds. Run must be
+// called once; the other methods are safe for concurrent use.
+type RelayClient struct {
+	Replica *replica.Replica
+	// OnMerge is called after targets of a relay were merged.
+	OnMerge   func()
+	Transport Transport
+	// Seeds are the peer addresses of the instances that may relay.
+	Seeds []string
+	Log   *zap.Logger
+
+	names nameComparison
+
+	mu sync.Mutex
+	// current is set while a relay that follows the store answers. ended is closed when
+	// that ends or the routes fall behind.
+	current bool
+	ended   chan struct{}
+	// latest is what the relay held at its last response.
+	latest replica.Versions
+	// routesAsOf is the store's latest revision up to which the routes of this instance are
+	// known to be in force.
+	routesAsOf uint64
+	// behindReads counts the reads of the store for the revision behindRoutes.
+	behindRoutes model.Revision
+	behindReads  int
+}
+
+// Run receives changes until ctx ends.
+func (c *RelayClient) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		relay, found := c.nearestRelay(ctx)
+		for found && ctx.Err() == nil {
+			responds := c.follow(ctx, relay)
+			relay, found = c.replaceRelay(ctx, relay, responds)
+		}
+		c.setLost()
+		wait.For(ctx, idleSearchInterval)
+	}
+}
+
+// replaceRelay returns the next relay after one that has lost the store or, if responds is
+// not set, is silent. The silent one may have been without the store before, so its return
+// is not waited for.
+func (c *RelayClient) replaceRelay(ctx context.Context, last string, responds bool) (addr string, found bool) {
+	addr, found = c.nearestRelay(ctx)
+	if found || !responds {
+		return addr, found
+	}
+	for until := time.Now().Add(lossTolerance); time.Now().Before(until) && ctx.Err() == nil; {
+		wait.For(ctx, searchInterval)
+		if c.isRelaying(ctx, last) {
+			return last, true
+		}
+	}
+	return c.nearestRelay(ctx)
+}
+
+// nearestRelay returns the seed that follows the store and responds first.
+func (c *RelayClient) nearestRelay(ctx context.Context) (addr string, found bool) {
+	if own := c.Replica.Versions(); own.AsOf == 0 || own.Routes == 0 {
+		return "", false
+	}
+	relays := make(chan string, len(c.Seeds))
+	var calls sync.WaitGroup
+	for _, addr := range c.Seeds {
+		calls.Go(func() {
+			if c.isRelaying(ctx, addr) {
+				relays <- addr
+			}
+		})
+	}
+	go func() { calls.Wait(); close(relays) }()
+	addr, found = <-relays
+	return addr, found
+}
+
+// isRelaying reports whether a seed responds and follows the store.
+func (c *RelayClient) isRelaying(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	defer cancel()
+	var remote replica.Delta
+	_, err := c.Transport.CallAddr(ctx, addr, peer.OpAwaitChange, awaitRequest{Versions: c.Replica.Versions()}, &remote)
+	return err == nil && remote.Versions.Current
+}
+
+// follow receives the changes of a relay until it no longer follows the store or doesn't
+// respond. It reports whether the relay responds.
+func (c *RelayClient) follow(ctx context.Context, relay string) (responds bool) {
+	c.Log.Info("changes come from a relay", zap.String("address", relay))
+	for {
+		remote, err := c.awaitChange(ctx, relay)
+		switch {
+		case err != nil:
+			c.Log.Info("relay doesn't respond", zap.String("address", relay), zap.Error(err))
+			return false
+		case !remote.Versions.Current:
+			c.Log.Info("relay has lost the store", zap.String("address", relay), zap.Uint64("as_of", remote.Versions.AsOf))
+			return true
+		}
+		c.accept(remote)
+	}
+}
+
+// awaitChange asks a relay for the next change and merges its targets.
+func (c *RelayClient) awaitChange(ctx context.Context, relay string) (replica.Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, awaitWait+exchangeTimeout)
+	defer cancel()
+	var remote replica.Delta
+	request := awaitRequest{Versions: c.names.ownVersions(c.Replica), WaitMillis: uint32(awaitWait.Milliseconds())}
+	// The relay need not tell again of routes that are being read from the store.
+	request.Versions.Routes = max(request.Versions.Routes, c.toldRoutes())
+	if _, err := c.Transport.CallAddr(ctx, relay, peer.OpAwaitChange, request, &remote); err != nil {
+		return replica.Delta{}, err
+	}
+	c.Replica.Merge(remote)
+	c.names.compare(c.Replica, remote.Versions)
+	if remote.HasTargets() {
+		c.OnMerge()
+	}
+	return remote, nil
+}
+
+// accept records a response of a relay that follows the store.
+func (c *RelayClient) accept(remote replica.Delta) {
+	own := c.Replica.Versions()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended == nil {
+		c.ended = make(chan struct{})
+	}
+	c.current, c.latest = true, remote.Versions
+	if remote.Versions.Routes == own.Routes {
+		c.routesAsOf = max(c.routesAsOf, remote.Versions.RoutesAsOf)
+	}
+	if c.isBehind(own) {
+		c.end()
+	}
+}
+
+// setLost records that no relay follows the store for this instance.
+func (c *RelayClient) setLost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current = false
+	c.end()
+}
+
+// end wakes the followers. c.mu must be held.
+func (c *RelayClient) end() {
+	if c.ended != nil {
+		close(c.ended)
+		c.ended = nil
+	}
+}
+
+// isBehind reports whether the relay has newer routes than this instance that may still be
+// read from the store. c.mu must be held.
+func (c *RelayClient) isBehind(own replica.Versions) bool {
+	if c.latest.Routes <= own.Routes {
+		return false
+	}
+	return c.latest.Routes != c.behindRoutes || c.behindReads < maxBehindReads
+}
+
+// toldRoutes returns the revision of the routes at the relay's last response.
+func (c *RelayClient) toldRoutes() model.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.latest.Routes
+}
+
+// Relayed reports whether a relay that follows the store answers.
+func (c *RelayClient) Relayed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
+// TargetsRelay returns the replica.Relay of the follower of the targets.
+func (c *RelayClient) TargetsRelay() replica.Relay { return &relayWaiter{client: c} }
+
+// RoutesRelay returns the replica.Relay of the follower of the routes, which are behind if
+// the relay has newer ones.
+func (c *RelayClient) RoutesRelay() replica.Relay { return &relayWaiter{client: c, routes: true} }
+
+// relayWaiter implements replica.Relay for one follower.
+type relayWaiter struct {
+	client *RelayClient
+	routes bool
+}
+
+// AwaitReturn implements replica.Relay.
+func (w *relayWaiter) AwaitReturn(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, lossTolerance)
+	defer cancel()
+	for ctx.Err() == nil {
+		if w.client.Relayed() {
+			return true
+		}
+		wait.For(ctx, searchInterval)
+	}
+	return false
+}
+
+// Await implements replica.Relay.
+func (w *relayWaiter) Await(ctx context.Context) replica.RelayState {
+	var state replica.RelayState
+	for {
+		ended := w.check(&state)
+		if ended == nil {
+			return state
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return state
+		}
+	}
+}
+
+// check updates the state and returns the channel to wait for, or nil if the follower must
+// go to the store.
+func (w *relayWaiter) check(state *replica.RelayState) <-chan struct{} {
+	c := w.client
+	own := c.Replica.Versions()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state.AsOf = own.AsOf
+	if w.routes {
+		state.AsOf = c.routesAsOf
+	}
+	if !c.current {
+		return nil
+	}
+	state.Relayed = true
+	if w.routes && c.isBehind(own) {
+		if c.behindRoutes != c.latest.Routes {
+			c.behindRoutes, c.behindReads = c.latest.Routes, 0
+		}
+		c.behindReads++
+		state.Behind = c.behindReads == 1
+		return nil
+	}
+	if c.ended == nil {
+		c.ended = make(chan struct{})
+	}
+	return c.ended
+}
--- /dev/null
+++ b/internal/peersync/relay_test.go
@@ -0,0 +1,415 @@
+package peersync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/peer"
+	"redwingpoint.org/redwingpoint/internal/replica"
+	"redwingpoint.org/redwingpoint/internal/route"
+)
+
+var errStoreDown = errors.New("store is down")
+
+// relayStore is a store with routes and targets and one counter of revisions.
+type relayStore struct {
+	mu       sync.Mutex
+	revision uint64
+	// floor is the revision up to which the history is gone.
+	floor   uint64
+	objects map[string]map[string]replica.Object
+	changed chan struct{}
+	downFor func(node string) bool
+	calls   map[string]int
+}
+
+func newRelayStore(targets int) *relayStore {
+	s := &relayStore{
+		objects: map[string]map[string]replica.Object{"routes": {}, "targets": {}},
+		changed: make(chan struct{}), calls: make(map[string]int), downFor: func(string) bool { return false },
+	}
+	s.put("routes", "main", "1")
+	for i := range targets {
+		s.put("targets", strconv.Itoa(i), "a")
+	}
+	return s
+}
+
+func (s *relayStore) put(kind, name, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.objects[kind][name] = replica.Object{Name: name, Revision: s.revision, Value: []byte(value), Deleted: value == ""}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *relayStore) loseHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.floor = s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// takeCalls returns the number of calls of a node by operation and resets it.
+func (s *relayStore) takeCalls(node string) (lists, watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lists, watches = s.calls[node+" list"], s.calls[node+" watch"]
+	s.calls[node+" list"], s.calls[node+" watch"] = 0, 0
+	return lists, watches
+}
+
+// relaySource is one node's view of the objects of one kind.
+type relaySource struct {
+	*relayStore
+	node, kind string
+}
+
+// changesAfter returns the objects changed after a revision. s.mu must be held.
+func (s relaySource) changesAfter(after uint64, deleted bool) replica.Batch {
+	batch := replica.Batch{AsOf: s.revision}
+	for _, o := range s.objects[s.kind] {
+		if o.Revision > after && (deleted || !o.Deleted) {
+			batch.Objects = append(batch.Objects, o)
+		}
+	}
+	return batch
+}
+
+func (s relaySource) List(context.Context) (replica.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[s.node+" list"]++
+	if s.downFor(s.node) {
+		return replica.Batch{}, errStoreDown
+	}
+	return s.changesAfter(0, false), nil
+}
+
+func (s relaySource) Watch(ctx context.Context, after uint64, wait time.Duration, _ replica.Consistency) (replica.Batch, error) {
+	s.mu.Lock()
+	s.calls[s.node+" watch"]++
+	s.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		down, gone, batch, changed := s.downFor(s.node), after < s.floor, s.changesAfter(after, true), s.changed
+		s.mu.Unlock()
+		switch {
+		case down:
+			return replica.Batch{}, errStoreDown
+		case gone:
+			return replica.Batch{}, &replica.HistoryGoneError{After: after}
+		case len(batch.Objects) > 0:
+			return batch, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return replica.Batch{}, ctx.Err()
+		}
+	}
+}
+
+// relayNode is an instance that follows the store, as a relay or by means of relays.
+type relayNode struct {
+	replica *replica.Replica
+	breaker replica.Breaker
+	server  *RelayServer
+	client  *RelayClient
+	// silent is set while the node doesn't respond to peers.
+	silent bool
+	// applied and left are the times at which routes came in force and targets left.
+	applied map[model.Revision]time.Time
+	left    map[model.TargetID]time.Time
+}
+
+// relayNetwork connects nodes by name. A node that is missing or silent never responds.
+type relayNetwork struct {
+	mu    sync.Mutex
+	nodes map[string]*relayNode
+}
+
+// CallAddr implements Transport.
+func (n *relayNetwork) CallAddr(ctx context.Context, addr string, _ peer.Op, body, response any) (model.InstanceID, error) {
+	n.mu.Lock()
+	to := n.nodes[addr]
+	silent := to == nil || to.silent
+	n.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return "", ctx.Err()
+	}
+	raw, err := peer.Encode(body)
+	if err != nil {
+		return "", err
+	}
+	result := make(chan any, 1)
+	go func() {
+		out, err := to.server.HandleAwaitChange("asker", raw)
+		if err != nil {
+			out = err
+		}
+		result <- out
+	}()
+	select {
+	case out := <-result:
+		n.mu.Lock()
+		silent := to.silent
+		n.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return "", ctx.Err()
+		}
+		if err, failed := out.(error); failed {
+			return "", err
+		}
+		if raw, err = peer.Encode(out); err != nil {
+			return "", err
+		}
+		return model.InstanceID(addr), peer.Decode(raw, response)
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+func (n *relayNetwork) silence(addr string, silent bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[addr].silent = silent
+}
+
+// nodeObserver records when routes and targets changed.
+type nodeObserver struct {
+	nopObserver
+	node *relayNode
+	mu   *sync.Mutex
+}
+
+func (o nodeObserver) RoutesApplied(t *route.Table) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.node.applied[t.Revision] = time.Now()
+}
+
+func (o nodeObserver) TargetRemoved(id model.TargetID, _ bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.node.left[id] = time.Now()
+}
+
+// CallFinished and the methods below implement replica.Observer.
+func (nodeObserver) CallFinished(string, time.Duration, int, error) {}
+func (nodeObserver) OutageStarted(error)                            {}
+func (nodeObserver) OutageEnded(time.Duration)                      {}
+
+// ownWatchWait and ownMaxBackoff are those of an instance that must know changes within 4 s.
+const (
+	ownWatchWait  = 2600 * time.Millisecond
+	ownMaxBackoff = 1700 * time.Millisecond
+)
+
+// start adds a node and runs it until ctx ends. Nodes named "seed-..." are relays.
+func (n *relayNetwork) start(ctx context.Context, store *relayStore, name string, seeds ...string) *relayNode {
+	node := &relayNode{applied: make(map[model.Revision]time.Time), left: make(map[model.TargetID]time.Time)}
+	o := nodeObserver{node: node, mu: &n.mu}
+	decodeRoutes := func(object replica.Object) (route.Config, bool, error) {
+		revision, err := strconv.ParseUint(string(object.Value), 10, 64)
+		return route.Config{Revision: model.Revision(revision)}, true, err
+	}
+	node.replica = &replica.Replica{
+		Routes: &replica.Routes{Decode: decodeRoutes, Holder: route.NewHolder(), Observer: o},
+		Targets: &replica.Targets{Table: nopObserver{}, Observer: o, Decode: func(object replica.Object) (model.Target, error) {
+			return model.Target{ID: model.TargetID(object.Name), Service: "a"}, nil
+		}},
+	}
+	follower := func(kind string, view replica.View) *replica.Follower {
+		return &replica.Follower{Source: relaySource{store, name, kind}, View: view, Observer: o, WatchWait: ownWatchWait,
+			MaxBackoff: ownMaxBackoff, Breaker: &node.breaker}
+	}
+	routes, targets := follower("routes", node.replica.Routes), follower("targets", node.replica.Targets)
+	if len(seeds) == 0 {
+		node.server = &RelayServer{Replica: node.replica}
+		node.replica.Current = func() bool { return node.replica.Routes.Holder.Current() != nil && !node.breaker.Open() }
+		node.replica.Routes.OnChange, node.replica.Targets.OnChange = node.replica.NotifyChanged, node.replica.NotifyChanged
+		node.breaker.OnOpen = node.replica.NotifyChanged
+		routes.WatchWait, targets.WatchWait = RelayWatchWait, RelayWatchWait
+	} else {
+		node.client = &RelayClient{Replica: node.replica, OnMerge: func() {}, Transport: n, Seeds: seeds, Log: zap.NewNop()}
+		routes.Relay, targets.Relay = node.client.RoutesRelay(), node.client.TargetsRelay()
+		go node.client.Run(ctx)
+	}
+	n.mu.Lock()
+	n.nodes[name] = node
+	n.mu.Unlock()
+	go routes.Run(ctx)
+	go targets.Run(ctx)
+	return node
+}
+
+// relayTest runs a test with a store, two relays and one instance that follows them.
+func relayTest(t *testing.T, test func(t *testing.T, store *relayStore, n *relayNetwork, node *relayNode)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newRelayStore(660)
+		n := &relayNetwork{nodes: make(map[string]*relayNode)}
+		n.start(ctx, store, "seed-1")
+		n.start(ctx, store, "seed-2")
+		node := n.start(ctx, store, "node", "seed-1", "seed-2")
+		time.Sleep(10 * time.Second)
+		if !node.client.Relayed() {
+			t.Fatal("no relay was found")
+		}
+		store.takeCalls("node")
+		test(t, store, n, node)
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// checkApplied checks that a revision of the routes came in force and the target left
+// within a time after the change.
+func checkApplied(t *testing.T, n *relayNetwork, node *relayNode, changedAt time.Time, revision model.Revision, target model.TargetID, within time.Duration) {
+	t.Helper()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for what, at := range map[string]time.Time{
+		fmt.Sprint("revision ", revision):     node.applied[revision],
+		"removal of target " + string(target): node.left[target],
+	} {
+		if took := at.Sub(changedAt); at.IsZero() || took > within {
+			t.Errorf("%s took effect after %v, want %v", what, took, within)
+		}
+	}
+}
+
+// TestRelayedChangesNeedNoWatch checks that an instance behind a relay makes no call to the
+// store in calm minutes, and one for a change of the routes.
+func TestRelayedChangesNeedNoWatch(t *testing.T) {
+	relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, node *relayNode) {
+		time.Sleep(5 * time.Minute)
+		changedAt := time.Now()
+		store.put("routes", "main", "2")
+		store.put("targets", "17", "")
+		time.Sleep(time.Minute)
+		checkApplied(t, n, node, changedAt, 2, "17", 100*time.Millisecond)
+		if lists, watches := store.takeCalls("node"); lists != 0 || watches != 1 {
+			t.Errorf("%d lists and %d watches, want none and 1", lists, watches)
+		}
+	})
+}
+
+// TestChangesOutlastTheRelays checks how long changes may take while one or both relays stop
+// responding or lose the store at the moment of the change.
+func TestChangesOutlastTheRelays(t *testing.T) {
+	const storeRead = 50 * time.Millisecond
+	cut := func(nodes ...string) func(*relayStore, *relayNetwork) {
+		return func(store *relayStore, _ *relayNetwork) {
+			store.mu.Lock()
+			defer store.mu.Unlock()
+			store.downFor = func(name string) bool {
+				for _, n := range nodes {
+					if n == name {
+						return true
+					}
+				}
+				return false
+			}
+		}
+	}
+	silence := func(nodes ...string) func(*relayStore, *relayNetwork) {
+		return func(_ *relayStore, n *relayNetwork) {
+			for _, name := range nodes {
+				n.silence(name, true)
+			}
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		fault  func(*relayStore, *relayNetwork)
+		within time.Duration
+	}{
+		{"one relay is silent", silence("seed-1"), awaitWait + exchangeTimeout + searchTimeout + storeRead},
+		{"both relays are silent", silence("seed-1", "seed-2"), awaitWait + exchangeTimeout + searchTimeout + storeRead},
+		{"one relay has lost the store", cut("seed-1"), RelayWatchWait + exchangeTimeout + storeRead},
+		{"both relays have lost the store", cut("seed-1", "seed-2"), RelayWatchWait + exchangeTimeout + lossTolerance + searchTimeout + storeRead},
+		{"one lost the store, the other is silent", func(s *relayStore, n *relayNetwork) { cut("seed-1")(s, n); silence("seed-2")(s, n) }, MaxRelayLag},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, node *relayNode) {
+				c.fault(store, n)
+				changedAt := time.Now()
+				store.put("routes", "main", "2")
+				store.put("targets", "17", "")
+				time.Sleep(10 * time.Second)
+				checkApplied(t, n, node, changedAt, 2, "17", min(c.within, MaxRelayLag))
+				cut()(store, n)
+				n.silence("seed-1", false)
+				n.silence("seed-2", false)
+				time.Sleep(5 * time.Second)
+				store.takeCalls("node")
+				time.Sleep(time.Minute)
+				if _, watches := store.takeCalls("node"); watches > 0 {
+					t.Errorf("%d watches after the relays were back", watches)
+				}
+			})
+		})
+	}
+}
+
+// TestLostHistoryIsMadeUpByTheRelay checks that an instance neither lists nor watches if the
+// store is away for half a second and has no history afterwards.
+func TestLostHistoryIsMadeUpByTheRelay(t *testing.T) {
+	relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, node *relayNode) {
+		setDown := func(down bool) {
+			store.mu.Lock()
+			defer store.mu.Unlock()
+			store.downFor = func(string) bool { return down }
+		}
+		setDown(true)
+		store.loseHistory()
+		time.Sleep(500 * time.Millisecond)
+		setDown(false)
+		changedAt := time.Now()
+		store.put("targets", "17", "")
+		store.put("routes", "main", "2")
+		time.Sleep(time.Minute)
+		checkApplied(t, n, node, changedAt, 2, "17", 2*time.Second)
+		if lists, watches := store.takeCalls("node"); lists > 1 || watches > 1 {
+			t.Errorf("%d lists and %d watches", lists, watches)
+		}
+	})
+}
+
+// TestInvalidRoutesAreNotReadForever relays a revision of the routes that can't be applied.
+func TestInvalidRoutesAreNotReadForever(t *testing.T) {
+	relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, node *relayNode) {
+		ahead, err := route.NewTable(route.Config{Revision: 7})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, seed := range []string{"seed-1", "seed-2"} {
+			n.nodes[seed].replica.Routes.Holder.Apply(ahead)
+			n.nodes[seed].replica.NotifyChanged()
+		}
+		time.Sleep(time.Minute)
+		if lists, watches := store.takeCalls("node"); lists+watches > maxBehindReads {
+			t.Errorf("%d lists and %d watches, want up to %d", lists, watches, maxBehindReads)
+		}
+	})
+}
--- a/internal/peersync/sync.go
+++ b/internal/peersync/sync.go
@@ -30,9 +30,6 @@
 	// steadyInterval is the time between two exchanges of a ready gateway without the
 	// store. Its state may be as old as one watch, 1.6 s.
 	steadyInterval = 1500 * time.Millisecond
-	// namesBytesPerSecond bounds the average cost of comparing the names of all targets,
-	// to half of the 2 KB/s allowed for control traffic.
-	namesBytesPerSecond = 1000
 	// exchangeTimeout bounds one exchange. A handshake and a call across regions take
 	// about 75 ms.
 	exchangeTimeout = 500 * time.Millisecond
@@ -60,11 +57,7 @@
 	// reads, by the monotonic clock, or nil.
 	strongPeerSeen atomic.Pointer[time.Time]
 
-	// diverged is set if the last exchange left lists of the same revision that differ, and
-	// namesComparedAt is the time of the last exchange that compared all names. Both are
-	// used by Run only.
-	diverged        bool
-	namesComparedAt time.Time
+	names nameComparison
 }
 
 // relayTTL is how long a peer with strong reads counts as a relay after its last
@@ -120,24 +113,12 @@
 	return steadyInterval
 }
 
-// ownVersions returns the versions to send to a seed. If the lists have diverged, they ask
-// for all names, as often as namesBytesPerSecond allows.
-func (s *Syncer) ownVersions() replica.Versions {
-	own := s.Replica.Versions()
-	pause := time.Duration(s.Replica.Targets.NameHashBytes()) * time.Second / namesBytesPerSecond
-	if s.diverged && time.Since(s.namesComparedAt) >= pause {
-		own.AcceptsRemovals = false
-		s.namesComparedAt = time.Now()
-	}
-	return own
-}
-
 // exchange fetches the state of a seed and pushes what the seed lacks.
 func (s *Syncer) exchange(ctx context.Context, seed string) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var remote replica.Delta
-	from, err := s.Transport.CallAddr(ctx, seed, peer.OpFetchState, s.ownVersions(), &remote)
+	from, err := s.Transport.CallAddr(ctx, seed, peer.OpFetchState, s.names.ownVersions(s.Replica), &remote)
 	if err != nil {
 		s.Log.Info("peer not reached", zap.String("address", seed), zap.Error(err))
 		return
@@ -147,8 +128,7 @@
 		s.strongPeerSeen.Store(&now)
 	}
 	s.merge(from, remote)
-	own := s.Replica.Versions()
-	s.diverged = own.AsOf == remote.Versions.AsOf && own.Digest != remote.Versions.Digest
+	s.names.compare(s.Replica, remote.Versions)
 	delta := s.Replica.DeltaFor(remote.Versions)
 	if delta.Routes == nil && !delta.HasTargets() {
 		return
--- a/internal/peersync/sync_test.go
+++ b/internal/peersync/sync_test.go
@@ -197,7 +197,7 @@
 // exchangeBytes returns the size of a request of asker to seed and its response.
 func exchangeBytes(t *testing.T, seed, asker *Syncer) int {
 	t.Helper()
-	request, err := peer.Encode(asker.ownVersions())
+	request, err := peer.Encode(asker.names.ownVersions(asker.Replica))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/replica/breaker.go
+++ b/internal/replica/breaker.go
@@ -10,6 +10,10 @@
 // open, only the follower whose call failed first probes the store; the others
 // wait. It is safe for concurrent use.
 type Breaker struct {
+	// OnOpen, if set, is called after the breaker has opened. It must not change after the
+	// first call to the store.
+	OnOpen func()
+
 	mu sync.Mutex
 	// prober is the follower that probes the store while the breaker is open, or nil
 	// while it is closed.
@@ -52,9 +56,20 @@
 // prober. Opening the breaker cancels the calls of the other followers, whose
 // responses may never arrive.
 func (b *Breaker) recordFailure(f *Follower) bool {
+	isProber, opened := b.openFor(f)
+	if opened && b.OnOpen != nil {
+		b.OnOpen()
+	}
+	return isProber
+}
+
+// openFor opens the breaker with f as the prober, unless it is open. It reports whether f
+// is the prober and whether it opened the breaker.
+func (b *Breaker) openFor(f *Follower) (isProber, opened bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.prober == nil {
+		opened = true
 		b.prober, b.recovered = f, make(chan struct{})
 		for other, cancel := range b.cancels {
 			if other != f {
@@ -62,7 +77,7 @@
 			}
 		}
 	}
-	return b.prober == f
+	return b.prober == f, opened
 }
 
 // recordSuccess records a successful call; one of the prober closes the breaker.
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -19,8 +19,33 @@
 	staleReadWindow = 15 * time.Second
 	// initialBackoff is the delay after the first failed call; it doubles up to MaxBackoff.
 	initialBackoff = 100 * time.Millisecond
+	// behindWatchWait is how long the store may hold the watch that reads a change of which
+	// a relay has told. Eventually consistent reads have it within milliseconds as a rule.
+	behindWatchWait = 200 * time.Millisecond
 )
 
+// Relay tells a Follower when peers relay the store's changes, so that it need not watch
+// the store itself.
+type Relay interface {
+	// Await blocks while a peer relays the changes and the view holds them. It returns at
+	// once if no peer does.
+	Await(ctx context.Context) RelayState
+	// AwaitReturn waits a short time for a peer that relays changes and reports whether
+	// there is one. It is called before all objects are listed after a loss of history.
+	AwaitReturn(ctx context.Context) bool
+}
+
+// RelayState is the state in which a Follower goes to the store.
+type RelayState struct {
+	// Relayed is set if a peer has relayed changes since the last call of Await.
+	Relayed bool
+	// AsOf is the store's revision that the view reflects by what was relayed, or 0.
+	AsOf uint64
+	// Behind is set if a peer that is still current knows a change that the view lacks and
+	// that has not been looked for yet. The cheaper reads are tried first then.
+	Behind bool
+}
+
 // View is the state that a Follower keeps up to date. Its methods are called by
 // one goroutine.
 type View interface {
@@ -69,6 +94,8 @@
 	// this instance, so that eventually consistent reads suffice even after a loss of
 	// history.
 	RelayActive func() bool
+	// Relay, if set, replaces watches of the store while peers relay its changes.
+	Relay Relay
 
 	outageStarted       time.Time
 	callStarted         time.Time
@@ -77,18 +104,28 @@
 	// requireStrong is set after a failure until a strong watch has succeeded.
 	requireStrong bool
 	removeAfter   time.Time
+	// goneRevision is a revision from which no watch can resume, since the store has
+	// discarded the history after it; 0 after a list.
+	goneRevision uint64
 }
 
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		after, err := f.list(ctx)
-		for err == nil && ctx.Err() == nil {
+		for (err == nil || f.relayReturns(ctx, err)) && ctx.Err() == nil {
 			after, err = f.watch(ctx, after)
 		}
 	}
 }
 
+// relayReturns reports whether err is a loss of history that a relay makes up for: it has
+// listed the objects itself and sends the differences.
+func (f *Follower) relayReturns(ctx context.Context, err error) bool {
+	var gone *HistoryGoneError
+	return errors.As(err, &gone) && f.Relay != nil && f.Relay.AwaitReturn(ctx)
+}
+
 // list reads all objects and returns the revision to watch from. After a failed call
 // it backs off before it returns the error.
 func (f *Follower) list(ctx context.Context) (uint64, error) {
@@ -105,6 +142,7 @@
 		return 0, err
 	}
 	f.handleSuccess()
+	f.goneRevision = 0
 	f.View.Replace(batch, f.removeAfter)
 	return batch.AsOf, nil
 }
@@ -114,12 +152,19 @@
 // from the same revision. After a failure, watches ask for an immediate response until
 // a strong one has succeeded.
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
-	callCtx, cancel, err := f.beginCall(ctx, f.WatchWait+responseTimeout)
+	watchWait, timeout := f.WatchWait, f.WatchWait+responseTimeout
+	if relay := f.awaitRelay(ctx); relay.Relayed {
+		after = max(after, relay.AsOf)
+		watchWait, timeout = behindWatchWait, behindWatchWait+responseTimeout
+	}
+	if after <= f.goneRevision {
+		return f.list(ctx)
+	}
+	callCtx, cancel, err := f.beginCall(ctx, timeout)
 	if err != nil {
 		return after, err
 	}
 	defer cancel()
-	watchWait := f.WatchWait
 	if f.consecutiveFailures > 0 || f.requireStrong {
 		watchWait = 0
 	}
@@ -131,6 +176,7 @@
 	case errors.As(err, &gone):
 		f.Breaker.markStale()
 		f.handleSuccess()
+		f.goneRevision = max(f.goneRevision, after)
 		return 0, err
 	case err != nil:
 		f.handleFailure(ctx, err)
@@ -147,6 +193,22 @@
 	return max(after, batch.AsOf), nil
 }
 
+// awaitRelay waits while peers relay the store's changes, which ends an outage of the store
+// for this follower. If they no longer do, the next watch is a strong one, because the relay
+// may have been behind at its end.
+func (f *Follower) awaitRelay(ctx context.Context) RelayState {
+	if f.Relay == nil {
+		return RelayState{}
+	}
+	state := f.Relay.Await(ctx)
+	if !state.Relayed {
+		return state
+	}
+	f.handleSuccess()
+	f.requireStrong = !state.Behind
+	return state
+}
+
 // beginCall waits until the breaker admits a call and returns the call's context.
 func (f *Follower) beginCall(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc, error) {
 	breakerCtx, release, err := f.Breaker.acquire(ctx, f)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -25,6 +26,12 @@
 	// AcceptsRemovals is set if Delta.Removed may replace Delta.NameHashes in a response.
 	// It is not set by older builds, nor by an instance that has to compare all names.
 	AcceptsRemovals bool `cbor:"5,keyasint,omitempty"`
+	// RoutesAsOf is the store's revision that the routes reflect, or 0 if they were never
+	// read from the store.
+	RoutesAsOf uint64 `cbor:"6,keyasint,omitempty"`
+	// Current is set while the instance follows the store closely enough to relay its
+	// changes to others.
+	Current bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Delta is what one instance sends to another: its versions, and the routes and
@@ -65,18 +72,46 @@
 type Replica struct {
 	Routes  *Routes
 	Targets *Targets
-	// StrongReads, if set, provides Versions.StrongReads.
-	StrongReads func() bool
+	// StrongReads and Current, if set, provide the fields of Versions of the same names.
+	StrongReads, Current func() bool
+
+	mu sync.Mutex
+	// changed is closed at the next change; it is nil while nobody waits.
+	changed chan struct{}
+}
+
+// Changed returns a channel that is closed when the routes, the targets or what Current
+// returns change. It must be called before the state is read that the change is waited
+// for.
+func (r *Replica) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	return r.changed
+}
+
+// NotifyChanged closes the channel returned by Changed.
+func (r *Replica) NotifyChanged() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
 }
 
 // Versions returns the versions of the routes and targets held.
 func (r *Replica) Versions() Versions {
 	v := r.Targets.versions()
+	v.RoutesAsOf = r.Routes.asOf.Load()
 	if t := r.Routes.Holder.Current(); t != nil {
 		v.Routes = t.Revision
 	}
 	v.StrongReads = r.StrongReads != nil && r.StrongReads()
 	v.AcceptsRemovals = true
+	v.Current = r.Current != nil && r.Current()
 	return v
 }
 
--- a/internal/replica/routes.go
+++ b/internal/replica/routes.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"sync/atomic"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/route"
@@ -22,6 +23,11 @@
 	Decode   RouteDecoder
 	Holder   *route.Holder
 	Observer RouteObserver
+	// OnChange, if set, is called after another configuration is in force.
+	OnChange func()
+
+	// asOf is the store's revision that the last list or watch reflected.
+	asOf atomic.Uint64
 }
 
 // Replace implements View.
@@ -34,6 +40,7 @@
 			r.decodeAndApply(o)
 		}
 	}
+	r.asOf.Store(max(r.asOf.Load(), changes.AsOf))
 }
 
 func (r *Routes) decodeAndApply(o Object) {
@@ -56,5 +63,8 @@
 	}
 	if r.Holder.Apply(table) {
 		r.Observer.RoutesApplied(table)
+		if r.OnChange != nil {
+			r.OnChange()
+		}
 	}
 }
--- a/internal/replica/targets.go
+++ b/internal/replica/targets.go
@@ -36,6 +36,9 @@
 	Decode   TargetDecoder
 	Table    TargetTable
 	Observer TargetObserver
+	// OnChange, if set, is called after a change of the entries, with the lock of Targets
+	// held.
+	OnChange func()
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -195,6 +198,9 @@
 	for service := range maps.Keys(affected) {
 		t.Table.SetTargets(service, t.list(service))
 	}
+	if len(affected) > 0 && t.OnChange != nil {
+		t.OnChange()
+	}
 }
 
 func (t *Targets) list(service model.ServiceName) []model.Target {
