--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -93,10 +93,12 @@
 	names nameComparison
 
 	mu sync.Mutex
-	// current is set while a relay that follows the store answers. ended is closed when
-	// that ends or the routes fall behind.
+	// current is set while a relay that follows the store answers, and also while its
+	// replacement is looked for.
 	current bool
-	ended   chan struct{}
+	// ended is closed when current is reset or the routes fall behind; nil while no follower
+	// waits for it.
+	ended chan struct{}
 	// latest is what the relay held at its last response.
 	latest replica.Versions
 	// routesAsOf is the store's latest revision up to which the routes of this instance are
@@ -152,6 +154,7 @@
 		})
 	}
 	go func() { calls.Wait(); close(relays) }()
+	// The slower calls go on, so that their connections stay open for a later search.
 	addr, found = <-relays
 	return addr, found
 }
@@ -207,9 +210,6 @@
 	own := c.Replica.Versions()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended == nil {
-		c.ended = make(chan struct{})
-	}
 	c.current, c.latest = true, remote.Versions
 	if remote.Versions.Routes == own.Routes {
 		c.routesAsOf = max(c.routesAsOf, remote.Versions.RoutesAsOf)
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -413,3 +413,51 @@
 		}
 	})
 }
+
+// TestMalformedRequestsAreRefused sends requests that are no request, and one that asks for a
+// wait of days.
+func TestMalformedRequestsAreRefused(t *testing.T) {
+	relayTest(t, func(t *testing.T, _ *relayStore, n *relayNetwork, _ *relayNode) {
+		seed := n.nodes["seed-1"]
+		before := seed.replica.Versions()
+		var malformed *peer.CodecError
+		for _, body := range []string{"", "\xff", "\xa1\x01\x00", "\xa1\x02\x20"} {
+			if _, err := seed.server.HandleAwaitChange("peer", []byte(body)); !errors.As(err, &malformed) {
+				t.Errorf("%q: %v", body, err)
+			}
+		}
+		request, err := peer.Encode(awaitRequest{Versions: before, WaitMillis: 1 << 31})
+		if err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		if _, err := seed.server.HandleAwaitChange("peer", request); err != nil || time.Since(start) > maxAwaitWait {
+			t.Errorf("answered after %s: %v", time.Since(start), err)
+		}
+		if after := seed.replica.Versions(); after.Routes != before.Routes || after.Digest != before.Digest {
+			t.Errorf("%+v became %+v", before, after)
+		}
+	})
+}
+
+// TestInstanceWithoutRelaysWatchesTheStore checks that an instance without a seed that relays
+// watches the store itself.
+func TestInstanceWithoutRelaysWatchesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newRelayStore(1)
+		n := &relayNetwork{nodes: make(map[string]*relayNode)}
+		node := n.start(ctx, store, "node", "missing")
+		time.Sleep(10 * time.Second)
+		changedAt := time.Now()
+		store.put("routes", "main", "2")
+		store.put("targets", "0", "")
+		time.Sleep(10 * time.Second)
+		checkApplied(t, n, node, changedAt, 2, "0", 100*time.Millisecond)
+		if node.client.Relayed() {
+			t.Error("a seed that doesn't respond counts as a relay")
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/peersync/sync.go
+++ b/internal/peersync/sync.go
@@ -1,9 +1,13 @@
-// Package peersync lets gateways exchange routes and targets while the store is
-// unavailable. A gateway without the store polls the seeds in random order, merges
-// state that is newer and offers its own where that is newer, so that one gateway
-// with state is enough for all that start during the outage. While eventually
-// consistent reads may lag by seconds, only the seeds pay for strong reads, and the
-// other gateways get the changes from them. Otherwise nothing is sent.
+// Package peersync lets gateways learn routes and targets from each other.
+//
+// While the store is unavailable, a gateway without it polls the seeds in random order,
+// merges state that is newer and offers its own where that is newer, so that one gateway
+// with state is enough for all that start during the outage (Syncer). While eventually
+// consistent reads may lag by seconds, only the seeds pay for strong reads, and the other
+// gateways get the changes from them in the same way.
+//
+// While the store is available, the seeds relay its changes, so that the other gateways
+// need not watch it (RelayServer, RelayClient).
 package peersync
 
 import (
