Wait for each signal in the test of changed settings

If it read it after the test had written the new settings, it delivered them at once and waited for a receiver, while the test waited to send the fourth signal.

Ruled out: a fault of the watcher. Its only other state is the read of the file, and the stacks of six processes show the two sends and nothing else.

Change: the test runs in virtual time and waits until each signal is handled. It now checks that an invalid file is not delivered, and that the change comes at the signal: the poll of the file can't deliver it instead.

--- a/cmd/redwingpoint/gateway_test.go
+++ b/cmd/redwingpoint/gateway_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"syscall"
 	"testing"
+	"testing/synctest"
 
 	"go.uber.org/zap"
 )
@@ -17,6 +18,8 @@
 regions: {praha-a: praha}
 `
 
+// TestWatchSettingsDeliversChangesOnSIGHUP checks that a changed file is delivered at a
+// SIGHUP, before the next poll, and an invalid one is not.
 func TestWatchSettingsDeliversChangesOnSIGHUP(t *testing.T) {
 	settingsPath := filepath.Join(t.TempDir(), "g.yaml")
 	write := func(text string) {
@@ -24,17 +27,32 @@
 			t.Fatal(err)
 		}
 	}
-	write(gatewaySettings)
-	hangups := make(chan os.Signal)
-	delivered := watchSettings(t.Context(), settingsPath, hangups, zap.NewNop())
-	hangups <- syscall.SIGHUP
-	write("torn")
-	hangups <- syscall.SIGHUP
-	// hangups is unbuffered: once this send returns, the previous signal was handled.
-	hangups <- syscall.SIGHUP
-	write(gatewaySettings + "resend: {share: 0.1}\n")
-	hangups <- syscall.SIGHUP
-	if s := <-delivered; s.RetryBudget.Share != 0.1 {
-		t.Errorf("resend share %v, want 0.1", s.RetryBudget.Share)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		write(gatewaySettings)
+		hangups := make(chan os.Signal)
+		delivered := watchSettings(t.Context(), settingsPath, hangups, zap.NewNop())
+		// hangUp returns once the signal was handled or the handler waits for a receiver.
+		hangUp := func() {
+			hangups <- syscall.SIGHUP
+			synctest.Wait()
+		}
+		hangUp()
+		write("torn")
+		hangUp()
+		select {
+		case s := <-delivered:
+			t.Errorf("delivered %+v without a valid change", s)
+		default:
+		}
+		write(gatewaySettings + "resend: {share: 0.1}\n")
+		hangUp()
+		select {
+		case s := <-delivered:
+			if s.RetryBudget.Share != 0.1 {
+				t.Errorf("resend share %v, want 0.1", s.RetryBudget.Share)
+			}
+		default:
+			t.Error("the change was not delivered at the SIGHUP")
+		}
+	})
 }
