Log under which request a target ended, with a fingerprint of the request

A failed attempt was logged with the attempt's ID alone, and a target that ended looked like any lost connection. Neither logs nor metrics could tell a request that comes again from retries of one request or from different ones.

The line carries a digest of method, host, path, query and body, by which repeats at several gateways are found. The digest of the full instances' quarantine moves to its package and serves both; its values are as before. Which requests go where is not changed.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -107,7 +107,7 @@
 	result, err := f.d.Upstream.Do(ctx, f.newCall(c))
 	if err != nil {
 		e.Load.End()
-		return f.classifyError(c, err)
+		return f.classifyError(ctx, c, err)
 	}
 	f.deliveries++
 	if result.Shed {
@@ -122,8 +122,8 @@
 }
 
 // classifyError returns the outcome of an attempt that failed before a response arrived.
-func (f *forwarder) classifyError(c routing.Candidate, err error) outcome {
-	failed := f.recordFailure(c, err)
+func (f *forwarder) classifyError(ctx context.Context, c routing.Candidate, err error) outcome {
+	failed := f.recordFailure(ctx, c, err)
 	if !failed.Sent {
 		reply := localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsUnreachable, retryAfter: busyRetryAfter}
 		return outcome{retryable: f.mayResendBody(), budgetExempt: true, reply: reply}
@@ -146,20 +146,31 @@
 
 // recordFailure logs a failed attempt and counts it against the target's reliability,
 // unless the gateway cancelled it. It returns the error as *upstream.CallError; an error
-// of another type counts as a connection that was lost after the request was sent.
-func (f *forwarder) recordFailure(c routing.Candidate, err error) *upstream.CallError {
+// of another type counts as a connection that was lost after the request was sent. If the
+// connection was lost, it checks whether the target has ended.
+func (f *forwarder) recordFailure(ctx context.Context, c routing.Candidate, err error) *upstream.CallError {
 	var failed *upstream.CallError
 	if !errors.As(err, &failed) {
 		failed = &upstream.CallError{Reason: upstream.ConnectionLost, Sent: true, Cause: err}
 	}
 	f.d.Log.Info("attempt failed", f.logFields(zap.Object("target", candidateFields(c)),
 		zap.Stringer("reason", failed.Reason), zap.Bool("sent", failed.Sent), zap.Error(failed.Cause))...)
+	if failed.Sent && failed.Reason == upstream.ConnectionLost && f.d.Upstream.HasEnded(ctx, c.Endpoint) {
+		f.recordTargetEnd(c)
+	}
 	if failed.Reason != upstream.Cancelled {
 		c.Endpoint.Load.Reliability.Observe(false, routing.Monotonic())
 	}
 	return failed
 }
 
+// recordTargetEnd logs and counts a target that ended while it had the request.
+func (f *forwarder) recordTargetEnd(c routing.Candidate) {
+	f.d.Metrics.countTargetEnded(f.service.Name)
+	f.d.Log.Warn("target ended under request", f.logFields(zap.String("fingerprint", string(f.fingerprint())),
+		zap.Object("target", candidateFields(c)))...)
+}
+
 // unknownOutcomeReply returns the reply for a request that a target may have run with an
 // unknown outcome: 504 after a timeout, else 502.
 func (f *forwarder) unknownOutcomeReply(reason upstream.Reason) localReply {
@@ -177,7 +188,7 @@
 	if err != nil {
 		_ = result.Body.Close()
 		c.Endpoint.Load.End()
-		return f.classifyUnknownOutcome(f.recordFailure(c, err))
+		return f.classifyUnknownOutcome(f.recordFailure(ctx, c, err))
 	}
 	elapsed := time.Since(startedAt)
 	failed := result.Status >= http.StatusInternalServerError
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,11 +39,13 @@
 	Pick(ctx context.Context, req routing.ProbingRequest) ([]routing.Candidate, error)
 }
 
-// UpstreamClient sends one call to one target and returns when the response header has
-// arrived. Errors are *upstream.CallError. Implementations must be safe for concurrent
+// UpstreamClient exchanges calls with targets. Do sends one call to one target and returns
+// when the response header has arrived; its errors are *upstream.CallError. Implementations must be safe for concurrent
 // use.
 type UpstreamClient interface {
 	Do(ctx context.Context, call upstream.Call) (*upstream.Response, error)
+	// HasEnded reports whether the process of a target has ended.
+	HasEnded(ctx context.Context, e *routing.Endpoint) bool
 }
 
 // Options are the dependencies and settings of a Dispatcher.
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -7,12 +7,14 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
@@ -33,8 +35,9 @@
 	objectiveDeadline, deadline time.Time
 
 	// body is the complete request body if it was buffered. A larger body is read from
-	// stream, which starts with the bytes read so far.
+	// stream, which starts with the bytes in bodyPrefix.
 	body         []byte
+	bodyPrefix   []byte
 	stream       *streamedBody
 	triedTargets []model.TargetID
 	// deliveries counts the attempts that a target received or may have received.
@@ -99,6 +102,7 @@
 	_, err := io.CopyN(buffered, body, maxBufferedBody+1)
 	switch {
 	case err == nil:
+		f.bodyPrefix = buffered.Bytes()
 		f.stream = &streamedBody{src: io.MultiReader(bytes.NewReader(buffered.Bytes()), body)}
 	case err == io.EOF:
 		f.body = buffered.Bytes()
@@ -112,6 +116,17 @@
 	return localReply{}, true
 }
 
+// fingerprint returns what identifies the request in all attempts, repeats by the caller
+// and instances. Of a streamed body only the first maxBufferedBody bytes and the length are
+// known.
+func (f *forwarder) fingerprint() quarantine.Fingerprint {
+	body, length := f.body, ""
+	if f.stream != nil {
+		body, length = f.bodyPrefix, strconv.FormatInt(f.inbound.HTTP.ContentLength, 10)
+	}
+	return quarantine.NewFingerprint(quarantine.Digest(body, f.inbound.HTTP.Method, f.inbound.HTTP.Host, f.inbound.Path, f.inbound.Query, length))
+}
+
 // exceedsBodyLimit reports whether the read of a body ended at the limit on its size.
 func exceedsBodyLimit(err error) bool {
 	var tooLarge *http.MaxBytesError
--- a/internal/reverseproxy/body.go
+++ b/internal/reverseproxy/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"io"
 	"net/http"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 )
 
 // maxBufferedBody is the maximum body size in bytes of a request that is not an
@@ -58,27 +59,14 @@
 	return newProblem(http.StatusBadRequest, CodeBadLength, NotRun, "the body ended before its announced length or is malformed")
 }
 
-// digest returns the SHA-256 digest of service, method, path, query and body.
+// digest returns the digest of service, method, path, query and body.
 func (r *request) digest(body []byte) [sha256.Size]byte {
-	h := sha256.New()
-	for _, part := range [...]string{string(r.policy.Service), r.httpRequest.Method, r.path, r.query} {
-		_, _ = io.WriteString(h, part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(body)
-	var sum [sha256.Size]byte
-	h.Sum(sum[:0])
-	return sum
+	return quarantine.Digest(body, string(r.policy.Service), r.httpRequest.Method, r.path, r.query)
 }
 
-// fingerprintBytes is the length in bytes of a quarantine fingerprint before hex
-// encoding.
-const fingerprintBytes = 16
-
-// fingerprint returns the key of the request in the quarantine list, in hex.
+// fingerprint returns the key of the request in the quarantine list.
 func (r *request) fingerprint(body []byte) string {
-	sum := r.digest(body)
-	return hex.EncodeToString(sum[:fingerprintBytes])
+	return string(quarantine.NewFingerprint(r.digest(body)))
 }
 
 // checkQuarantine refuses a quarantined request, that is one that crashed
