Recognize a request that ends targets in the whole fleet

What callers saw: a request that ends each target that runs it came again through other gateways and ended one more target each time, and up to max_attempts with each repeat on an idempotent route. Other requests lost the targets that they ran on.

Cause: a gateway knew a request by the ID of the attempt alone and kept no memory of targets that ended under it. The quarantine was wired into the full instances only, which share it as facts of the membership that gateways don't have. A limit per request was kept by each machine, or by each attempt, alone.

Ruled out: the retry budget (the test ends 18 targets in 21 sends, one for each, with hardly any retries) and targets that aren't excluded after a crash.

Change: after a lost connection the gateway checks whether the target refuses connections. If so, the digest of the request gets a mark with the target's process (ID and start). A response of any target clears the mark, so that bystanders, and frequent requests, are not quarantined. Marks merge as sets. Each gateway holds an exchange at each seed (2 s) and sends its reports to all of them at once; who finds a restarted seed gives it all marks. An instance that reaches no other one quarantines under the first target. The store is not used.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -17,6 +17,7 @@
 	"redwingpoint.org/redwingpoint/internal/dispatch"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/peersync"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/replica"
 	"redwingpoint.org/redwingpoint/internal/route"
 	"redwingpoint.org/redwingpoint/internal/routing"
@@ -75,6 +76,7 @@
 			route.NewHolder,
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
 			func() *upstream.Client { return upstream.NewClientWithProtocol(p.Protocol) },
+			func() *quarantine.Registry { return new(quarantine.Registry) },
 			func() *rate.Limiter { return rate.NewLimiter(rate.Limit(s.Probes.PerSecond), s.Probes.Burst) },
 			newDispatcher,
 			newGateway,
@@ -84,13 +86,14 @@
 	)
 }
 
-func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter) *dispatch.Dispatcher {
+func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
 		Routes:      routes,
 		Picker:      routing.NewProbingPicker(table, client, routing.Monotonic, probes),
 		Upstream:    client,
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
+		Quarantine:  marks,
 		Log:         log,
 		Metrics:     dispatch.NewMetrics(set),
 	})
@@ -107,6 +110,7 @@
 	dispatcher *dispatch.Dispatcher
 	server     *httpserver.Server
 	listener   net.Listener
+	quarantine *quarantine.Registry
 	// probes limits the load probes of targets.
 	probes *rate.Limiter
 	// breaker is shared by the followers of routes and targets.
@@ -119,10 +123,11 @@
 	targetsKnown atomic.Bool
 }
 
-func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter) *gateway {
+func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter, marks *quarantine.Registry) *gateway {
 	return &gateway{
 		settings: s, provider: p, log: log, set: set, routes: routes, table: table, dispatcher: d, probes: probes,
-		server: httpserver.NewServer(d, d.Limits),
+		quarantine: marks,
+		server:     httpserver.NewServer(d, d.Limits),
 	}
 }
 
@@ -184,6 +189,7 @@
 		return 0
 	})
 	g.set.NewGauge("redwingpoint_caller_connections", func() float64 { return float64(g.server.ConnectionCount()) })
+	g.set.NewGauge("redwingpoint_quarantined_requests", func() float64 { return float64(g.quarantine.QuarantinedCount()) })
 	if g.provider.DroppedLogLines != nil {
 		g.set.NewGauge("redwingpoint_log_lines_dropped", func() float64 { return float64(g.provider.DroppedLogLines()) })
 	}
--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
 )
 
@@ -70,6 +71,12 @@
 	g.log.Warn("target entry rejected", zap.String("name", name), zap.Error(err))
 }
 
+// logQuarantine logs a request that is no longer sent to targets.
+func (g *gateway) logQuarantine(m quarantine.Mark) {
+	g.log.Warn("request quarantined", zap.String("fingerprint", string(m.Fingerprint)), zap.Any("ended", m.Ended),
+		zap.Duration("for", time.Duration(m.TTLMillis)*time.Millisecond))
+}
+
 // reload applies changed settings until ctx ends. Only the retry share and the limits of
 // probes take effect without a restart.
 func (g *gateway) reload(ctx context.Context) {
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -72,6 +72,11 @@
 		OnStop:  func(context.Context) error { transport.Stop(); return nil },
 	})
 	runLoop(lc, s.Run)
+	marks := peersync.NewMarkExchange(g.quarantine, transport, otherSeeds, g.log)
+	g.quarantine.Isolated = marks.Isolated
+	g.quarantine.OnQuarantine = g.logQuarantine
+	transport.Handle(peer.OpExchangeMarks, marks.HandleExchange)
+	runLoop(lc, marks.Run)
 	var relay peerRelay
 	if !isSeed {
 		relay.active = s.RelayActive
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -13,6 +13,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
@@ -164,10 +165,12 @@
 	return failed
 }
 
-// recordTargetEnd logs and counts a target that ended while it had the request.
+// recordTargetEnd reports, logs and counts a target that ended while it had the request.
 func (f *forwarder) recordTargetEnd(c routing.Candidate) {
+	fingerprint, target := f.fingerprint(), c.Endpoint.Target
+	f.d.Quarantine.ReportEnd(fingerprint, quarantine.NewProcess(target.ID, target.StartMillis))
 	f.d.Metrics.countTargetEnded(f.service.Name)
-	f.d.Log.Warn("target ended under request", f.logFields(zap.String("fingerprint", string(f.fingerprint())),
+	f.d.Log.Warn("target ended under request", f.logFields(zap.String("fingerprint", string(fingerprint)),
 		zap.Object("target", candidateFields(c)))...)
 }
 
@@ -190,6 +193,9 @@
 		c.Endpoint.Load.End()
 		return f.classifyUnknownOutcome(f.recordFailure(ctx, c, err))
 	}
+	if !f.d.Quarantine.Empty() {
+		f.d.Quarantine.ReportResponse(f.fingerprint())
+	}
 	elapsed := time.Since(startedAt)
 	failed := result.Status >= http.StatusInternalServerError
 	c.Endpoint.Load.Reliability.Observe(!failed, routing.Monotonic())
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -18,6 +18,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/settings"
@@ -152,7 +153,7 @@
 	routes.Apply(table)
 	f.Dispatcher = New(Options{
 		Routes: routes, Picker: f.picker, Upstream: upstream.NewClientWithProtocol(testProtocol), Protocol: testProtocol,
-		RetryBudget: RetryBudget{Share: 0.2, Burst: 2}, Log: zap.NewNop(), Metrics: NewMetrics(metrics.NewSet()),
+		RetryBudget: RetryBudget{Share: 0.2, Burst: 2}, Quarantine: new(quarantine.Registry), Log: zap.NewNop(), Metrics: NewMetrics(metrics.NewSet()),
 	})
 	for range 10 {
 		// Earlier requests without a retry have filled the retry budget.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/upstream"
@@ -48,6 +49,19 @@
 	HasEnded(ctx context.Context, e *routing.Endpoint) bool
 }
 
+// Quarantine recognizes requests under which targets end; *quarantine.Registry implements
+// it. Implementations must be safe for concurrent use.
+type Quarantine interface {
+	// Empty reports whether no request is suspected, so that none needs a fingerprint.
+	Empty() bool
+	// Find reports whether a request is quarantined, and until when.
+	Find(f quarantine.Fingerprint) (until time.Time, found bool)
+	// ReportEnd reports a target that ended under a request, ReportResponse one that
+	// responded.
+	ReportEnd(f quarantine.Fingerprint, p quarantine.Process)
+	ReportResponse(f quarantine.Fingerprint)
+}
+
 // Options are the dependencies and settings of a Dispatcher.
 type Options struct {
 	Routes      *route.Holder
@@ -55,6 +69,7 @@
 	Upstream    UpstreamClient
 	Protocol    *upstream.Protocol
 	RetryBudget RetryBudget
+	Quarantine  Quarantine
 	Log         *zap.Logger
 	Metrics     *Metrics
 }
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -56,7 +56,11 @@
 	workCtx, cancel := f.deadlineContext(ctx)
 	var lastFailure localReply
 	for {
-		candidate, reply := f.selectTarget(workCtx, lastFailure)
+		var candidate routing.Candidate
+		reply := f.checkQuarantine()
+		if reply == nil {
+			candidate, reply = f.selectTarget(workCtx, lastFailure)
+		}
 		if reply != nil {
 			cancel()
 			return f.finishFailed(ctx, *reply)
@@ -116,6 +120,18 @@
 	return localReply{}, true
 }
 
+// checkQuarantine returns the reply to a quarantined request, or nil.
+func (f *forwarder) checkQuarantine() *localReply {
+	if f.d.Quarantine.Empty() {
+		return nil
+	}
+	until, found := f.d.Quarantine.Find(f.fingerprint())
+	if !found {
+		return nil
+	}
+	return &localReply{status: http.StatusServiceUnavailable, cause: CauseQuarantined, retryAfter: time.Until(until)}
+}
+
 // fingerprint returns what identifies the request in all attempts, repeats by the caller
 // and instances. Of a streamed body only the first maxBufferedBody bytes and the length are
 // known.
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -71,6 +71,9 @@
 	MaxConns int `json:"maxConns"`
 	// Leaving is set by the platform if it plans to stop the target.
 	Leaving bool `json:"leaving,omitempty"`
+	// StartMillis is the Unix time in milliseconds at which the target's process started,
+	// which tells a restarted target with the same ID from the earlier one; zero if unknown.
+	StartMillis int64 `json:"startMillis,omitempty"`
 	// WarmupEndsAt is when the target has warmed up after its start; zero if unknown.
 	WarmupEndsAt time.Time `json:"-"`
 }
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -28,6 +28,9 @@
 	// OpAwaitChange waits at a gateway that follows the store until its routes or targets
 	// differ from the requester's.
 	OpAwaitChange
+	// OpExchangeMarks exchanges what two gateways know of requests under which targets
+	// ended, and waits for news.
+	OpExchangeMarks
 )
 
 // RequestHandler handles the requests of one Op. It is called concurrently. It returns the
--- /dev/null
+++ b/internal/peersync/marks.go
@@ -0,0 +1,233 @@
+package peersync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/peer"
+	"redwingpoint.org/redwingpoint/internal/quarantine"
+	"redwingpoint.org/redwingpoint/internal/wait"
+)
+
+const (
+	// marksWait is how long a seed holds an exchange of marks without news. It is shorter
+	// than the idle timeout of the connection.
+	marksWait = 2 * time.Second
+	// marksBatchDelay is how long a seed collects further news before it responds.
+	marksBatchDelay = 50 * time.Millisecond
+	// minMarksBackoff and maxMarksBackoff bound the pause after a failed exchange.
+	minMarksBackoff = 300 * time.Millisecond
+	maxMarksBackoff = 5 * time.Second
+	// isolationTimeout is how long after the latest exchange an instance counts as isolated:
+	// an exchange without news, its timeout and the next attempt.
+	isolationTimeout = marksWait + exchangeTimeout + minMarksBackoff
+)
+
+// marksRequest is the request of peer.OpExchangeMarks.
+type marksRequest struct {
+	// Marks are what the requester has reported since the last exchange.
+	Marks []quarantine.Mark `cbor:"1,keyasint,omitempty"`
+	// Run and Change are those of the last response: the requester lacks what changed later.
+	Run    uint64 `cbor:"2,keyasint,omitempty"`
+	Change uint64 `cbor:"3,keyasint,omitempty"`
+	// WaitMillis is how long the exchange may wait for news.
+	WaitMillis uint32 `cbor:"4,keyasint,omitempty"`
+}
+
+// marksResponse is the response of peer.OpExchangeMarks.
+type marksResponse struct {
+	// Run identifies the process that responds; a restarted one has lost its marks.
+	Run uint64 `cbor:"1,keyasint"`
+	// Change is the latest change of the responder's marks that Marks reflect.
+	Change uint64            `cbor:"2,keyasint,omitempty"`
+	Marks  []quarantine.Mark `cbor:"3,keyasint,omitempty"`
+}
+
+// MarkExchange keeps the marks of an instance and of the seeds equal. Each instance holds
+// an exchange at every seed, which responds when it has news, and sends its own reports to
+// every seed at once. So a report reaches all instances if one seed is reached by both.
+// Run must be called once; the other methods are safe for concurrent use.
+type MarkExchange struct {
+	Registry  *quarantine.Registry
+	Transport Transport
+	// Seeds are the peer addresses of the seeds, without the own address.
+	Seeds []string
+	Log   *zap.Logger
+
+	run       uint64
+	startedAt time.Time
+	// stopped is closed when Run ends.
+	stopped chan struct{}
+	// lastContact is the time of the latest exchange since startedAt in nanoseconds, or 0.
+	lastContact atomic.Int64
+}
+
+// NewMarkExchange returns an exchange of the marks in a registry with the given seeds.
+func NewMarkExchange(registry *quarantine.Registry, transport Transport, seeds []string, log *zap.Logger) *MarkExchange {
+	return &MarkExchange{Registry: registry, Transport: transport, Seeds: seeds, Log: log, run: rand.Uint64(), startedAt: time.Now(), stopped: make(chan struct{})}
+}
+
+// Isolated reports whether there are other instances, but none has exchanged marks with
+// this one for isolationTimeout.
+func (e *MarkExchange) Isolated() bool {
+	at := e.lastContact.Load()
+	return len(e.Seeds) > 0 && (at == 0 || time.Since(e.startedAt)-time.Duration(at) > isolationTimeout)
+}
+
+func (e *MarkExchange) recordContact() { e.lastContact.Store(int64(time.Since(e.startedAt))) }
+
+// HandleExchange handles peer.OpExchangeMarks: it merges the requester's marks and returns
+// those that it lacks, once there are any or after the wait asked for.
+func (e *MarkExchange) HandleExchange(_ model.InstanceID, body []byte) (any, error) {
+	var req marksRequest
+	if err := peer.Decode(body, &req); err != nil {
+		return nil, err
+	}
+	e.recordContact()
+	e.Registry.Merge(req.Marks)
+	if req.Run != e.run {
+		req.Change, req.WaitMillis = 0, 0
+	}
+	timeout := time.After(min(time.Duration(req.WaitMillis)*time.Millisecond, maxAwaitWait))
+	for {
+		changed := e.Registry.Changed()
+		marks, change := e.Registry.ChangedSince(req.Change)
+		if len(marks) > 0 || req.WaitMillis == 0 {
+			return marksResponse{Run: e.run, Change: change, Marks: marks}, nil
+		}
+		select {
+		case <-changed:
+			<-time.After(marksBatchDelay)
+		case <-timeout:
+			req.WaitMillis = 0
+		case <-e.stopped:
+			req.WaitMillis = 0
+		}
+	}
+}
+
+// Run exchanges marks with all seeds until ctx ends.
+func (e *MarkExchange) Run(ctx context.Context) {
+	defer close(e.stopped)
+	var loops sync.WaitGroup
+	for _, seed := range e.Seeds {
+		s := &seedMarks{exchange: e, addr: seed}
+		loops.Go(func() { s.awaitNews(ctx) })
+		loops.Go(func() { s.sendReports(ctx) })
+	}
+	loops.Wait()
+}
+
+// seedMarks is the state of the exchange with one seed.
+type seedMarks struct {
+	exchange *MarkExchange
+	addr     string
+
+	mu sync.Mutex
+	// run and change are those of the latest response.
+	run, change uint64
+	// sent is the change of the own registry up to which the seed's process run has the
+	// reports of this instance.
+	sent uint64
+}
+
+// awaitNews holds exchanges at the seed until ctx ends.
+func (s *seedMarks) awaitNews(ctx context.Context) {
+	for backoff := minMarksBackoff; ctx.Err() == nil; {
+		err := s.call(ctx, marksWait)
+		if err == nil {
+			backoff = minMarksBackoff
+			continue
+		}
+		s.exchange.Log.Info("peer not reached for marks", zap.String("address", s.addr), zap.Error(err))
+		wait.For(ctx, backoff*3/4+rand.N(backoff/2))
+		backoff = min(2*backoff, maxMarksBackoff)
+	}
+}
+
+// sendReports sends new reports of this instance to the seed until ctx ends.
+func (s *seedMarks) sendReports(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := s.exchange.Registry.Changed()
+		if s.hasUnsent() && s.call(ctx, 0) != nil {
+			wait.For(ctx, minMarksBackoff)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *seedMarks) hasUnsent() bool {
+	marks, _ := s.unsent()
+	return len(marks) > 0
+}
+
+// unsent returns the reports to send, and the change of the registry that they reflect.
+func (s *seedMarks) unsent() (marks []quarantine.Mark, latest uint64) {
+	s.mu.Lock()
+	sent := s.sent
+	s.mu.Unlock()
+	return s.exchange.Registry.ReportedSince(sent)
+}
+
+// call makes one exchange, which the seed may hold for the given time.
+func (s *seedMarks) call(ctx context.Context, hold time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, hold+exchangeTimeout)
+	defer cancel()
+	marks, latest := s.unsent()
+	s.mu.Lock()
+	req := marksRequest{Marks: marks, Run: s.run, Change: s.change, WaitMillis: uint32(hold.Milliseconds())}
+	s.mu.Unlock()
+	var resp marksResponse
+	if _, err := s.exchange.Transport.CallAddr(ctx, s.addr, peer.OpExchangeMarks, req, &resp); err != nil {
+		return err
+	}
+	s.exchange.recordContact()
+	s.exchange.Registry.Merge(resp.Marks)
+	if s.accept(req.Run, resp, latest) {
+		return nil
+	}
+	return s.sendAll(ctx)
+}
+
+// accept records a response to an exchange that sent the reports up to the change latest.
+// It reports false if another process than before responded, which lacks all marks.
+func (s *seedMarks) accept(askedRun uint64, resp marksResponse, latest uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if resp.Run != s.run {
+		s.run, s.change, s.sent = resp.Run, resp.Change, 0
+	}
+	if resp.Run != askedRun {
+		return false
+	}
+	s.change, s.sent = max(s.change, resp.Change), max(s.sent, latest)
+	return true
+}
+
+// sendAll sends all marks, those of other instances too, to a seed whose process is new.
+func (s *seedMarks) sendAll(ctx context.Context) error {
+	marks, latest := s.exchange.Registry.ChangedSince(0)
+	if len(marks) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	req := marksRequest{Marks: marks, Run: s.run, Change: s.change}
+	s.mu.Unlock()
+	var resp marksResponse
+	if _, err := s.exchange.Transport.CallAddr(ctx, s.addr, peer.OpExchangeMarks, req, &resp); err != nil {
+		return err
+	}
+	s.exchange.Registry.Merge(resp.Marks)
+	s.accept(req.Run, resp, latest)
+	return nil
+}
