Hold exchanges of marks at the nearest seed only

A gateway now holds an exchange at the seed that responds first; the seeds hold exchanges at each other, and a seed that reaches no other one says so. Reports still go to all seeds at once. Seeds that don't respond are asked less and less often.

--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -72,7 +72,7 @@
 		OnStop:  func(context.Context) error { transport.Stop(); return nil },
 	})
 	runLoop(lc, s.Run)
-	marks := peersync.NewMarkExchange(g.quarantine, transport, otherSeeds, g.log)
+	marks := peersync.NewMarkExchange(g.quarantine, transport, otherSeeds, isSeed, g.log)
 	g.quarantine.Isolated = marks.Isolated
 	g.quarantine.OnQuarantine = g.logQuarantine
 	transport.Handle(peer.OpExchangeMarks, marks.HandleExchange)
--- a/internal/peersync/marks.go
+++ b/internal/peersync/marks.go
@@ -21,7 +21,8 @@
 	marksWait = 2 * time.Second
 	// marksBatchDelay is how long a seed collects further news before it responds.
 	marksBatchDelay = 50 * time.Millisecond
-	// minMarksBackoff and maxMarksBackoff bound the pause after a failed exchange.
+	// minMarksBackoff and maxMarksBackoff bound the pause after a failed exchange, and before
+	// another seed is sought in place of one that is alone.
 	minMarksBackoff = 300 * time.Millisecond
 	maxMarksBackoff = 5 * time.Second
 	// isolationTimeout is how long after the latest exchange an instance counts as isolated:
@@ -47,40 +48,53 @@
 	// Change is the latest change of the responder's marks that Marks reflect.
 	Change uint64            `cbor:"2,keyasint,omitempty"`
 	Marks  []quarantine.Mark `cbor:"3,keyasint,omitempty"`
+	// Alone is set if the responder is a seed that reaches no other seed, and so may lack
+	// reports.
+	Alone bool `cbor:"4,keyasint,omitempty"`
 }
 
-// MarkExchange keeps the marks of an instance and of the seeds equal. Each instance holds
-// an exchange at every seed, which responds when it has news, and sends its own reports to
-// every seed at once. So a report reaches all instances if one seed is reached by both.
-// Run must be called once; the other methods are safe for concurrent use.
+// MarkExchange keeps the marks of an instance and of the seeds equal. An instance holds an
+// exchange at the nearest seed, which responds when it has news, and sends its own reports
+// to every seed at once. The seeds hold exchanges at each other. Run must be called once;
+// the other methods are safe for concurrent use.
 type MarkExchange struct {
 	Registry  *quarantine.Registry
 	Transport Transport
 	// Seeds are the peer addresses of the seeds, without the own address.
 	Seeds []string
-	Log   *zap.Logger
+	// IsSeed is set if this instance is a seed.
+	IsSeed bool
+	Log    *zap.Logger
 
 	run       uint64
 	startedAt time.Time
 	// stopped is closed when Run ends.
 	stopped chan struct{}
-	// lastContact is the time of the latest exchange since startedAt in nanoseconds, or 0.
-	lastContact atomic.Int64
+	// lastContact is the time of the latest exchange with any instance since startedAt in
+	// nanoseconds, or 0; lastSeedContact that of the latest one at a seed.
+	lastContact, lastSeedContact atomic.Int64
 }
 
 // NewMarkExchange returns an exchange of the marks in a registry with the given seeds.
-func NewMarkExchange(registry *quarantine.Registry, transport Transport, seeds []string, log *zap.Logger) *MarkExchange {
-	return &MarkExchange{Registry: registry, Transport: transport, Seeds: seeds, Log: log, run: rand.Uint64(), startedAt: time.Now(), stopped: make(chan struct{})}
+func NewMarkExchange(registry *quarantine.Registry, transport Transport, seeds []string, isSeed bool, log *zap.Logger) *MarkExchange {
+	return &MarkExchange{Registry: registry, Transport: transport, Seeds: seeds, IsSeed: isSeed, Log: log, run: rand.Uint64(), startedAt: time.Now(), stopped: make(chan struct{})}
 }
 
 // Isolated reports whether there are other instances, but none has exchanged marks with
 // this one for isolationTimeout.
-func (e *MarkExchange) Isolated() bool {
-	at := e.lastContact.Load()
-	return len(e.Seeds) > 0 && (at == 0 || time.Since(e.startedAt)-time.Duration(at) > isolationTimeout)
+func (e *MarkExchange) Isolated() bool { return len(e.Seeds) > 0 && !e.isRecent(&e.lastContact) }
+
+// isAlone reports whether this instance is a seed that reaches no other one.
+func (e *MarkExchange) isAlone() bool { return len(e.Seeds) > 0 && !e.isRecent(&e.lastSeedContact) }
+
+func (e *MarkExchange) isRecent(contact *atomic.Int64) bool {
+	at := contact.Load()
+	return at != 0 && time.Since(e.startedAt)-time.Duration(at) <= isolationTimeout
 }
 
-func (e *MarkExchange) recordContact() { e.lastContact.Store(int64(time.Since(e.startedAt))) }
+func (e *MarkExchange) recordContact(contact *atomic.Int64) {
+	contact.Store(int64(time.Since(e.startedAt)))
+}
 
 // HandleExchange handles peer.OpExchangeMarks: it merges the requester's marks and returns
 // those that it lacks, once there are any or after the wait asked for.
@@ -89,7 +103,7 @@
 	if err := peer.Decode(body, &req); err != nil {
 		return nil, err
 	}
-	e.recordContact()
+	e.recordContact(&e.lastContact)
 	e.Registry.Merge(req.Marks)
 	if req.Run != e.run {
 		req.Change, req.WaitMillis = 0, 0
@@ -99,7 +113,7 @@
 		changed := e.Registry.Changed()
 		marks, change := e.Registry.ChangedSince(req.Change)
 		if len(marks) > 0 || req.WaitMillis == 0 {
-			return marksResponse{Run: e.run, Change: change, Marks: marks}, nil
+			return marksResponse{Run: e.run, Change: change, Marks: marks, Alone: e.isAlone()}, nil
 		}
 		select {
 		case <-changed:
@@ -112,18 +126,79 @@
 	}
 }
 
-// Run exchanges marks with all seeds until ctx ends.
+// Run exchanges marks with the seeds until ctx ends.
 func (e *MarkExchange) Run(ctx context.Context) {
 	defer close(e.stopped)
+	var seeds []*seedMarks
 	var loops sync.WaitGroup
-	for _, seed := range e.Seeds {
-		s := &seedMarks{exchange: e, addr: seed}
-		loops.Go(func() { s.awaitNews(ctx) })
+	for _, addr := range e.Seeds {
+		s := &seedMarks{exchange: e, addr: addr}
+		seeds = append(seeds, s)
 		loops.Go(func() { s.sendReports(ctx) })
+		if e.IsSeed {
+			loops.Go(func() { e.followNearest(ctx, []*seedMarks{s}) })
+		}
+	}
+	if !e.IsSeed && len(seeds) > 0 {
+		loops.Go(func() { e.followNearest(ctx, seeds) })
 	}
 	loops.Wait()
 }
 
+// followNearest holds exchanges at the nearest of some seeds until ctx ends.
+func (e *MarkExchange) followNearest(ctx context.Context, seeds []*seedMarks) {
+	for pause := newBackoff(); ctx.Err() == nil; {
+		if s := e.nearest(ctx, seeds); s != nil && s.awaitNews(ctx, len(seeds) > 1) {
+			pause = newBackoff()
+		}
+		pause.wait(ctx)
+	}
+}
+
+// backoff is the pause after a failed exchange. It grows from minMarksBackoff to
+// maxMarksBackoff.
+type backoff struct{ next time.Duration }
+
+func newBackoff() backoff { return backoff{next: minMarksBackoff} }
+
+func (b *backoff) wait(ctx context.Context) {
+	wait.For(ctx, b.next*3/4+rand.N(b.next/2))
+	b.next = min(2*b.next, maxMarksBackoff)
+}
+
+// nearest returns the seed that responds first, preferably one that isn't alone, or nil if
+// none responds.
+func (e *MarkExchange) nearest(ctx context.Context, seeds []*seedMarks) *seedMarks {
+	if len(seeds) == 1 {
+		return seeds[0]
+	}
+	type answer struct {
+		seed  *seedMarks
+		alone bool
+	}
+	answers := make(chan answer, len(seeds))
+	for _, s := range seeds {
+		go func() {
+			alone, err := s.call(ctx, 0)
+			if err != nil {
+				answers <- answer{}
+				return
+			}
+			answers <- answer{seed: s, alone: alone}
+		}()
+	}
+	var aloneSeed *seedMarks
+	for range seeds {
+		switch a := <-answers; {
+		case a.seed != nil && !a.alone:
+			return a.seed
+		case a.seed != nil && aloneSeed == nil:
+			aloneSeed = a.seed
+		}
+	}
+	return aloneSeed
+}
+
 // seedMarks is the state of the exchange with one seed.
 type seedMarks struct {
 	exchange *MarkExchange
@@ -137,28 +212,35 @@
 	sent uint64
 }
 
-// awaitNews holds exchanges at the seed until ctx ends.
-func (s *seedMarks) awaitNews(ctx context.Context) {
-	for backoff := minMarksBackoff; ctx.Err() == nil; {
-		err := s.call(ctx, marksWait)
-		if err == nil {
-			backoff = minMarksBackoff
-			continue
+// awaitNews holds exchanges at the seed until it doesn't respond. If there is a choice of
+// seeds, it also ends when the seed has been alone for maxMarksBackoff. It reports whether
+// the seed responded at all.
+func (s *seedMarks) awaitNews(ctx context.Context, hasChoice bool) (responded bool) {
+	startedAt := time.Now()
+	for {
+		alone, err := s.call(ctx, marksWait)
+		if err != nil {
+			s.exchange.Log.Info("peer not reached for marks", zap.String("address", s.addr), zap.Error(err))
+			return responded
+		}
+		responded = true
+		if alone && hasChoice && time.Since(startedAt) >= maxMarksBackoff {
+			return responded
 		}
-		s.exchange.Log.Info("peer not reached for marks", zap.String("address", s.addr), zap.Error(err))
-		wait.For(ctx, backoff*3/4+rand.N(backoff/2))
-		backoff = min(2*backoff, maxMarksBackoff)
 	}
 }
 
 // sendReports sends new reports of this instance to the seed until ctx ends.
 func (s *seedMarks) sendReports(ctx context.Context) {
-	for ctx.Err() == nil {
+	for pause := newBackoff(); ctx.Err() == nil; {
 		changed := s.exchange.Registry.Changed()
-		if s.hasUnsent() && s.call(ctx, 0) != nil {
-			wait.For(ctx, minMarksBackoff)
-			continue
+		if s.hasUnsent() {
+			if _, err := s.call(ctx, 0); err != nil {
+				pause.wait(ctx)
+				continue
+			}
 		}
+		pause = newBackoff()
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -179,8 +261,9 @@
 	return s.exchange.Registry.ReportedSince(sent)
 }
 
-// call makes one exchange, which the seed may hold for the given time.
-func (s *seedMarks) call(ctx context.Context, hold time.Duration) error {
+// call makes one exchange, which the seed may hold for the given time. It reports whether
+// the seed is alone.
+func (s *seedMarks) call(ctx context.Context, hold time.Duration) (alone bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+exchangeTimeout)
 	defer cancel()
 	marks, latest := s.unsent()
@@ -189,14 +272,15 @@
 	s.mu.Unlock()
 	var resp marksResponse
 	if _, err := s.exchange.Transport.CallAddr(ctx, s.addr, peer.OpExchangeMarks, req, &resp); err != nil {
-		return err
+		return false, err
 	}
-	s.exchange.recordContact()
+	s.exchange.recordContact(&s.exchange.lastContact)
+	s.exchange.recordContact(&s.exchange.lastSeedContact)
 	s.exchange.Registry.Merge(resp.Marks)
 	if s.accept(req.Run, resp, latest) {
-		return nil
+		return resp.Alone, nil
 	}
-	return s.sendAll(ctx)
+	return resp.Alone, s.sendAll(ctx)
 }
 
 // accept records a response to an exchange that sent the reports up to the change latest.
--- a/internal/peersync/marks_test.go
+++ b/internal/peersync/marks_test.go
@@ -124,7 +124,7 @@
 func (f *markFleet) start(name string) {
 	otherSeeds := slices.DeleteFunc(slices.Clone(f.seeds), func(s string) bool { return s == name })
 	node := &markNode{registry: new(quarantine.Registry), startedAt: time.Now()}
-	node.exchange = NewMarkExchange(node.registry, markTransport{f, name}, otherSeeds, zap.NewNop())
+	node.exchange = NewMarkExchange(node.registry, markTransport{f, name}, otherSeeds, slices.Contains(f.seeds, name), zap.NewNop())
 	node.registry.Isolated = node.exchange.Isolated
 	ctx, cancel := context.WithCancel(f.t.Context())
 	node.stop = cancel
