--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -189,7 +189,7 @@
 		return 0
 	})
 	g.set.NewGauge("redwingpoint_caller_connections", func() float64 { return float64(g.server.ConnectionCount()) })
-	g.set.NewGauge("redwingpoint_quarantined_requests", func() float64 { return float64(g.quarantine.QuarantinedCount()) })
+	g.set.NewGauge("redwingpoint_gateway_quarantined_requests", func() float64 { return float64(g.quarantine.QuarantinedCount()) })
 	if g.provider.DroppedLogLines != nil {
 		g.set.NewGauge("redwingpoint_log_lines_dropped", func() float64 { return float64(g.provider.DroppedLogLines()) })
 	}
