Read and log the limits that targets state

What a target states about itself in responses now has one place, routing.Statement, kept with the target's load counters; a line tells each change. Nothing is decided by it yet.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -75,7 +75,7 @@
 			metrics.NewSet,
 			route.NewHolder,
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
-			func() *upstream.Client { return upstream.NewClientWithProtocol(p.Protocol) },
+			func(set *metrics.Set) *upstream.Client { return newUpstreamClient(p, log, set) },
 			func() *quarantine.Registry { return new(quarantine.Registry) },
 			func() *rate.Limiter { return rate.NewLimiter(rate.Limit(s.Probes.PerSecond), s.Probes.Burst) },
 			newDispatcher,
--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -13,6 +13,8 @@
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
+	"redwingpoint.org/redwingpoint/internal/routing"
+	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
 // storeObserver implements replica.Observer: it logs and counts the store calls of one
@@ -71,6 +73,19 @@
 	g.log.Warn("target entry rejected", zap.String("name", name), zap.Error(err))
 }
 
+// newUpstreamClient returns a client that logs and counts what targets state about
+// themselves.
+func newUpstreamClient(p Provider, log *zap.Logger, set *metrics.Set) *upstream.Client {
+	client := upstream.NewClientWithProtocol(p.Protocol)
+	client.OnStatement = func(e *routing.Endpoint, before, now routing.Statement) {
+		set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_target_statements_total{service=%q}", string(e.Target.Service))).Inc()
+		log.Info("target states", zap.String("target", string(e.Target.ID)), zap.String("service", string(e.Target.Service)),
+			zap.Bool("limited", now.Limited), zap.Float64("limit_per_second", now.LimitPerSecond),
+			zap.Bool("was_limited", before.Limited), zap.Float64("limit_before", before.LimitPerSecond))
+	}
+	return client
+}
+
 // logQuarantine logs a request that is no longer sent to targets.
 func (g *gateway) logQuarantine(m quarantine.Mark) {
 	g.log.Warn("request quarantined", zap.String("fingerprint", string(m.Fingerprint)), zap.Any("ended", m.Ended),
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -66,6 +66,9 @@
 	epoch     time.Time
 	pools     pools
 	protocol  *Protocol
+	// OnStatement, if set before the first call, is called when a target's statement about
+	// itself differs from the one before.
+	OnStatement func(e *routing.Endpoint, before, now routing.Statement)
 }
 
 // NewClient returns a client without connections that uses redwingpoint's own protocol.
@@ -123,6 +126,7 @@
 	}
 	cn.recordKeepAlive(resp.Header)
 	recordLoad(call.Endpoint, resp.Header)
+	c.recordStatement(call, resp)
 	return c.newResponse(ctx, p, cn, call, resp), nil
 }
 
@@ -170,6 +174,22 @@
 	}
 }
 
+// recordStatement records what a target states about itself. A response to a call without a
+// request ID, such as a probe, may add to that but withdraws nothing.
+func (c *Client) recordStatement(call Call, resp *http.Response) {
+	if c.protocol.ParseStatement == nil {
+		return
+	}
+	stated := c.protocol.ParseStatement(resp.StatusCode, resp.Header)
+	if call.Header.Get(c.protocol.RequestID) == "" && stated == (routing.Statement{}) {
+		return
+	}
+	before := call.Endpoint.Load.SetStatement(stated)
+	if before != stated && c.OnStatement != nil {
+		c.OnStatement(call.Endpoint, before, stated)
+	}
+}
+
 // recordLoad records the number of running requests that a target reports.
 func recordLoad(e *routing.Endpoint, h http.Header) {
 	text := h.Get(HeaderInFlight)
--- a/internal/upstream/protocol.go
+++ b/internal/upstream/protocol.go
@@ -27,6 +27,8 @@
 	// ParseLoad returns the load report in a response header; it reports false if there is
 	// none.
 	ParseLoad func(h http.Header) (routing.LoadReport, bool)
+	// ParseStatement, if set, returns what the target states about itself in a response.
+	ParseStatement func(status int, h http.Header) routing.Statement
 }
 
 // defaultProtocol is redwingpoint's own protocol. It has no load reports, and its responses
