--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -13,7 +13,6 @@
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/model"
-	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
@@ -168,7 +167,7 @@
 // recordTargetEnd reports, logs and counts a target that ended while it had the request.
 func (f *forwarder) recordTargetEnd(c routing.Candidate) {
 	fingerprint, target := f.fingerprint(), c.Endpoint.Target
-	f.d.Quarantine.ReportEnd(fingerprint, quarantine.NewProcess(target.ID, target.StartMillis))
+	f.d.Quarantine.ReportEnd(fingerprint, target.Process())
 	f.d.Metrics.countTargetEnded(f.service.Name)
 	f.d.Log.Warn("target ended under request", f.logFields(zap.String("fingerprint", string(fingerprint)),
 		zap.Object("target", candidateFields(c)))...)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -58,7 +58,7 @@
 	Find(f quarantine.Fingerprint) (until time.Time, found bool)
 	// ReportEnd reports a target that ended under a request, ReportResponse one that
 	// responded.
-	ReportEnd(f quarantine.Fingerprint, p quarantine.Process)
+	ReportEnd(f quarantine.Fingerprint, p model.ProcessID)
 	ReportResponse(f quarantine.Fingerprint)
 }
 
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
 	"time"
 )
 
@@ -78,6 +79,15 @@
 	WarmupEndsAt time.Time `json:"-"`
 }
 
+// ProcessID identifies one run of a target's process; it differs after a restart under the
+// same ID.
+type ProcessID string
+
+// Process returns the process of the target.
+func (t *Target) Process() ProcessID {
+	return ProcessID(string(t.ID) + "@" + strconv.FormatInt(t.StartMillis, 10))
+}
+
 // RequestID identifies one request of a caller across all processes.
 type RequestID string
 
--- a/internal/peersync/marks_test.go
+++ b/internal/peersync/marks_test.go
@@ -173,7 +173,7 @@
 		f.late = append(f.late, fmt.Sprintf("at %s, %v after the third", name, now.Sub(f.endedAt[2])))
 	}
 	f.ended++
-	process := quarantine.Process(fmt.Sprint("target-", f.ended))
+	process := model.ProcessID(fmt.Sprint("target-", f.ended))
 	f.mu.Unlock()
 	go func() {
 		time.Sleep(60 * time.Millisecond)
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,14 +21,6 @@
 	maxMarks = 1024
 )
 
-// Process identifies one run of a target's process; it differs after a restart.
-type Process string
-
-// NewProcess returns the process of a target that started at a Unix time in milliseconds.
-func NewProcess(id model.TargetID, startMillis int64) Process {
-	return Process(string(id) + "@" + strconv.FormatInt(startMillis, 10))
-}
-
 // Mark is what the instances of a fleet know about one request under which targets ended.
 // Marks of the same request merge to the union of their ended processes; a cleared one
 // supersedes the others.
@@ -37,7 +28,7 @@
 	Fingerprint Fingerprint `cbor:"1,keyasint"`
 	// Ended are the lowest maxEndedTargets of the processes that ended under the request,
 	// in order.
-	Ended []Process `cbor:"2,keyasint,omitempty"`
+	Ended []model.ProcessID `cbor:"2,keyasint,omitempty"`
 	// Cleared is set if a target responded to the request, so that others ended by
 	// coincidence.
 	Cleared bool `cbor:"3,keyasint,omitempty"`
@@ -47,7 +38,7 @@
 
 // mark is a Mark as an instance holds it.
 type mark struct {
-	ended   []Process
+	ended   []model.ProcessID
 	cleared bool
 	expires time.Time
 	// changedAt is the change of the registry by which the mark got its value, reportedAt
@@ -101,8 +92,8 @@
 }
 
 // ReportEnd records that a target's process ended under a request.
-func (r *Registry) ReportEnd(f Fingerprint, p Process) {
-	r.update(Mark{Fingerprint: f, Ended: []Process{p}, TTLMillis: Duration.Milliseconds()}, true)
+func (r *Registry) ReportEnd(f Fingerprint, p model.ProcessID) {
+	r.update(Mark{Fingerprint: f, Ended: []model.ProcessID{p}, TTLMillis: Duration.Milliseconds()}, true)
 }
 
 // ReportResponse records that a target responded to a request. It has no effect on a
@@ -175,7 +166,7 @@
 }
 
 // mergeEnded returns the lowest maxEndedTargets processes of two ordered lists.
-func mergeEnded(a, b []Process) []Process {
+func mergeEnded(a, b []model.ProcessID) []model.ProcessID {
 	union := slices.Concat(a, b)
 	slices.Sort(union)
 	union = slices.Compact(union)
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"redwingpoint.org/redwingpoint/internal/model"
 )
 
 const request Fingerprint = "f"
@@ -24,13 +26,13 @@
 		var r Registry
 		var quarantined []Mark
 		r.OnQuarantine = func(m Mark) { quarantined = append(quarantined, m) }
-		r.ReportEnd(request, NewProcess("a", 1))
-		r.ReportEnd(request, NewProcess("a", 1))
+		r.ReportEnd(request, "a@1")
+		r.ReportEnd(request, "a@1")
 		if r.found(request) {
 			t.Error("quarantined under one process")
 		}
-		r.ReportEnd(request, NewProcess("a", 2))
-		r.ReportEnd(request, NewProcess("b", 1))
+		r.ReportEnd(request, "a@2")
+		r.ReportEnd(request, "b@1")
 		if !r.found(request) || r.found("another") || len(quarantined) != 1 || r.QuarantinedCount() != 1 {
 			t.Errorf("found %v, reported %v", r.found(request), quarantined)
 		}
@@ -109,7 +111,7 @@
 		reports := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Mark {
 			m := Mark{Fingerprint: request, TTLMillis: 1000, Cleared: rapid.IntRange(0, 5).Draw(t, "cleared") == 0}
 			if !m.Cleared {
-				m.Ended = []Process{Process(rapid.StringMatching("[a-d]").Draw(t, "process"))}
+				m.Ended = []model.ProcessID{model.ProcessID(rapid.StringMatching("[a-d]").Draw(t, "process"))}
 			}
 			return m
 		}), 1, 8).Draw(t, "reports")
