Keep the limits that targets state over all gateways

What callers saw: nothing; a target in need got 17 requests in 4 s from gateways that it had told of a limit of 1.6 a second, allowed 15.

Cause: nothing read a target's limit, and no rule of a target that is summed over the gateways was kept by them together.

Ruled out: a limit that each gateway knows too late. Gateways that were told count after half a second only.

Change: each of the seeds grants an equal share of a target's limit, one request at most at once, and nothing at first after its start. A gateway needs such a permit for each request to a target that stated a limit, and for the probe before it. Three seeds grant at most 3 + 4 x limit in 4 s, against 5 + 6 x limit, without agreeing on anything; a fourth one in an older list fits too. A seed that isn't reached grants nothing, so restarts, cuts and the store can lower the use of a target but not exceed its limit. Such targets serve when no other is in time; one request every 2 s or more checks whether the limit still stands, and the gateway that sees it withdrawn tells the seeds. If all targets left are exhausted, the caller is told at once when to return. What a target stated is forgotten when its process starts anew.

TestLimitOfTargetHoldsOverAllGateways failed before (139 to 202 requests, allowed 17) and passes. TestLimitHoldsOverAFleetUnderFaults plays 17 instances with restarts and cuts in virtual time; with full instead of equal shares it fails.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -16,6 +16,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/dispatch"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/peersync"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/replica"
@@ -75,7 +76,10 @@
 			metrics.NewSet,
 			route.NewHolder,
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
-			func(set *metrics.Set) *upstream.Client { return newUpstreamClient(p, log, set) },
+			func() *peersync.Permits { return &peersync.Permits{Own: limit.NewGrantor(1), Log: log} },
+			func(set *metrics.Set, permits *peersync.Permits) *upstream.Client {
+				return newUpstreamClient(p, log, set, permits)
+			},
 			func() *quarantine.Registry { return new(quarantine.Registry) },
 			func() *rate.Limiter { return rate.NewLimiter(rate.Limit(s.Probes.PerSecond), s.Probes.Burst) },
 			newDispatcher,
@@ -86,10 +90,10 @@
 	)
 }
 
-func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry) *dispatch.Dispatcher {
+func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
 		Routes:      routes,
-		Picker:      routing.NewProbingPicker(table, client, routing.Monotonic, probes),
+		Picker:      routing.NewProbingPicker(table, client, routing.Monotonic, probes, permits),
 		Upstream:    client,
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
@@ -111,6 +115,7 @@
 	server     *httpserver.Server
 	listener   net.Listener
 	quarantine *quarantine.Registry
+	permits    *peersync.Permits
 	// probes limits the load probes of targets.
 	probes *rate.Limiter
 	// breaker is shared by the followers of routes and targets.
@@ -123,11 +128,11 @@
 	targetsKnown atomic.Bool
 }
 
-func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter, marks *quarantine.Registry) *gateway {
+func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *gateway {
 	return &gateway{
 		settings: s, provider: p, log: log, set: set, routes: routes, table: table, dispatcher: d, probes: probes,
-		quarantine: marks,
-		server:     httpserver.NewServer(d, d.Limits),
+		quarantine: marks, permits: permits,
+		server: httpserver.NewServer(d, d.Limits),
 	}
 }
 
--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/peersync"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
 	"redwingpoint.org/redwingpoint/internal/routing"
@@ -74,10 +75,13 @@
 }
 
 // newUpstreamClient returns a client that logs and counts what targets state about
-// themselves.
-func newUpstreamClient(p Provider, log *zap.Logger, set *metrics.Set) *upstream.Client {
+// themselves and reports withdrawn limits.
+func newUpstreamClient(p Provider, log *zap.Logger, set *metrics.Set, permits *peersync.Permits) *upstream.Client {
 	client := upstream.NewClientWithProtocol(p.Protocol)
 	client.OnStatement = func(e *routing.Endpoint, before, now routing.Statement) {
+		if before.Limited && !now.Limited {
+			permits.ReportWithdrawal(e)
+		}
 		set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_target_statements_total{service=%q}", string(e.Target.Service))).Inc()
 		log.Info("target states", zap.String("target", string(e.Target.ID)), zap.String("service", string(e.Target.Service)),
 			zap.Bool("limited", now.Limited), zap.Float64("limit_per_second", now.LimitPerSecond),
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -11,6 +11,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/keys"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/peer"
 	"redwingpoint.org/redwingpoint/internal/peersync"
@@ -77,6 +78,7 @@
 	g.quarantine.OnQuarantine = g.logQuarantine
 	transport.Handle(peer.OpExchangeMarks, marks.HandleExchange)
 	runLoop(lc, marks.Run)
+	g.sharePermits(transport, isSeed, otherSeeds)
 	var relay peerRelay
 	if !isSeed {
 		relay.active = s.RelayActive
@@ -102,6 +104,15 @@
 	return relay
 }
 
+// sharePermits divides the limits that targets state among the seeds.
+func (g *gateway) sharePermits(transport *peer.Transport, isSeed bool, otherSeeds []string) {
+	g.permits.Own, g.permits.Transport, g.permits.Seeds = nil, transport, otherSeeds
+	if isSeed || len(otherSeeds) == 0 {
+		g.permits.Own = limit.NewGrantor(len(otherSeeds) + 1)
+		transport.Handle(peer.OpAcquirePermit, (&peersync.PermitServer{Grantor: g.permits.Own}).HandleAcquire)
+	}
+}
+
 // serveRelay relays the store's changes to other gateways.
 func (g *gateway) serveRelay(transport *peer.Transport, local *replica.Replica) {
 	local.Current = func() bool { return g.isReady() && !g.breaker.Open() }
--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -21,6 +21,7 @@
 	CauseBodyLate           Cause = "body-late"
 	CauseBodyTooLarge       Cause = "body-too-large"
 	CauseBodyBroken         Cause = "body-broken"
+	CauseTargetsLimited     Cause = "targets-limited"
 	CauseQuarantined        Cause = "quarantined"
 	CauseCallerGone         Cause = "caller-gone"
 )
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -27,6 +27,10 @@
 		if !errors.As(err, &probesSpent) {
 			candidates = ranked
 		}
+		var limited *routing.LimitedError
+		if errors.As(err, &limited) && lastFailure.cause == "" && limited.RetryAfter > time.Until(waitUntil) {
+			return routing.Candidate{}, f.limitedReply(limited)
+		}
 		if len(candidates) == 0 && (lastFailure.cause != "" || ctx.Err() != nil || time.Until(waitUntil) < repickInterval) {
 			return routing.Candidate{}, f.noTargetReply(lastFailure, err)
 		}
@@ -98,6 +102,12 @@
 // together.
 const typicalOverheadBytes = 2200
 
+// limitedReply returns the reply when the limits of all targets left are exhausted.
+func (f *forwarder) limitedReply(limited *routing.LimitedError) *localReply {
+	f.d.Log.Info("targets limited", f.logFields(zap.Duration("permit_after", limited.RetryAfter))...)
+	return &localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsLimited, retryAfter: max(limited.RetryAfter, minRetryAfter)}
+}
+
 // noTargetReply returns the reply when no target is left: that of the last attempt, if
 // any.
 func (f *forwarder) noTargetReply(lastFailure localReply, err error) *localReply {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -31,6 +31,8 @@
 	// OpExchangeMarks exchanges what two gateways know of requests under which targets
 	// ended, and waits for news.
 	OpExchangeMarks
+	// OpAcquirePermit asks a gateway that grants requests to targets with a limit for one.
+	OpAcquirePermit
 )
 
 // RequestHandler handles the requests of one Op. It is called concurrently. It returns the
--- /dev/null
+++ b/internal/routing/limited.go
@@ -0,0 +1,111 @@
+package routing
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/model"
+)
+
+const (
+	// limitRecheck is the age of a stated limit from which a target gets a request even if
+	// others have free slots, so that a withdrawn limit is noticed.
+	limitRecheck = 2 * time.Second
+	// limitedWait bounds the time for which a pick asks for permits.
+	limitedWait = 40 * time.Millisecond
+)
+
+// PermitExtent tells whom Permits.Acquire asks.
+type PermitExtent uint8
+
+const (
+	// NearestGrantor is asked alone while other targets have free slots.
+	NearestGrantor PermitExtent = iota
+	// AllGrantors are asked, the nearest first, when no other target is in time.
+	AllGrantors
+)
+
+// Permits grants requests to targets that stated a limit for all instances together.
+// Implementations are safe for concurrent use.
+type Permits interface {
+	// Acquire reports whether one request may be sent to a target now. If not, it returns
+	// when to ask again.
+	Acquire(ctx context.Context, e *Endpoint, extent PermitExtent) (granted bool, retryAfter time.Duration)
+}
+
+// LimitedError reports that all targets left have stated a limit, which is exhausted.
+type LimitedError struct {
+	Service model.ServiceName
+	// RetryAfter is when a target may take a request again.
+	RetryAfter time.Duration
+}
+
+func (e *LimitedError) Error() string {
+	return "the limits of all targets of " + string(e.Service) + " are exhausted"
+}
+
+// limitedEndpoints returns the endpoints that stated a limit and may be used for a request,
+// those of the region first, otherwise in random order, so that instances don't all ask for
+// the same one.
+func limitedEndpoints(pool *Pool, req ProbingRequest) []*Endpoint {
+	var local, remote []*Endpoint
+	for _, e := range pool.Endpoints {
+		switch {
+		case e.State == Draining || !e.Load.isLimited() || slices.Contains(req.Exclude, e.Target.ID):
+		case e.Distance == model.OtherRegion:
+			remote = append(remote, e)
+		default:
+			local = append(local, e)
+		}
+	}
+	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
+	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	return append(local, remote...)
+}
+
+// recheckLimited returns a target of the region whose limit was stated limitRecheck ago or
+// earlier, if it is permitted and expected to respond in time. It asks for one target only.
+func (p *ProbingPicker) recheckLimited(ctx context.Context, req ProbingRequest, limited []*Endpoint) (Candidate, bool) {
+	for _, e := range limited {
+		if _, at := e.Load.Statement(); e.Distance == model.OtherRegion || p.now()-at < limitRecheck {
+			continue
+		}
+		if granted, _ := p.permits.Acquire(ctx, e, NearestGrantor); !granted {
+			return Candidate{}, false
+		}
+		c := p.probePermitted(ctx, req, e)
+		return c, c.InTime(req.Work)
+	}
+	return Candidate{}, false
+}
+
+// useLimited returns a permitted target, if there is one, or when to ask again.
+func (p *ProbingPicker) useLimited(ctx context.Context, req ProbingRequest, limited []*Endpoint) (permitted []Candidate, retryAfter time.Duration) {
+	startedAt := p.now()
+	for _, e := range limited {
+		granted, wait := p.permits.Acquire(ctx, e, AllGrantors)
+		if granted {
+			return []Candidate{p.probePermitted(ctx, req, e)}, 0
+		}
+		if retryAfter == 0 || wait < retryAfter {
+			retryAfter = wait
+		}
+		if p.now()-startedAt > limitedWait {
+			break
+		}
+	}
+	return nil, max(retryAfter, time.Millisecond)
+}
+
+// probePermitted probes one target, outside the budget, and evaluates it.
+func (p *ProbingPicker) probePermitted(ctx context.Context, req ProbingRequest, e *Endpoint) Candidate {
+	wait := localProbeWait
+	if e.Distance == model.OtherRegion {
+		wait = remoteProbeWait
+	}
+	sentAt := p.now()
+	results := p.probeAll(ctx, req.HealthPath, []*Endpoint{e}, wait)
+	return p.evaluate(results[0], req.Work, sentAt)
+}
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -37,7 +37,7 @@
 	// Reliability tracks the failure risk of exchanges with the target.
 	Reliability Reliability
 	// statement is the target's latest Statement, or nil.
-	statement atomic.Pointer[Statement]
+	statement atomic.Pointer[timedStatement]
 }
 
 // beginRingSize is the number of own exchanges whose begin times are kept. No more
--- a/internal/routing/probe_round.go
+++ b/internal/routing/probe_round.go
@@ -74,13 +74,13 @@
 	}
 }
 
-// splitByPreference splits the endpoints that may receive requests: the preferred ones
-// of the region, which are the first in the instance's stable order, the other ones of
-// the region, and those of other regions.
+// splitByPreference splits the endpoints that may receive requests without a permit: the
+// preferred ones of the region, which are the first in the instance's stable order, the
+// other ones of the region, and those of other regions.
 func splitByPreference(pool *Pool) (preferred, otherLocal, remote []*Endpoint) {
 	for _, e := range pool.Endpoints {
 		switch {
-		case e.State == Draining:
+		case e.State == Draining || e.Load.isLimited():
 		case e.Distance == model.OtherRegion:
 			remote = append(remote, e)
 		default:
--- a/internal/routing/probing_picker.go
+++ b/internal/routing/probing_picker.go
@@ -90,6 +90,8 @@
 	now    Clock
 	// budget limits the probes of this instance.
 	budget *rate.Limiter
+	// permits grants requests to targets that stated a limit.
+	permits Permits
 
 	mu sync.Mutex
 	// rounds holds the latest local probe round of each service.
@@ -100,8 +102,9 @@
 
 // NewProbingPicker returns a picker that uses the snapshots of a table. The budget
 // limits its probes, except for minProbes of each first pick.
-func NewProbingPicker(t *Table, prober LoadProber, now Clock, budget *rate.Limiter) *ProbingPicker {
+func NewProbingPicker(t *Table, prober LoadProber, now Clock, budget *rate.Limiter, permits Permits) *ProbingPicker {
 	return &ProbingPicker{
+		permits:            permits,
 		budget:             budget,
 		table:              t,
 		prober:             prober,
@@ -112,13 +115,17 @@
 }
 
 // Pick returns the evaluated candidates, lowest cost first. It blocks while it probes.
-// It returns *UnknownServiceError, *NoTargetError if there is no candidate, or
-// *ProbeBudgetError.
+// It returns *UnknownServiceError, *NoTargetError if there is no candidate, *LimitedError
+// if only targets without a permit are left, or *ProbeBudgetError.
 func (p *ProbingPicker) Pick(ctx context.Context, req ProbingRequest) ([]Candidate, error) {
 	pool := p.table.Snapshot().Pool(req.Service)
 	if pool == nil {
 		return nil, &UnknownServiceError{Service: req.Service}
 	}
+	limited := limitedEndpoints(pool, req)
+	if c, ok := p.recheckLimited(ctx, req, limited); ok {
+		return []Candidate{c}, nil
+	}
 	r, err := p.joinRound(ctx, req, pool)
 	if err != nil {
 		return nil, err
@@ -130,6 +137,15 @@
 		}
 		candidates = append(candidates, probeMore(ctx, req)...)
 	}
+	var retryAfter time.Duration
+	if len(limited) > 0 && !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
+		var permitted []Candidate
+		permitted, retryAfter = p.useLimited(ctx, req, limited)
+		candidates = append(candidates, permitted...)
+	}
+	if len(candidates) == 0 && retryAfter > 0 {
+		return nil, &LimitedError{Service: req.Service, RetryAfter: retryAfter}
+	}
 	if len(candidates) == 0 {
 		return nil, &NoTargetError{Service: req.Service}
 	}
@@ -183,7 +199,7 @@
 func (p *ProbingPicker) evaluateAll(results []probeResult, req ProbingRequest, sentAt time.Duration) []Candidate {
 	out := make([]Candidate, 0, len(results))
 	for _, r := range results {
-		if !slices.Contains(req.Exclude, r.endpoint.Target.ID) {
+		if !slices.Contains(req.Exclude, r.endpoint.Target.ID) && !r.endpoint.Load.isLimited() {
 			out = append(out, p.evaluate(r, req.Work, sentAt))
 		}
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -79,14 +79,15 @@
 	t.publish(service)
 }
 
-// dropUnlisted deletes the entries of targets that are missing from the new list.
+// dropUnlisted deletes the entries of targets whose process is missing from the new list. A
+// target that was restarted under the same ID knows nothing of before.
 func (t *Table) dropUnlisted(service model.ServiceName, list []model.Target) {
-	kept := make(map[model.TargetID]bool, len(list))
+	kept := make(map[model.ProcessID]bool, len(list))
 	for i := range list {
-		kept[list[i].ID] = true
+		kept[list[i].Process()] = true
 	}
 	for _, old := range t.targets[service] {
-		if !kept[old.ID] {
+		if !kept[old.Process()] {
 			delete(t.entries, old.ID)
 		}
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -174,17 +174,19 @@
 	}
 }
 
-// recordStatement records what a target states about itself. A response to a call without a
-// request ID, such as a probe, may add to that but withdraws nothing.
+// recordStatement records what a target states about itself. An unsigned response, such as
+// that to a probe, may add to that but withdraws nothing; one of another target at the same
+// address is ignored.
 func (c *Client) recordStatement(call Call, resp *http.Response) {
-	if c.protocol.ParseStatement == nil {
+	id := resp.Header.Get(c.protocol.TargetID)
+	if c.protocol.ParseStatement == nil || (id != "" && id != string(call.Endpoint.Target.ID)) {
 		return
 	}
 	stated := c.protocol.ParseStatement(resp.StatusCode, resp.Header)
-	if call.Header.Get(c.protocol.RequestID) == "" && stated == (routing.Statement{}) {
+	if resp.Header.Get(c.protocol.Signature) == "" && stated == (routing.Statement{}) {
 		return
 	}
-	before := call.Endpoint.Load.SetStatement(stated)
+	before := call.Endpoint.Load.SetStatement(stated, routing.Monotonic())
 	if before != stated && c.OnStatement != nil {
 		c.OnStatement(call.Endpoint, before, stated)
 	}
