Leave targets alone that ask for a pause

A target that turns a request away with 503 may ask for a pause by Retry-After.

The pause is part of what a target states in its responses. Until its end the target gets neither requests nor health checks from this gateway; an earlier end that it states is not believed, and a later response doesn't cut it short. A caller for whom no other target is left is refused at once and told when the first pause ends.

--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -85,7 +85,8 @@
 		set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_target_statements_total{service=%q}", string(e.Target.Service))).Inc()
 		log.Info("target states", zap.String("target", string(e.Target.ID)), zap.String("service", string(e.Target.Service)),
 			zap.Bool("limited", now.Limited), zap.Float64("limit_per_second", now.LimitPerSecond),
-			zap.Bool("was_limited", before.Limited), zap.Float64("limit_before", before.LimitPerSecond))
+			zap.Bool("was_limited", before.Limited), zap.Float64("limit_before", before.LimitPerSecond),
+			zap.Duration("pause", now.Pause))
 	}
 	return client
 }
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -27,9 +27,9 @@
 		if !errors.As(err, &probesSpent) {
 			candidates = ranked
 		}
-		var limited *routing.LimitedError
-		if errors.As(err, &limited) && lastFailure.cause == "" && limited.RetryAfter > time.Until(waitUntil) {
-			return routing.Candidate{}, f.limitedReply(limited)
+		var unavailable *routing.UnavailableError
+		if errors.As(err, &unavailable) && lastFailure.cause == "" && unavailable.RetryAfter > time.Until(waitUntil) {
+			return routing.Candidate{}, f.unavailableReply(unavailable)
 		}
 		if len(candidates) == 0 && (lastFailure.cause != "" || ctx.Err() != nil || time.Until(waitUntil) < repickInterval) {
 			return routing.Candidate{}, f.noTargetReply(lastFailure, err)
@@ -102,10 +102,11 @@
 // together.
 const typicalOverheadBytes = 2200
 
-// limitedReply returns the reply when the limits of all targets left are exhausted.
-func (f *forwarder) limitedReply(limited *routing.LimitedError) *localReply {
-	f.d.Log.Info("targets limited", f.logFields(zap.Duration("permit_after", limited.RetryAfter))...)
-	return &localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsLimited, retryAfter: max(limited.RetryAfter, minRetryAfter)}
+// unavailableReply returns the reply when all targets left are paused or have exhausted
+// their limits.
+func (f *forwarder) unavailableReply(unavailable *routing.UnavailableError) *localReply {
+	f.d.Log.Info("targets limited", f.logFields(zap.Duration("available_after", unavailable.RetryAfter))...)
+	return &localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsLimited, retryAfter: max(unavailable.RetryAfter, minRetryAfter)}
 }
 
 // noTargetReply returns the reply when no target is left: that of the last attempt, if
--- a/internal/peersync/permits.go
+++ b/internal/peersync/permits.go
@@ -119,7 +119,7 @@
 // withdrawn applies the news that a target has withdrawn its limit.
 func (p *Permits) withdrawn(e *routing.Endpoint, withdrawn bool) bool {
 	if withdrawn {
-		e.Load.SetStatement(routing.Statement{}, routing.Monotonic())
+		e.Load.RecordStatement(routing.Statement{}, true, routing.Monotonic())
 	}
 	return withdrawn
 }
--- a/internal/peersync/permits_test.go
+++ b/internal/peersync/permits_test.go
@@ -102,7 +102,7 @@
 		f.mu.Lock()
 		node := f.nodes[name]
 		f.mu.Unlock()
-		node.endpoint.Load.SetStatement(routing.Statement{Limited: true, LimitPerSecond: perSecond}, routing.Monotonic())
+		node.endpoint.Load.RecordStatement(routing.Statement{Limited: true, LimitPerSecond: perSecond}, true, routing.Monotonic())
 		if granted, _ := node.permits.Acquire(context.Background(), node.endpoint, routing.AllGrantors); granted {
 			f.mu.Lock()
 			f.arrived = append(f.arrived, time.Now())
--- a/internal/routing/limited.go
+++ b/internal/routing/limited.go
@@ -35,25 +35,45 @@
 	Acquire(ctx context.Context, e *Endpoint, extent PermitExtent) (granted bool, retryAfter time.Duration)
 }
 
-// LimitedError reports that all targets left have stated a limit, which is exhausted.
-type LimitedError struct {
+// UnavailableError reports that all targets left have asked for a pause or have stated a
+// limit that is exhausted.
+type UnavailableError struct {
 	Service model.ServiceName
 	// RetryAfter is when a target may take a request again.
 	RetryAfter time.Duration
 }
 
-func (e *LimitedError) Error() string {
-	return "the limits of all targets of " + string(e.Service) + " are exhausted"
+func (e *UnavailableError) Error() string {
+	return "all targets of " + string(e.Service) + " are paused or have exhausted their limits"
 }
 
-// limitedEndpoints returns the endpoints that stated a limit and may be used for a request,
-// those of the region first, otherwise in random order, so that instances don't all ask for
-// the same one.
-func limitedEndpoints(pool *Pool, req ProbingRequest) []*Endpoint {
+// shortestPause returns when the first of the paused targets takes requests again, or zero
+// if none is paused.
+func shortestPause(pool *Pool, req ProbingRequest, now time.Duration) (left time.Duration) {
+	for _, e := range pool.Endpoints {
+		if e.State != Draining && !slices.Contains(req.Exclude, e.Target.ID) {
+			left = earlier(left, e.Load.pauseLeft(now))
+		}
+	}
+	return left
+}
+
+// earlier returns the shorter of two durations that are not zero.
+func earlier(a, b time.Duration) time.Duration {
+	if a == 0 || (b != 0 && b < a) {
+		return b
+	}
+	return a
+}
+
+// limitedEndpoints returns the endpoints that stated a limit and may be used for a request
+// at a reading of a Clock, those of the region first, otherwise in random order, so that
+// instances don't all ask for the same one.
+func limitedEndpoints(pool *Pool, req ProbingRequest, now time.Duration) []*Endpoint {
 	var local, remote []*Endpoint
 	for _, e := range pool.Endpoints {
 		switch {
-		case e.State == Draining || !e.Load.isLimited() || slices.Contains(req.Exclude, e.Target.ID):
+		case !e.takesRequests(now) || !e.Load.isLimited() || slices.Contains(req.Exclude, e.Target.ID):
 		case e.Distance == model.OtherRegion:
 			remote = append(remote, e)
 		default:
@@ -89,9 +109,7 @@
 		if granted {
 			return []Candidate{p.probePermitted(ctx, req, e)}, 0
 		}
-		if retryAfter == 0 || wait < retryAfter {
-			retryAfter = wait
-		}
+		retryAfter = earlier(retryAfter, wait)
 		if p.now()-startedAt > limitedWait {
 			break
 		}
--- a/internal/routing/limited_test.go
+++ b/internal/routing/limited_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/model"
@@ -29,7 +30,7 @@
 func stateLimit(p *ProbingPicker, id model.TargetID, at time.Duration) {
 	for _, e := range p.table.Snapshot().Pool("s").Endpoints {
 		if e.Target.ID == id {
-			e.Load.SetStatement(Statement{Limited: true, LimitPerSecond: 2}, at)
+			e.Load.RecordStatement(Statement{Limited: true, LimitPerSecond: 2}, true, at)
 		}
 	}
 }
@@ -75,9 +76,9 @@
 	stateLimit(p, "1", p.now())
 	stateLimit(p, "2", p.now())
 	_, err := p.Pick(t.Context(), previewRequest)
-	var limited *LimitedError
+	var limited *UnavailableError
 	if !errors.As(err, &limited) || limited.RetryAfter != time.Second {
-		t.Errorf("%v, want *LimitedError", err)
+		t.Errorf("%v, want *UnavailableError", err)
 	}
 	if len(prober.probed) != 0 {
 		t.Errorf("probed %v", prober.probed)
@@ -98,3 +99,29 @@
 		t.Error("the limit outlasts a restart")
 	}
 }
+
+// TestPausedTargetIsLeftAlone checks that a target that asked for a pause gets neither probes
+// nor requests until its end, whatever it states meanwhile, and that callers learn of the end
+// if no other target is left.
+func TestPausedTargetIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, prober, _ := newTestPicker(testTarget{"1", prahaA, idle(2)}, testTarget{"2", prahaB, idle(2)})
+		first, second := p.table.Snapshot().Pool("s").Endpoints[0], p.table.Snapshot().Pool("s").Endpoints[1]
+		first.Load.RecordStatement(Statement{Pause: 3 * time.Second}, false, p.now())
+		first.Load.RecordStatement(Statement{Pause: time.Second}, false, p.now())
+		first.Load.RecordStatement(Statement{}, true, p.now())
+		if got := best(t, p, previewRequest).Endpoint; got != second || prober.probed["1"] != 0 {
+			t.Errorf("picked %s, probed %v", got.Target.ID, prober.probed)
+		}
+		second.Load.RecordStatement(Statement{Pause: 5 * time.Second}, false, p.now())
+		_, err := p.Pick(t.Context(), previewRequest)
+		var unavailable *UnavailableError
+		if !errors.As(err, &unavailable) || unavailable.RetryAfter > 3*time.Second || unavailable.RetryAfter < 2900*time.Millisecond {
+			t.Errorf("%v, want *UnavailableError for 3 s", err)
+		}
+		time.Sleep(3 * time.Second)
+		if got := best(t, p, previewRequest).Endpoint; got != first {
+			t.Errorf("picked %s after the pause", got.Target.ID)
+		}
+	})
+}
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -36,8 +36,8 @@
 	beginCount atomic.Uint32
 	// Reliability tracks the failure risk of exchanges with the target.
 	Reliability Reliability
-	// statement is the target's latest Statement, or nil.
-	statement atomic.Pointer[timedStatement]
+	// statements is what the target stated about itself, or nil.
+	statements atomic.Pointer[statements]
 }
 
 // beginRingSize is the number of own exchanges whose begin times are kept. No more
--- a/internal/routing/probe_round.go
+++ b/internal/routing/probe_round.go
@@ -38,7 +38,7 @@
 		<-r.done
 		return r, nil
 	}
-	preferred, _, _ := splitByPreference(pool)
+	preferred, _, _ := splitByPreference(pool, p.now())
 	if req.Repeated && !p.budget.AllowN(time.Now(), len(preferred)) {
 		p.mu.Unlock()
 		return nil, &ProbeBudgetError{Service: req.Service}
@@ -74,13 +74,13 @@
 	}
 }
 
-// splitByPreference splits the endpoints that may receive requests without a permit: the
-// preferred ones of the region, which are the first in the instance's stable order, the
-// other ones of the region, and those of other regions.
-func splitByPreference(pool *Pool) (preferred, otherLocal, remote []*Endpoint) {
+// splitByPreference splits the endpoints that may receive requests without a permit at a
+// reading of a Clock: the preferred ones of the region, which are the first in the
+// instance's stable order, the other ones of the region, and those of other regions.
+func splitByPreference(pool *Pool, now time.Duration) (preferred, otherLocal, remote []*Endpoint) {
 	for _, e := range pool.Endpoints {
 		switch {
-		case e.State == Draining || e.Load.isLimited():
+		case !e.takesRequests(now) || e.Load.isLimited():
 		case e.Distance == model.OtherRegion:
 			remote = append(remote, e)
 		default:
--- a/internal/routing/probing_picker.go
+++ b/internal/routing/probing_picker.go
@@ -115,14 +115,14 @@
 }
 
 // Pick returns the evaluated candidates, lowest cost first. It blocks while it probes.
-// It returns *UnknownServiceError, *NoTargetError if there is no candidate, *LimitedError
-// if only targets without a permit are left, or *ProbeBudgetError.
+// It returns *UnknownServiceError, *NoTargetError if there is no candidate, *UnavailableError
+// if only targets are left that are paused or have no permit, or *ProbeBudgetError.
 func (p *ProbingPicker) Pick(ctx context.Context, req ProbingRequest) ([]Candidate, error) {
 	pool := p.table.Snapshot().Pool(req.Service)
 	if pool == nil {
 		return nil, &UnknownServiceError{Service: req.Service}
 	}
-	limited := limitedEndpoints(pool, req)
+	limited := limitedEndpoints(pool, req, p.now())
 	if c, ok := p.recheckLimited(ctx, req, limited); ok {
 		return []Candidate{c}, nil
 	}
@@ -137,14 +137,14 @@
 		}
 		candidates = append(candidates, probeMore(ctx, req)...)
 	}
-	var retryAfter time.Duration
+	retryAfter := shortestPause(pool, req, p.now())
 	if len(limited) > 0 && !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
-		var permitted []Candidate
-		permitted, retryAfter = p.useLimited(ctx, req, limited)
+		permitted, permitAfter := p.useLimited(ctx, req, limited)
 		candidates = append(candidates, permitted...)
+		retryAfter = earlier(retryAfter, permitAfter)
 	}
 	if len(candidates) == 0 && retryAfter > 0 {
-		return nil, &LimitedError{Service: req.Service, RetryAfter: retryAfter}
+		return nil, &UnavailableError{Service: req.Service, RetryAfter: retryAfter}
 	}
 	if len(candidates) == 0 {
 		return nil, &NoTargetError{Service: req.Service}
@@ -155,7 +155,7 @@
 
 // fallbacks returns functions that probe more targets, the cheapest way first.
 func (p *ProbingPicker) fallbacks(pool *Pool) []func(context.Context, ProbingRequest) []Candidate {
-	_, otherLocal, remote := splitByPreference(pool)
+	_, otherLocal, remote := splitByPreference(pool, p.now())
 	return []func(context.Context, ProbingRequest) []Candidate{
 		func(ctx context.Context, req ProbingRequest) []Candidate {
 			return p.probeFirst(ctx, req, otherLocal, maxOtherLocalProbes, localProbeWait)
@@ -199,7 +199,8 @@
 func (p *ProbingPicker) evaluateAll(results []probeResult, req ProbingRequest, sentAt time.Duration) []Candidate {
 	out := make([]Candidate, 0, len(results))
 	for _, r := range results {
-		if !slices.Contains(req.Exclude, r.endpoint.Target.ID) && !r.endpoint.Load.isLimited() {
+		e := r.endpoint
+		if !slices.Contains(req.Exclude, e.Target.ID) && !e.Load.isLimited() && e.takesRequests(p.now()) {
 			out = append(out, p.evaluate(r, req.Work, sentAt))
 		}
 	}
--- a/internal/routing/statement.go
+++ b/internal/routing/statement.go
@@ -9,33 +9,64 @@
 	// instances together, for as long as it says so.
 	Limited        bool
 	LimitPerSecond float64
+	// Pause is for how long the target takes no request from this instance; zero if it
+	// didn't ask for a pause.
+	Pause time.Duration
 }
 
-// timedStatement is a statement with the reading of a Clock at which it was received.
-type timedStatement struct {
-	Statement
-	at time.Duration
+// statements is what is known of a target from its statements.
+type statements struct {
+	latest Statement
+	// limitAt is the reading of a Clock at which the limit was last stated or withdrawn,
+	// pausedUntil the end of the latest pause.
+	limitAt, pausedUntil time.Duration
 }
 
 // Statement returns the latest statement of the target and the reading of a Clock at which
-// it was received.
-func (l *Load) Statement() (s Statement, at time.Duration) {
-	if latest := l.statement.Load(); latest != nil {
-		return latest.Statement, latest.at
+// its limit was stated or withdrawn.
+func (l *Load) Statement() (s Statement, limitAt time.Duration) {
+	known := l.knownStatements()
+	return known.latest, known.limitAt
+}
+
+func (l *Load) knownStatements() statements {
+	if s := l.statements.Load(); s != nil {
+		return *s
 	}
-	return Statement{}, 0
+	return statements{}
 }
 
-// SetStatement replaces the target's statement and returns the one before.
-func (l *Load) SetStatement(s Statement, now time.Duration) (before Statement) {
-	if old := l.statement.Swap(&timedStatement{s, now}); old != nil {
-		return old.Statement
+// RecordStatement records a statement received at a reading of a Clock and returns the
+// latest ones before and after it. A statement without a limit withdraws the limit only if
+// withdraws is set. A pause ends only with its time.
+func (l *Load) RecordStatement(s Statement, withdraws bool, now time.Duration) (before, after Statement) {
+	for {
+		old := l.statements.Load()
+		known := l.knownStatements()
+		before = known.latest
+		if s.Limited || withdraws {
+			known.limitAt = now
+		} else {
+			s.Limited, s.LimitPerSecond = before.Limited, before.LimitPerSecond
+		}
+		known.latest = s
+		known.pausedUntil = max(known.pausedUntil, now+s.Pause)
+		if l.statements.CompareAndSwap(old, &known) {
+			return before, s
+		}
 	}
-	return Statement{}
 }
 
 // isLimited reports whether the target has stated a limit.
-func (l *Load) isLimited() bool {
-	s, _ := l.Statement()
-	return s.Limited
+func (l *Load) isLimited() bool { return l.knownStatements().latest.Limited }
+
+// pauseLeft returns how long the pause that the target asked for lasts from a reading of a
+// Clock on, or zero.
+func (l *Load) pauseLeft(now time.Duration) time.Duration {
+	return max(0, l.knownStatements().pausedUntil-now)
+}
+
+// takesRequests reports whether the target takes new requests at a reading of a Clock.
+func (e *Endpoint) takesRequests(now time.Duration) bool {
+	return e.State != Draining && e.Load.pauseLeft(now) == 0
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -183,12 +183,10 @@
 		return
 	}
 	stated := c.protocol.ParseStatement(resp.StatusCode, resp.Header)
-	if resp.Header.Get(c.protocol.Signature) == "" && stated == (routing.Statement{}) {
-		return
-	}
-	before := call.Endpoint.Load.SetStatement(stated, routing.Monotonic())
-	if before != stated && c.OnStatement != nil {
-		c.OnStatement(call.Endpoint, before, stated)
+	signed := resp.Header.Get(c.protocol.Signature) != ""
+	before, now := call.Endpoint.Load.RecordStatement(stated, signed, routing.Monotonic())
+	if before != now && c.OnStatement != nil {
+		c.OnStatement(call.Endpoint, before, now)
 	}
 }
 
