Send no requests to targets whose responses say that they leave

Only the store's entries and health told of a target that leaves.

The statement is kept with the target's load counters until its process starts anew; responses of its earlier requests that arrive without it change nothing. Such a target is neither picked nor probed.

--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -86,7 +86,7 @@
 		log.Info("target states", zap.String("target", string(e.Target.ID)), zap.String("service", string(e.Target.Service)),
 			zap.Bool("limited", now.Limited), zap.Float64("limit_per_second", now.LimitPerSecond),
 			zap.Bool("was_limited", before.Limited), zap.Float64("limit_before", before.LimitPerSecond),
-			zap.Duration("pause", now.Pause))
+			zap.Duration("pause", now.Pause), zap.Bool("leaving", now.Leaving))
 	}
 	return client
 }
--- a/internal/routing/limited.go
+++ b/internal/routing/limited.go
@@ -51,7 +51,7 @@
 // if none is paused.
 func shortestPause(pool *Pool, req ProbingRequest, now time.Duration) (left time.Duration) {
 	for _, e := range pool.Endpoints {
-		if e.State != Draining && !slices.Contains(req.Exclude, e.Target.ID) {
+		if !e.isLeaving() && !slices.Contains(req.Exclude, e.Target.ID) {
 			left = earlier(left, e.Load.pauseLeft(now))
 		}
 	}
--- a/internal/routing/limited_test.go
+++ b/internal/routing/limited_test.go
@@ -125,3 +125,19 @@
 		}
 	})
 }
+
+// TestTargetThatLeavesReturnsWithANewProcess also checks that a target that leaves doesn't
+// count as paused: callers aren't told to wait for it.
+func TestTargetThatLeavesReturnsWithANewProcess(t *testing.T) {
+	p, _, table := newTestPicker(testTarget{"1", prahaA, idle(2)})
+	e := table.Snapshot().Pool("s").Endpoints[0]
+	e.Load.RecordStatement(Statement{Leaving: true, Pause: time.Second}, true, p.now())
+	e.Load.RecordStatement(Statement{}, true, p.now())
+	_, err := p.Pick(t.Context(), previewRequest)
+	var none *NoTargetError
+	if !errors.As(err, &none) {
+		t.Errorf("%v, want *NoTargetError", err)
+	}
+	table.SetTargets("s", []model.Target{{ID: "1", Service: "s", Location: prahaA, Slots: 2, StartMillis: 5}})
+	best(t, p, previewRequest)
+}
--- a/internal/routing/statement.go
+++ b/internal/routing/statement.go
@@ -12,6 +12,8 @@
 	// Pause is for how long the target takes no request from this instance; zero if it
 	// didn't ask for a pause.
 	Pause time.Duration
+	// Leaving is set if the target will stop and takes no new requests.
+	Leaving bool
 }
 
 // statements is what is known of a target from its statements.
@@ -38,7 +40,8 @@
 
 // RecordStatement records a statement received at a reading of a Clock and returns the
 // latest ones before and after it. A statement without a limit withdraws the limit only if
-// withdraws is set. A pause ends only with its time.
+// withdraws is set. A pause ends only with its time, and a target that leaves doesn't return:
+// responses of its earlier requests may still arrive.
 func (l *Load) RecordStatement(s Statement, withdraws bool, now time.Duration) (before, after Statement) {
 	for {
 		old := l.statements.Load()
@@ -49,6 +52,7 @@
 		} else {
 			s.Limited, s.LimitPerSecond = before.Limited, before.LimitPerSecond
 		}
+		s.Leaving = s.Leaving || before.Leaving
 		known.latest = s
 		known.pausedUntil = max(known.pausedUntil, now+s.Pause)
 		if l.statements.CompareAndSwap(old, &known) {
@@ -66,7 +70,12 @@
 	return max(0, l.knownStatements().pausedUntil-now)
 }
 
+// isLeaving reports whether the platform or the target itself stated that it will stop.
+func (e *Endpoint) isLeaving() bool {
+	return e.State == Draining || e.Load.knownStatements().latest.Leaving
+}
+
 // takesRequests reports whether the target takes new requests at a reading of a Clock.
 func (e *Endpoint) takesRequests(now time.Duration) bool {
-	return e.State != Draining && e.Load.pauseLeft(now) == 0
+	return !e.isLeaving() && e.Load.pauseLeft(now) == 0
 }
