Let a restarted peer's connection replace that of its earlier process

Both ends close one of two connections that they dialed at once; the other end took the dead connection of the earlier process for such a one and closed the new.

A gateway makes its key at its start, so another certificate shows another process, whose connection now replaces the earlier one. The test fails on the earlier code. Instances with certificates from files keep the earlier rule until their certificate changes.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"sync"
 	"time"
@@ -127,6 +128,8 @@
 type conn struct {
 	*quic.Conn
 	link Link
+	// cert is the peer's certificate.
+	cert *x509.Certificate
 }
 
 // Listen opens the UDP socket and returns a Transport, which accepts connections once
@@ -280,7 +283,7 @@
 		_ = qc.CloseWithError(closeNotNeeded, "")
 		return
 	}
-	c := &conn{Conn: qc, link: Link{
+	c := &conn{Conn: qc, cert: state.PeerCertificates[0], link: Link{
 		Peer:     id.Instance,
 		Addr:     qc.RemoteAddr().String(),
 		Protocol: state.NegotiatedProtocol,
@@ -298,7 +301,8 @@
 // register adds a connection to the links and reports whether it did. Only one
 // connection is kept for each peer: of two that were dialed from different ends the one
 // dialed by the instance with the lower ID, so that both ends keep the same one, and
-// otherwise the newer one.
+// otherwise the newer one. A peer with another certificate than before has restarted: its
+// earlier connection is dead, even if that hasn't been noticed.
 func (t *Transport) register(c *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -310,7 +314,7 @@
 	case old == nil && !c.link.Dialed && len(t.links) >= t.options.MaxLinks:
 		_ = c.CloseWithError(closeLimitReached, "")
 		return false
-	case old != nil && old.Context().Err() == nil && old.link.Dialed != c.link.Dialed && old.link.Dialed == t.hasLowerID(c):
+	case old != nil && old.Context().Err() == nil && old.cert.Equal(c.cert) && old.link.Dialed != c.link.Dialed && old.link.Dialed == t.hasLowerID(c):
 		_ = c.CloseWithError(closeDuplicate, "")
 		return false
 	case old != nil:
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -151,6 +151,28 @@
 	}
 }
 
+// TestRestartedPeerIsConnectedAtOnce guards against a connection of a restarted peer that is
+// closed in favor of the dead one of its earlier process.
+func TestRestartedPeerIsConnectedAtOnce(t *testing.T) {
+	ca := newTestCA(t, "vltava")
+	a, atA := startTransport(t, 132, ca.credentials(t, "a", time.Now))
+	earlier, _ := startTransport(t, 133, ca.credentials(t, "b", time.Now))
+	a.Dial(earlier.Addr())
+	<-atA.up
+	_ = earlier.socket.Close()
+	restarted, atRestarted := startTransport(t, 134, ca.credentials(t, "b", time.Now))
+	restarted.Dial(a.Addr())
+	<-atRestarted.up
+	select {
+	case l := <-atA.up:
+		if l.Addr != restarted.Addr() {
+			t.Errorf("connected to %s", l.Addr)
+		}
+	case <-atRestarted.down:
+		t.Error("the connection of the restarted peer was closed")
+	}
+}
+
 func TestRejectsPeersOutsideTheFleet(t *testing.T) {
 	ca := newTestCA(t, "vltava")
 	past := func() time.Time { return time.Now().Add(-time.Hour) }
