--- a/internal/peersync/marks.go
+++ b/internal/peersync/marks.go
@@ -23,11 +23,11 @@
 	marksBatchDelay = 50 * time.Millisecond
 	// minMarksBackoff and maxMarksBackoff bound the pause after a failed exchange, and before
 	// another seed is sought in place of one that is alone.
-	minMarksBackoff = 300 * time.Millisecond
+	minMarksBackoff = 50 * time.Millisecond
 	maxMarksBackoff = 5 * time.Second
 	// isolationTimeout is how long after the latest exchange an instance counts as isolated:
-	// an exchange without news, its timeout and the next attempt.
-	isolationTimeout = marksWait + exchangeTimeout + minMarksBackoff
+	// an exchange without news, its timeout and the search for another seed.
+	isolationTimeout = marksWait + exchangeTimeout + searchTimeout
 )
 
 // marksRequest is the request of peer.OpExchangeMarks.
--- a/internal/soak/gateway_process_test.go
+++ b/internal/soak/gateway_process_test.go
@@ -22,6 +22,9 @@
 	r     *gatewayRun
 	index int
 	ip    string
+	// first is the loopback address of the fleet's first gateway, as an argument of
+	// standin.LoopbackIP.
+	first int
 	store *proxy
 
 	// restartMu allows one restart at a time.
@@ -40,7 +43,7 @@
 	// Gateways use only the hosts of seeds, so that any port will do.
 	var seeds []string
 	for i := range gatewayCount {
-		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(standin.LoopbackIP(firstGatewayLoopback+i), "1")))
+		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(standin.LoopbackIP(g.first+i), "1")))
 	}
 	return fmt.Sprintf(`instance: soak-%d
 location: {region: praha, failureDomain: praha-a}
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -100,7 +100,7 @@
 	}
 	r.changeRoutes()
 	for i := range gatewayCount {
-		g := &gatewayProcess{r: r, index: i, ip: standin.LoopbackIP(firstGatewayLoopback + i), store: newProxy(t, storeServer.Listener.Addr().String())}
+		g := &gatewayProcess{r: r, index: i, ip: standin.LoopbackIP(firstGatewayLoopback + i), first: firstGatewayLoopback, store: newProxy(t, storeServer.Listener.Addr().String())}
 		r.gateways = append(r.gateways, g)
 		g.start()
 		t.Cleanup(g.kill)
