--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -21,9 +21,11 @@
 	CauseBodyLate           Cause = "body-late"
 	CauseBodyTooLarge       Cause = "body-too-large"
 	CauseBodyBroken         Cause = "body-broken"
-	CauseTargetsLimited     Cause = "targets-limited"
-	CauseQuarantined        Cause = "quarantined"
-	CauseCallerGone         Cause = "caller-gone"
+	// CauseTargetsLimited means that all targets left have exhausted the limits that they
+	// stated or have asked for a pause.
+	CauseTargetsLimited Cause = "targets-limited"
+	CauseQuarantined    Cause = "quarantined"
+	CauseCallerGone     Cause = "caller-gone"
 )
 
 const (
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -36,10 +36,12 @@
 
 	// body is the complete request body if it was buffered. A larger body is read from
 	// stream, which starts with the bytes in bodyPrefix.
-	body         []byte
-	bodyPrefix   []byte
-	stream       *streamedBody
-	triedTargets []model.TargetID
+	body       []byte
+	bodyPrefix []byte
+	stream     *streamedBody
+	// knownFingerprint is the result of fingerprint, or empty before its first call.
+	knownFingerprint quarantine.Fingerprint
+	triedTargets     []model.TargetID
 	// deliveries counts the attempts that a target received or may have received.
 	// mayHaveRun is set once a target may have run the request.
 	deliveries int
@@ -136,11 +138,16 @@
 // and instances. Of a streamed body only the first maxBufferedBody bytes and the length are
 // known.
 func (f *forwarder) fingerprint() quarantine.Fingerprint {
+	if f.knownFingerprint != "" {
+		return f.knownFingerprint
+	}
 	body, length := f.body, ""
 	if f.stream != nil {
 		body, length = f.bodyPrefix, strconv.FormatInt(f.inbound.HTTP.ContentLength, 10)
 	}
-	return quarantine.NewFingerprint(quarantine.Digest(body, f.inbound.HTTP.Method, f.inbound.HTTP.Host, f.inbound.Path, f.inbound.Query, length))
+	digest := quarantine.Digest(body, f.inbound.HTTP.Method, f.inbound.HTTP.Host, f.inbound.Path, f.inbound.Query, length)
+	f.knownFingerprint = quarantine.NewFingerprint(digest)
+	return f.knownFingerprint
 }
 
 // exceedsBodyLimit reports whether the read of a body ended at the limit on its size.
--- a/internal/peersync/sync.go
+++ b/internal/peersync/sync.go
@@ -8,6 +8,10 @@
 //
 // While the store is available, the seeds relay its changes, so that the other gateways
 // need not watch it (RelayServer, RelayClient).
+//
+// What the gateways must know or keep together and the store doesn't tell goes through the
+// seeds at all times: marks of requests under which targets ended (MarkExchange), and
+// permits for requests to targets that state a limit (Permits, PermitServer).
 package peersync
 
 import (
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -1,6 +1,7 @@
-// Package quarantine keeps requests that crash targets away from targets. The first crash
-// is published as a fact to every instance. When the same request crashes a second
-// target, all instances quarantine it for a limited time.
+// Package quarantine keeps requests that crash targets away from targets. When the same
+// request crashes a second target, all instances quarantine it for a limited time. The
+// instances of a fleet share crashes as facts (List); gateways, which have no facts, merge
+// marks with each other (Registry).
 package quarantine
 
 import (
