Don't send a waiting request by an old ranking to a target that withdrew

Found by reading the change: while no probes are left, a request that waits for a better target keeps its last ranking, up to a fifth of the latency objective. A target that meanwhile asked for a pause, named a limit or said that it leaves still got it.

Candidates that no longer take the request are dropped before one is chosen; a permitted one counts as taking it.

--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,6 +28,7 @@
 		if !errors.As(err, &probesSpent) {
 			candidates = ranked
 		}
+		candidates = slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return !c.TakesRequest() })
 		var unavailable *routing.UnavailableError
 		if errors.As(err, &unavailable) && lastFailure.cause == "" && unavailable.RetryAfter > time.Until(waitUntil) {
 			return routing.Candidate{}, f.unavailableReply(unavailable)
--- a/internal/routing/limited.go
+++ b/internal/routing/limited.go
@@ -66,6 +66,12 @@
 	return a
 }
 
+// TakesRequest reports whether the target still takes the request for which it was ranked: it
+// may have stated meanwhile that it leaves, wants a pause or has a limit.
+func (c *Candidate) TakesRequest() bool {
+	return c.Endpoint.takesRequests(Monotonic()) && (c.Permitted || !c.Endpoint.Load.isLimited())
+}
+
 // limitedEndpoints returns the endpoints that stated a limit and may be used for a request
 // at a reading of a Clock, those of the region first, otherwise in random order, so that
 // instances don't all ask for the same one.
@@ -125,5 +131,7 @@
 	}
 	sentAt := p.now()
 	results := p.probeAll(ctx, req.HealthPath, []*Endpoint{e}, wait)
-	return p.evaluate(results[0], req.Work, sentAt)
+	c := p.evaluate(results[0], req.Work, sentAt)
+	c.Permitted = true
+	return c
 }
--- a/internal/routing/probing_picker.go
+++ b/internal/routing/probing_picker.go
@@ -79,6 +79,8 @@
 	// Risk is the expected failure rate, from 0 to 1.
 	Risk     float64
 	Estimate Estimate
+	// Permitted is set if one request to the target, which stated a limit, is permitted.
+	Permitted bool
 }
 
 // ProbingPicker ranks targets by load reports that it probes for when a request
