--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -40,8 +40,9 @@
 	ShutdownGrace time.Duration `yaml:"grace" range:"1s..1h"`
 }
 
-// GatewayPeers configures the exchange of routes and targets with other gateways while
-// the store is unavailable.
+// GatewayPeers configures what gateways exchange: routes and targets while the store is
+// unavailable, marks of requests under which targets ended, and permits for targets that
+// state a limit.
 type GatewayPeers struct {
 	// Listen is the UDP address for peers; empty means no exchange.
 	Listen string `yaml:"listen"`
