Add review case 3: stale reads keep an old configuration in force

Cause: watches allow stale reads at any time. Seen with stale reads 3 s behind: 426 of 2,553 unsafe requests ran at the old service later than config_apply_ms (CONFIG); none without.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -13,6 +13,8 @@
 // or "" if it held.
 var cases = map[string]func(*play) (string, error){
 	"early-answer":   earlyAnswer,
+	"pipelined":      pipelined,
+	"stale-reads":    staleReads,
 	"stalled-upload": stalledUpload,
 }
 
