--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/redwingpoint ] && [ -x target/review/harness ] || { echo "not built" >&2; exit 2; }
-exec target/review/harness pipelined "$folder"
+exec target/review/harness stale-reads "$folder"
