--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/harness"
 mkdir -p ../../target/review
-GOFLAGS="-mod=mod -buildvcs=false" GOPROXY=off GOTOOLCHAIN=local go build -o ../../target/review/harness .
+GOPROXY=off GOTOOLCHAIN=local go build -o ../../target/review/harness .
--- a/review/harness/pipelined.go
+++ b/review/harness/pipelined.go
@@ -71,6 +71,9 @@
 						broken++
 						// The first one is that whose answer was broken off.
 						for _, id := range unanswered[1:] {
+							if served == 0 {
+								break // not a kept connection yet
+							}
 							if at := runs.of(id); len(at) > 0 && !faulty[at[len(at)-1]] {
 								lost[g]++
 								p.record.add("LOST: %s ran at %v, a sound target, and got no answer from %s", id, at, g.name)
