--- a/review/harness/pipelined.go
+++ b/review/harness/pipelined.go
@@ -61,12 +61,14 @@
 			loops.Go(func() {
 				for ctx.Err() == nil {
 					served, unanswered, err := pipeline(ctx, p.record, g.front, host)
+					mu.Lock()
+					answered += served
+					mu.Unlock()
 					if err == nil {
 						continue
 					}
 					time.Sleep(100 * time.Millisecond)
 					mu.Lock()
-					answered += served
 					if len(unanswered) > 0 {
 						broken++
 						// The first one is that whose answer was broken off.
@@ -89,7 +91,7 @@
 		}
 	}
 	loops.Wait()
-	summary := fmt.Sprintf("%d requests answered on connections that ended early, %d such connections", answered, broken)
+	summary := fmt.Sprintf("%d requests answered, %d connections ended early", answered, broken)
 	p.record.add("%s", summary)
 	fmt.Println(summary)
 	for _, g := range f.gateways {
