A follower that has lost the store doesn't wait for a relay

Cause: the follower whose call fails first opens the breaker and becomes its prober; the other follower waits for its next success. Before its next call the prober waited for a relay, and a relay that answers ends that wait only when it is lost. So the follower of the routes, told by the relay of a newer revision, waited for a probe that nobody made.

Ruled out: stale reads (the store wasn't disturbed and no call to it was made); the relay's routes (it had told of the revision).

Change: Follower.awaitRelay returns at once while the follower's last call failed. The prober goes on probing, which closes the breaker as soon as the store responds. The outage now ends with a response of the store and no longer with a response of a relay.

--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -28,14 +28,14 @@
 	floor   uint64
 	objects map[string]map[string]replica.Object
 	changed chan struct{}
-	downFor func(node string) bool
+	downFor func(node, kind string) bool
 	calls   map[string]int
 }
 
 func newRelayStore(targets int) *relayStore {
 	s := &relayStore{
 		objects: map[string]map[string]replica.Object{"routes": {}, "targets": {}},
-		changed: make(chan struct{}), calls: make(map[string]int), downFor: func(string) bool { return false },
+		changed: make(chan struct{}), calls: make(map[string]int), downFor: func(string, string) bool { return false },
 	}
 	s.put("routes", "main", "1")
 	for i := range targets {
@@ -53,6 +53,15 @@
 	s.changed = make(chan struct{})
 }
 
+// setDown makes the calls for which downFor returns true fail, waiting watches included.
+func (s *relayStore) setDown(downFor func(node, kind string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.downFor = downFor
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *relayStore) loseHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -92,7 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[s.node+" list"]++
-	if s.downFor(s.node) {
+	if s.downFor(s.node, s.kind) {
 		return replica.Batch{}, errStoreDown
 	}
 	return s.changesAfter(0, false), nil
@@ -106,7 +115,7 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		down, gone, batch, changed := s.downFor(s.node), after < s.floor, s.changesAfter(after, true), s.changed
+		down, gone, batch, changed := s.downFor(s.node, s.kind), after < s.floor, s.changesAfter(after, true), s.changed
 		s.mu.Unlock()
 		switch {
 		case down:
@@ -322,7 +331,7 @@
 		return func(store *relayStore, _ *relayNetwork) {
 			store.mu.Lock()
 			defer store.mu.Unlock()
-			store.downFor = func(name string) bool {
+			store.downFor = func(name, _ string) bool {
 				for _, n := range nodes {
 					if n == name {
 						return true
@@ -372,6 +381,37 @@
 	}
 }
 
+// TestRoutesAreReadAfterTheTargetsLostTheStoreBesideARelay guards against routes that stay old
+// for good: the follower of the targets lost the store, then waited for a relay, and kept the
+// follower of the routes waiting for its next call to the store.
+func TestRoutesAreReadAfterTheTargetsLostTheStoreBesideARelay(t *testing.T) {
+	relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, node *relayNode) {
+		n.silence("seed-1", true)
+		n.silence("seed-2", true)
+		for node.client.Relayed() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		// Both followers watch the store now, and still do when the relays are back.
+		n.silence("seed-1", false)
+		n.silence("seed-2", false)
+		for !node.client.Relayed() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		store.setDown(func(name, kind string) bool { return name == "node" && kind == "targets" })
+		time.Sleep(10 * time.Millisecond)
+		store.setDown(func(string, string) bool { return false })
+		time.Sleep(5 * time.Second)
+		changedAt := time.Now()
+		store.put("routes", "main", "2")
+		store.put("targets", "17", "")
+		time.Sleep(20 * time.Second)
+		checkApplied(t, n, node, changedAt, 2, "17", 100*time.Millisecond)
+		if node.breaker.Open() {
+			t.Error("the store still counts as lost")
+		}
+	})
+}
+
 // TestLostHistoryIsMadeUpByTheRelay checks that an instance neither lists nor watches if the
 // store is away for half a second and has no history afterwards.
 func TestLostHistoryIsMadeUpByTheRelay(t *testing.T) {
@@ -379,7 +419,7 @@
 		setDown := func(down bool) {
 			store.mu.Lock()
 			defer store.mu.Unlock()
-			store.downFor = func(string) bool { return down }
+			store.downFor = func(string, string) bool { return down }
 		}
 		setDown(true)
 		store.loseHistory()
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -193,19 +193,18 @@
 	return max(after, batch.AsOf), nil
 }
 
-// awaitRelay waits while peers relay the store's changes, which ends an outage of the store
-// for this follower. If they no longer do, the next watch is a strong one, because the relay
-// may have been behind at its end.
+// awaitRelay waits while peers relay the store's changes. If they no longer do, the next
+// watch is a strong one, because the relay may have been behind at its end. A follower that
+// has lost the store doesn't wait: it may be the breaker's prober, on whose next success the
+// other followers wait.
 func (f *Follower) awaitRelay(ctx context.Context) RelayState {
-	if f.Relay == nil {
+	if f.Relay == nil || f.consecutiveFailures > 0 {
 		return RelayState{}
 	}
 	state := f.Relay.Await(ctx)
-	if !state.Relayed {
-		return state
+	if state.Relayed {
+		f.requireStrong = !state.Behind
 	}
-	f.handleSuccess()
-	f.requireStrong = !state.Behind
 	return state
 }
 
