Bound the age of routes and targets by strong reads of the routes

Strong reads came only after a failure, or for 15 s after a lost history. Ruled out: a strong read that came late. With stale reads that lag for good, the change never came in force.

Change: the watches of the routes are strong. Each strong read raises a floor, the store's revision that all views must have reached; the store counts all kinds by one counter. A cheap watch of the targets below the floor is cancelled after 0.1 s and replaced by a strong read. This bounds the age at all times, so the strong window after a lost history, and the exchange with seeds in it, go.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -120,6 +120,8 @@
 	probes *rate.Limiter
 	// breaker is shared by the followers of routes and targets.
 	breaker replica.Breaker
+	// floor is shared by the followers of routes and targets.
+	floor replica.Floor
 	// shuttingDown is set when the shutdown starts.
 	shuttingDown atomic.Bool
 	// onShutdown, if set, is called when the shutdown has started.
@@ -149,9 +151,11 @@
 	}
 	relay := g.startPeerSync(lc, local)
 	routes := g.newFollower("routes", g.provider.Routes, local.Routes, relay)
-	routes.BatchDelay, routes.Relay = routesBatchDelay, relay.routes
+	routes.Consistency, routes.BatchDelay, routes.Relay = replica.Strong, routesBatchDelay, relay.routes
 	runLoop(lc, routes.Run)
 	targets := g.newFollower("targets", g.provider.Targets, local.Targets, relay)
+	// Targets change often: their watches are the cheaper ones, bounded by those of the routes.
+	targets.Consistency = replica.Eventual
 	targets.BatchDelay, targets.Relay = time.Duration(targetsBatchShare*float64(g.settings.DrainTimeout)), relay.targets
 	runLoop(lc, targets.Run)
 	if g.provider.SettingsUpdates != nil {
@@ -175,7 +179,7 @@
 		MaxBackoff:   g.settings.SettleTimeout - backoffReserve,
 		RemovalGrace: removalGrace,
 		Breaker:      &g.breaker,
-		RelayActive:  relay.active,
+		Floor:        &g.floor,
 	}
 }
 
--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/peersync"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
+	"redwingpoint.org/redwingpoint/internal/replica"
 	"redwingpoint.org/redwingpoint/internal/route"
 	"redwingpoint.org/redwingpoint/internal/routing"
 	"redwingpoint.org/redwingpoint/internal/upstream"
@@ -32,7 +34,11 @@
 // CallFinished implements replica.Observer.
 func (o *storeObserver) CallFinished(op string, took time.Duration, changes int, err error) {
 	result := "ok"
-	if err != nil {
+	var behind *replica.BehindFloorError
+	switch {
+	case errors.As(err, &behind):
+		result = "behind"
+	case err != nil:
 		result = "failed"
 	}
 	if op == "list" && err == nil && o.kind == "targets" {
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -32,8 +32,6 @@
 // peerRelay is how a gateway learns the store's changes from its peers. The zero value is
 // that of a gateway without peers.
 type peerRelay struct {
-	// active is Follower.RelayActive, or nil.
-	active func() bool
 	// routes and targets are Follower.Relay of the two followers, or nil.
 	routes, targets replica.Relay
 	// isRelay is set if this gateway relays changes to others.
@@ -41,7 +39,7 @@
 }
 
 // startPeerSync exchanges routes and targets with other gateways while the store is
-// unavailable or stale, and has the seeds relay the store's changes otherwise. A gateway
+// unavailable, and has the seeds relay the store's changes otherwise. A gateway
 // that can't listen for peers logs a warning and runs without them.
 func (g *gateway) startPeerSync(lc fx.Lifecycle, local *replica.Replica) peerRelay {
 	if g.settings.Peers.Listen == "" {
@@ -53,18 +51,13 @@
 		return peerRelay{}
 	}
 	isSeed, otherSeeds := peerAddresses(g.settings.Peers.Listen, g.settings.Peers.Seeds)
-	storeUnavailable := g.breaker.Open
-	local.StrongReads = func() bool { return isSeed && !storeUnavailable() && g.breaker.ReadsMayBeStale() }
 	s := &peersync.Syncer{
-		Replica:   local,
-		OnMerge:   func() { g.targetsKnown.Store(local.Versions().AsOf > 0) },
-		Transport: transport,
-		Seeds:     otherSeeds,
-		Log:       g.log,
-	}
-	relayed := func() bool { return false }
-	s.NeedsPeers = func() bool {
-		return storeUnavailable() || (!isSeed && g.breaker.ReadsMayBeStale() && !relayed())
+		Replica:    local,
+		NeedsPeers: g.breaker.Open,
+		OnMerge:    func() { g.targetsKnown.Store(local.Versions().AsOf > 0) },
+		Transport:  transport,
+		Seeds:      otherSeeds,
+		Log:        g.log,
 	}
 	transport.Handle(peer.OpFetchState, s.HandleFetchState)
 	transport.Handle(peer.OpPushState, s.HandlePushState)
@@ -79,20 +72,14 @@
 	transport.Handle(peer.OpExchangeMarks, marks.HandleExchange)
 	runLoop(lc, marks.Run)
 	g.sharePermits(transport, isSeed, otherSeeds)
-	var relay peerRelay
-	if !isSeed {
-		relay.active = s.RelayActive
-	}
 	if g.settings.SettleTimeout-watchReserve < peersync.MaxRelayLag {
-		return relay
+		return peerRelay{}
 	}
 	if isSeed {
 		g.serveRelay(transport, local)
-		relay.isRelay = true
-		return relay
+		return peerRelay{isRelay: true}
 	}
 	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds, Log: g.log}
-	relayed = client.Relayed
 	g.set.NewGauge("redwingpoint_store_changes_relayed", func() float64 {
 		if client.Relayed() {
 			return 1
@@ -100,8 +87,7 @@
 		return 0
 	})
 	runLoop(lc, client.Run)
-	relay.routes, relay.targets = client.RoutesRelay(), client.TargetsRelay()
-	return relay
+	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay()}
 }
 
 // sharePermits divides the limits that targets state among the seeds.
--- a/internal/peersync/sync.go
+++ b/internal/peersync/sync.go
@@ -2,9 +2,7 @@
 //
 // While the store is unavailable, a gateway without it polls the seeds in random order,
 // merges state that is newer and offers its own where that is newer, so that one gateway
-// with state is enough for all that start during the outage (Syncer). While eventually
-// consistent reads may lag by seconds, only the seeds pay for strong reads, and the other
-// gateways get the changes from them in the same way.
+// with state is enough for all that start during the outage (Syncer).
 //
 // While the store is available, the seeds relay its changes, so that the other gateways
 // need not watch it (RelayServer, RelayClient).
@@ -17,7 +15,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,7 +49,7 @@
 // called once; the other methods are safe for concurrent use.
 type Syncer struct {
 	Replica *replica.Replica
-	// NeedsPeers reports whether the store is unavailable or reads from it may lag.
+	// NeedsPeers reports whether the store is unavailable.
 	NeedsPeers func() bool
 	// OnMerge is called after state of a peer was merged.
 	OnMerge   func()
@@ -61,24 +58,9 @@
 	Seeds []string
 	Log   *zap.Logger
 
-	// strongPeerSeen is the time of the last response of a peer that uses only strong
-	// reads, by the monotonic clock, or nil.
-	strongPeerSeen atomic.Pointer[time.Time]
-
 	names nameComparison
 }
 
-// relayTTL is how long a peer with strong reads counts as a relay after its last
-// response: two exchange intervals.
-const relayTTL = 2 * steadyInterval
-
-// RelayActive reports whether a peer that uses only strong reads relays the store's
-// changes to this instance.
-func (s *Syncer) RelayActive() bool {
-	at := s.strongPeerSeen.Load()
-	return at != nil && time.Since(*at) < relayTTL
-}
-
 // HandleFetchState handles peer.OpFetchState: it returns what the requester lacks.
 func (s *Syncer) HandleFetchState(_ model.InstanceID, body []byte) (any, error) {
 	var requester replica.Versions
@@ -131,10 +113,6 @@
 		s.Log.Info("peer not reached", zap.String("address", seed), zap.Error(err))
 		return
 	}
-	if remote.Versions.StrongReads {
-		now := time.Now()
-		s.strongPeerSeen.Store(&now)
-	}
 	s.merge(from, remote)
 	s.names.compare(s.Replica, remote.Versions)
 	delta := s.Replica.DeltaFor(remote.Versions)
--- a/internal/replica/breaker.go
+++ b/internal/replica/breaker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 )
 
 // Breaker is a circuit breaker shared by the followers of one store. While it is
@@ -20,8 +19,6 @@
 	prober *Follower
 	// recovered is closed when the breaker closes; it is nil while the breaker is closed.
 	recovered chan struct{}
-	// staleUntil is the time until which eventually consistent reads may lag by seconds.
-	staleUntil time.Time
 	// cancels holds the function that cancels the current call of each follower.
 	cancels map[*Follower]context.CancelFunc
 }
@@ -96,17 +93,3 @@
 	defer b.mu.Unlock()
 	return b.prober != nil
 }
-
-// markStale records that the store has discarded its history.
-func (b *Breaker) markStale() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.staleUntil = time.Now().Add(staleReadWindow)
-}
-
-// ReadsMayBeStale reports whether eventually consistent reads may lag by seconds.
-func (b *Breaker) ReadsMayBeStale() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return time.Now().Before(b.staleUntil)
-}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -14,9 +14,6 @@
 	// hold a watch. The store responds in a few milliseconds, in tens of milliseconds
 	// across regions, and in hundreds when it is slow.
 	responseTimeout = 500 * time.Millisecond
-	// staleReadWindow is how long strong reads are used after a loss of history, unless
-	// peers relay changes: eventually consistent reads lag by seconds then.
-	staleReadWindow = 15 * time.Second
 	// initialBackoff is the delay after the first failed call; it doubles up to MaxBackoff.
 	initialBackoff = 100 * time.Millisecond
 	// behindWatchWait is how long the store may hold the watch that reads a change of which
@@ -90,10 +87,12 @@
 	BatchDelay time.Duration
 	// Breaker is shared by the followers of one store.
 	Breaker *Breaker
-	// RelayActive, if set, reports whether peers that use strong reads relay changes to
-	// this instance, so that eventually consistent reads suffice even after a loss of
-	// history.
-	RelayActive func() bool
+	// Consistency is that of the watches while the store responds. Eventually consistent
+	// ones may lag by seconds; Floor bounds for how long.
+	Consistency Consistency
+	// Floor is shared by the followers of one store. At least one of them must use strong
+	// watches.
+	Floor *Floor
 	// Relay, if set, replaces watches of the store while peers relay its changes.
 	Relay Relay
 
@@ -143,6 +142,7 @@
 	}
 	f.handleSuccess()
 	f.goneRevision = 0
+	f.Floor.raise(batch.AsOf)
 	f.View.Replace(batch, f.removeAfter)
 	return batch.AsOf, nil
 }
@@ -153,7 +153,8 @@
 // a strong one has succeeded.
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
 	watchWait, timeout := f.WatchWait, f.WatchWait+responseTimeout
-	if relay := f.awaitRelay(ctx); relay.Relayed {
+	relay := f.awaitRelay(ctx)
+	if relay.Relayed {
 		after = max(after, relay.AsOf)
 		watchWait, timeout = behindWatchWait, behindWatchWait+responseTimeout
 	}
@@ -168,20 +169,36 @@
 	if f.consecutiveFailures > 0 || f.requireStrong {
 		watchWait = 0
 	}
+	consistency := f.consistency(relay)
+	if consistency == Eventual && watchWait == f.WatchWait {
+		var cancelBehind context.CancelCauseFunc
+		callCtx, cancelBehind = context.WithCancelCause(callCtx)
+		defer cancelBehind(nil)
+		go f.Floor.cancelBehind(callCtx, after, cancelBehind)
+	}
 	startedAt := time.Now()
-	batch, err := f.Source.Watch(callCtx, after, watchWait, f.consistency())
+	batch, err := f.Source.Watch(callCtx, after, watchWait, consistency)
+	var behind *BehindFloorError
+	if err != nil && errors.As(context.Cause(callCtx), &behind) {
+		err = behind
+	}
 	f.Observer.CallFinished("watch", time.Since(startedAt), len(batch.Objects), err)
 	var gone *HistoryGoneError
 	switch {
 	case errors.As(err, &gone):
-		f.Breaker.markStale()
 		f.handleSuccess()
 		f.goneRevision = max(f.goneRevision, after)
 		return 0, err
+	case behind != nil:
+		f.requireStrong = true
+		return after, nil
 	case err != nil:
 		f.handleFailure(ctx, err)
 		return after, nil
 	}
+	if consistency == Strong {
+		f.Floor.raise(batch.AsOf)
+	}
 	if f.consecutiveFailures == 0 {
 		f.requireStrong = false
 	}
@@ -238,19 +255,17 @@
 	wait.For(ctx, backoff*3/4+rand.N(backoff/4))
 }
 
-// consistency returns the consistency of the next watch. Probes during an outage use
-// the cheaper one. The first watch after the recovery is strong, and so are all during
-// staleReadWindow unless peers relay changes.
-func (f *Follower) consistency() Consistency {
+// consistency returns the consistency of the next watch. Probes during an outage use the
+// cheaper one, and so does the first read of a change that a relay has told of. The first
+// watch after a failure is strong.
+func (f *Follower) consistency(relay RelayState) Consistency {
 	switch {
-	case f.consecutiveFailures > 0:
+	case f.consecutiveFailures > 0, relay.Behind:
 		return Eventual
 	case f.requireStrong:
 		return Strong
-	case f.Breaker.ReadsMayBeStale() && (f.RelayActive == nil || !f.RelayActive()):
-		return Strong
 	}
-	return Eventual
+	return f.Consistency
 }
 
 func (f *Follower) handleSuccess() {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -21,8 +21,8 @@
 	AsOf uint64 `cbor:"2,keyasint,omitempty"`
 	// Digest is a hash of the names and revisions of the targets.
 	Digest uint64 `cbor:"3,keyasint,omitempty"`
-	// StrongReads is set while the instance reaches the store and uses only strong reads.
-	StrongReads bool `cbor:"4,keyasint,omitempty"`
+	// Key 4 is reserved: older builds send it.
+
 	// AcceptsRemovals is set if Delta.Removed may replace Delta.NameHashes in a response.
 	// It is not set by older builds, nor by an instance that has to compare all names.
 	AcceptsRemovals bool `cbor:"5,keyasint,omitempty"`
@@ -72,8 +72,8 @@
 type Replica struct {
 	Routes  *Routes
 	Targets *Targets
-	// StrongReads and Current, if set, provide the fields of Versions of the same names.
-	StrongReads, Current func() bool
+	// Current, if set, provides the field of Versions of the same name.
+	Current func() bool
 
 	mu sync.Mutex
 	// changed is closed at the next change; it is nil while nobody waits.
@@ -109,7 +109,6 @@
 	if t := r.Routes.Holder.Current(); t != nil {
 		v.Routes = t.Revision
 	}
-	v.StrongReads = r.StrongReads != nil && r.StrongReads()
 	v.AcceptsRemovals = true
 	v.Current = r.Current != nil && r.Current()
 	return v
