Changes of the routes alone don't make the targets be read again

Cause: each configuration raised the floor above the targets' revision, and every gateway that watches the store cancelled its watch of the targets for a strong read that found nothing.

Change: the floor keeps from which revision on only routes have changed, which the revisions in a strong watch's response show. A view of the targets that reflects it is current.

TestCalmStoreIsReadStronglyForOneKind with 40 changes of the routes fails without it.

--- a/internal/replica/floor.go
+++ b/internal/replica/floor.go
@@ -28,42 +28,66 @@
 type Floor struct {
 	mu       sync.Mutex
 	revision uint64
+	// unchangedSince is a revision after which, up to the floor, only objects of the kinds
+	// read strongly have changed. Views that reflect it are up to date.
+	unchangedSince uint64
 	// raised is closed when the floor rises; nil while nobody waits.
 	raised chan struct{}
 }
 
-// raise records the revision that a strong read reflects.
-func (f *Floor) raise(revision uint64) {
+// raise records a strong watch that started after a revision.
+func (f *Floor) raise(after uint64, batch Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision <= f.revision {
+	if batch.AsOf <= f.revision {
 		return
 	}
-	f.revision = revision
+	switch explained := changeCount(after, batch) == batch.AsOf-after; {
+	case !explained:
+		f.unchangedSince = batch.AsOf
+	case after > f.revision:
+		f.unchangedSince = after
+	default:
+		f.unchangedSince = min(f.unchangedSince, after)
+	}
+	f.revision = batch.AsOf
 	if f.raised != nil {
 		close(f.raised)
 		f.raised = nil
 	}
 }
 
-// latest returns the floor and a channel that is closed when it rises.
-func (f *Floor) latest() (uint64, <-chan struct{}) {
+// changeCount returns the number of revisions after the given one at which objects of the
+// batch changed. Each change has a revision of its own.
+func changeCount(after uint64, batch Batch) uint64 {
+	revisions := make(map[uint64]bool, len(batch.Objects))
+	for _, o := range batch.Objects {
+		if o.Revision > after && o.Revision <= batch.AsOf {
+			revisions[o.Revision] = true
+		}
+	}
+	return uint64(len(revisions))
+}
+
+// check reports whether a view that reflects a revision may lack changes up to the floor. It
+// returns the floor and a channel that is closed when it rises.
+func (f *Floor) check(asOf uint64) (floor uint64, behind bool, raised <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.raised == nil {
 		f.raised = make(chan struct{})
 	}
-	return f.revision, f.raised
+	return f.revision, asOf < f.unchangedSince, f.raised
 }
 
-// cancelBehind cancels a watch that starts after a revision with *BehindFloorError if the
-// floor is above the revision and the watch hasn't returned floorGrace later.
+// cancelBehind cancels a watch that starts after a revision with *BehindFloorError if the view
+// may lack changes up to the floor and the watch hasn't returned floorGrace later.
 func (f *Floor) cancelBehind(ctx context.Context, after uint64, cancel context.CancelCauseFunc) {
 	for ctx.Err() == nil {
-		revision, raised := f.latest()
-		if revision > after {
+		floor, behind, raised := f.check(after)
+		if behind {
 			wait.For(ctx, floorGrace)
-			cancel(&BehindFloorError{After: after, Floor: revision})
+			cancel(&BehindFloorError{After: after, Floor: floor})
 			return
 		}
 		select {
--- a/internal/replica/floor_test.go
+++ b/internal/replica/floor_test.go
@@ -230,19 +230,61 @@
 }
 
 // TestCalmStoreIsReadStronglyForOneKind checks that the bound on the age of all kinds costs
-// the strong watches of one kind.
+// the strong watches of one kind, also while its objects change.
 func TestCalmStoreIsReadStronglyForOneKind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := new(laggingStore)
 		followLagging(ctx, s)
 		time.Sleep(8 * time.Second)
-		s.takeCalls()
-		time.Sleep(160 * time.Second)
-		if calls := s.takeCalls(); calls[Strong] > 100 || calls[Eventual] > 100 {
-			t.Errorf("%d strong and %d eventually consistent calls in 100 watch times", calls[Strong], calls[Eventual])
+		for _, changes := range []int{0, 40} {
+			s.takeCalls()
+			for i := range 40 {
+				time.Sleep(4 * time.Second)
+				if i < changes {
+					s.put("routes", "main", fmt.Sprint(2+i))
+				}
+			}
+			if calls := s.takeCalls(); calls[Strong] > 100+changes || calls[Eventual] > 100 {
+				t.Errorf("%d strong and %d eventually consistent calls in 100 watch times and %d changes of the routes", calls[Strong], calls[Eventual], changes)
+			}
 		}
 		cancel()
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// TestFloorTellsWhichViewsMayBeOld raises a floor by strong watches with and without changes
+// of other kinds in their range.
+func TestFloorTellsWhichViewsMayBeOld(t *testing.T) {
+	changes := func(asOf uint64, revisions ...uint64) Batch {
+		b := Batch{AsOf: asOf}
+		for _, r := range revisions {
+			b.Objects = append(b.Objects, Object{Name: "main", Revision: r})
+		}
+		return b
+	}
+	var f Floor
+	for i, step := range []struct {
+		after   uint64
+		batch   Batch
+		current uint64
+	}{
+		{0, changes(10), 10},
+		{10, changes(12, 11, 12), 10},
+		{12, changes(13, 13), 10},
+		{12, changes(13), 10},
+		{13, changes(15, 15), 15},
+		{17, changes(18, 18), 17},
+		{16, changes(19, 17, 18, 19), 16},
+		{19, changes(20), 20},
+	} {
+		f.raise(step.after, step.batch)
+		if _, behind, _ := f.check(step.current); behind {
+			t.Errorf("step %d: a view of revision %d counts as old", i, step.current)
+		}
+		if _, behind, _ := f.check(step.current - 1); !behind {
+			t.Errorf("step %d: a view of revision %d counts as current", i, step.current-1)
+		}
+	}
+}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -142,7 +142,7 @@
 	}
 	f.handleSuccess()
 	f.goneRevision = 0
-	f.Floor.raise(batch.AsOf)
+	f.Floor.raise(0, Batch{AsOf: batch.AsOf})
 	f.View.Replace(batch, f.removeAfter)
 	return batch.AsOf, nil
 }
@@ -197,7 +197,7 @@
 		return after, nil
 	}
 	if consistency == Strong {
-		f.Floor.raise(batch.AsOf)
+		f.raiseFloor(after, batch)
 	}
 	if f.consecutiveFailures == 0 {
 		f.requireStrong = false
@@ -210,6 +210,15 @@
 	return max(after, batch.AsOf), nil
 }
 
+// raiseFloor records a strong watch. The floor takes the changes of kinds that are watched
+// strongly as no reason to read the others.
+func (f *Follower) raiseFloor(after uint64, batch Batch) {
+	if f.Consistency != Strong {
+		after, batch = 0, Batch{AsOf: batch.AsOf}
+	}
+	f.Floor.raise(after, batch)
+}
+
 // awaitRelay waits while peers relay the store's changes. If they no longer do, the next
 // watch is a strong one, because the relay may have been behind at its end. A follower that
 // has lost the store doesn't wait: it may be the breaker's prober, on whose next success the
