A large document over a slow link is not given up while it arrives

Callers of the users' own machines saw old routes in force beyond the bound on grown Nordhavn, 676 cases, and proper requests answered 404 (their fleet: small machines with 10 Mbit/s, documents of 1,400 routes, changes 0.33 s apart).

Cause: a call to the store had 0.5 s (0.7 s for a change that a relay told of) for its whole response. The log of such a gateway: "store called", 701 ms, "context deadline exceeded", again and again; each new watch began anew and had to bring all versions since the last that arrived, so that it took longer each time. Ruled out: the relays (they told of the revisions, and the reads followed), stale reads (the failing reads were strong), the processor (decoding took 10 to 170 ms).

Change: the time for a response bounds its first part and each further part; the transfer as a whole has 5 s. If a watch brings more than 64 KiB of superseded versions, the next read is a list, which has the latest ones alone.

--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -97,7 +97,7 @@
 	return batch
 }
 
-func (s relaySource) List(context.Context) (replica.Batch, error) {
+func (s relaySource) List(context.Context, func()) (replica.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[s.node+" list"]++
@@ -107,7 +107,7 @@
 	return s.changesAfter(0, false), nil
 }
 
-func (s relaySource) Watch(ctx context.Context, after uint64, wait time.Duration, _ replica.Consistency) (replica.Batch, error) {
+func (s relaySource) Watch(ctx context.Context, after uint64, wait time.Duration, _ replica.Consistency, _ func()) (replica.Batch, error) {
 	s.mu.Lock()
 	s.calls[s.node+" watch"]++
 	s.mu.Unlock()
--- a/internal/replica/floor_test.go
+++ b/internal/replica/floor_test.go
@@ -107,7 +107,7 @@
 	kind string
 }
 
-func (s laggingSource) List(ctx context.Context) (Batch, error) {
+func (s laggingSource) List(ctx context.Context, _ func()) (Batch, error) {
 	s.count(Strong)
 	pause.For(ctx, storeLatency)
 	all, _ := s.state(s.kind, 0, Strong)
@@ -120,7 +120,7 @@
 	return batch, ctx.Err()
 }
 
-func (s laggingSource) Watch(ctx context.Context, after uint64, wait time.Duration, c Consistency) (Batch, error) {
+func (s laggingSource) Watch(ctx context.Context, after uint64, wait time.Duration, c Consistency, _ func()) (Batch, error) {
 	s.count(c)
 	pause.For(ctx, storeLatency)
 	until := time.Now().Add(wait)
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -10,10 +10,17 @@
 )
 
 const (
-	// responseTimeout bounds a call, in addition to the time for which the store may
-	// hold a watch. The store responds in a few milliseconds, in tens of milliseconds
-	// across regions, and in hundreds when it is slow.
+	// responseTimeout is how long a call may wait for the first part of its response, in
+	// addition to the time for which the store may hold a watch, and for each further part.
+	// The store responds in a few milliseconds, in tens of milliseconds across regions, and
+	// in hundreds when it is slow.
 	responseTimeout = 500 * time.Millisecond
+	// transferTimeout bounds the transfer of a response after its first part. A document of
+	// the maximum size, 1 MiB, takes 0.9 s over a link of 10 Mbit/s that carries nothing else.
+	transferTimeout = 5 * time.Second
+	// maxSupersededBytes is the size of superseded versions in a watch's response above which
+	// the objects are listed next: a list has the latest version of each alone.
+	maxSupersededBytes = 64 << 10
 	// initialBackoff is the delay after the first failed call; it doubles up to MaxBackoff.
 	initialBackoff = 100 * time.Millisecond
 	// behindWatchWait is how long the store may hold the watch that reads a change of which
@@ -106,6 +113,8 @@
 	// goneRevision is a revision from which no watch can resume, since the store has
 	// discarded the history after it; 0 after a list.
 	goneRevision uint64
+	// listNext is set if the next call must be a list.
+	listNext bool
 }
 
 // Run follows the source until ctx ends.
@@ -128,20 +137,21 @@
 // list reads all objects and returns the revision to watch from. After a failed call
 // it backs off before it returns the error.
 func (f *Follower) list(ctx context.Context) (uint64, error) {
-	callCtx, cancel, err := f.beginCall(ctx, responseTimeout)
+	c, err := f.beginCall(ctx, responseTimeout)
 	if err != nil {
 		return 0, err
 	}
-	defer cancel()
+	defer c.end()
 	startedAt := time.Now()
-	batch, err := f.Source.List(callCtx)
+	batch, err := f.Source.List(c.ctx, c.progress)
+	err = c.cause(err)
 	f.Observer.CallFinished("list", time.Since(startedAt), len(batch.Objects), err)
 	if err != nil {
 		f.handleFailure(ctx, err)
 		return 0, err
 	}
 	f.handleSuccess()
-	f.goneRevision = 0
+	f.goneRevision, f.listNext = 0, false
 	f.Floor.raise(0, Batch{AsOf: batch.AsOf})
 	f.View.Replace(batch, f.removeAfter)
 	return batch.AsOf, nil
@@ -158,38 +168,33 @@
 		after = max(after, relay.AsOf)
 		watchWait, timeout = behindWatchWait, behindWatchWait+responseTimeout
 	}
-	if after <= f.goneRevision {
+	if after <= f.goneRevision || f.listNext {
 		return f.list(ctx)
 	}
-	callCtx, cancel, err := f.beginCall(ctx, timeout)
+	c, err := f.beginCall(ctx, timeout)
 	if err != nil {
 		return after, err
 	}
-	defer cancel()
+	defer c.end()
 	if f.consecutiveFailures > 0 || f.requireStrong {
 		watchWait = 0
 	}
 	consistency := f.consistency(relay)
 	if consistency == Eventual && watchWait == f.WatchWait {
-		var cancelBehind context.CancelCauseFunc
-		callCtx, cancelBehind = context.WithCancelCause(callCtx)
-		defer cancelBehind(nil)
-		go f.Floor.cancelBehind(callCtx, after, cancelBehind)
+		go f.Floor.cancelBehind(c.ctx, after, c.cancel)
 	}
 	startedAt := time.Now()
-	batch, err := f.Source.Watch(callCtx, after, watchWait, consistency)
-	var behind *BehindFloorError
-	if err != nil && errors.As(context.Cause(callCtx), &behind) {
-		err = behind
-	}
+	batch, err := f.Source.Watch(c.ctx, after, watchWait, consistency, c.progress)
+	err = c.cause(err)
 	f.Observer.CallFinished("watch", time.Since(startedAt), len(batch.Objects), err)
 	var gone *HistoryGoneError
+	var behind *BehindFloorError
 	switch {
 	case errors.As(err, &gone):
 		f.handleSuccess()
 		f.goneRevision = max(f.goneRevision, after)
 		return 0, err
-	case behind != nil:
+	case errors.As(err, &behind):
 		f.requireStrong = true
 		return after, nil
 	case err != nil:
@@ -203,6 +208,7 @@
 		f.requireStrong = false
 	}
 	f.handleSuccess()
+	f.listNext = supersededBytes(batch) > maxSupersededBytes
 	f.View.Update(batch, f.removeAfter)
 	if len(batch.Objects) > 0 {
 		wait.For(ctx, f.BatchDelay)
@@ -234,15 +240,15 @@
 	return state
 }
 
-// beginCall waits until the breaker admits a call and returns the call's context.
-func (f *Follower) beginCall(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc, error) {
+// beginCall waits until the breaker admits a call and starts it. The timeout is that of the
+// first part of the response.
+func (f *Follower) beginCall(ctx context.Context, timeout time.Duration) (*call, error) {
 	breakerCtx, release, err := f.Breaker.acquire(ctx, f)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	f.callStarted = time.Now()
-	callCtx, cancel := context.WithTimeout(breakerCtx, timeout)
-	return callCtx, func() { cancel(); release() }, nil
+	return newCall(breakerCtx, release, timeout), nil
 }
 
 func (f *Follower) handleFailure(ctx context.Context, err error) {
--- a/internal/replica/follower_test.go
+++ b/internal/replica/follower_test.go
@@ -122,9 +122,11 @@
 	times          []time.Time
 }
 
-func (s *scriptedSource) List(ctx context.Context) (Batch, error) { return nextResponse(ctx, &s.lists) }
+func (s *scriptedSource) List(ctx context.Context, _ func()) (Batch, error) {
+	return nextResponse(ctx, &s.lists)
+}
 
-func (s *scriptedSource) Watch(ctx context.Context, after uint64, _ time.Duration, consistency Consistency) (Batch, error) {
+func (s *scriptedSource) Watch(ctx context.Context, after uint64, _ time.Duration, consistency Consistency, _ func()) (Batch, error) {
 	s.requested = append(s.requested, consistency)
 	s.revisions = append(s.revisions, after)
 	s.times = append(s.times, time.Now())
@@ -262,9 +264,9 @@
 	calls int
 }
 
-func (s *unavailableSource) List(ctx context.Context) (Batch, error) { return s.respond(ctx) }
+func (s *unavailableSource) List(ctx context.Context, _ func()) (Batch, error) { return s.respond(ctx) }
 
-func (s *unavailableSource) Watch(ctx context.Context, _ uint64, wait time.Duration, _ Consistency) (Batch, error) {
+func (s *unavailableSource) Watch(ctx context.Context, _ uint64, wait time.Duration, _ Consistency, _ func()) (Batch, error) {
 	batch, err := s.respond(ctx)
 	if err == nil {
 		pause.For(ctx, wait)
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -38,14 +38,14 @@
 )
 
 // Source reads the objects of one kind. Implementations don't retry and are safe
-// for concurrent use.
+// for concurrent use. They call progress whenever a part of the response has arrived.
 type Source interface {
 	// List returns all objects at the store's latest revision.
-	List(ctx context.Context) (Batch, error)
+	List(ctx context.Context, progress func()) (Batch, error)
 	// Watch returns the changes after a revision. Without a change it returns an
 	// empty batch after wait. It returns *HistoryGoneError if the store has discarded
 	// the history after that revision.
-	Watch(ctx context.Context, after uint64, wait time.Duration, consistency Consistency) (Batch, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration, consistency Consistency, progress func()) (Batch, error)
 }
 
 // HistoryGoneError reports that a watch can't resume at a revision and that the
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // proxyMode is what a proxy does with its connections.
@@ -32,6 +34,8 @@
 	mode        atomic.Int32
 	// delay is added before each forwarded write, in nanoseconds.
 	delay atomic.Int64
+	// bandwidth, if set, limits what the destination sends over all connections.
+	bandwidth *rate.Limiter
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -129,6 +133,9 @@
 		n, err := from.Read(buf)
 		if n > 0 && (p.hasMode(modeForward) || p.hasMode(alsoMode)) {
 			time.Sleep(time.Duration(p.delay.Load()))
+			if p.bandwidth != nil && alsoMode == modeForward {
+				_ = p.bandwidth.WaitN(p.t.Context(), n)
+			}
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
