Refuse late requests of a shutdown that its end would cut

Another operator reported: in a planned stop, requests that came late in the grace period were passed on and cut at its end without an answer (LOST), among them some that may not be repeated.

Cause, the same here: a connection that is still in use takes requests until the end of the shutdown, and each was passed on whatever its deadline. Ruled out: fresh connections (the listener closes after 2.3 s).

Change: from half of the grace period on, a request that no target has received and whose deadline is after the shutdown's end is refused as not run (503, shutting-down).

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -61,6 +61,10 @@
 	// acceptPeriod is how long a gateway accepts new connections during shutdown: its
 	// readiness is checked every second, and two failed checks take it out of rotation.
 	acceptPeriod = 2300 * time.Millisecond
+	// lastStartShare is the share of the setting "grace" after which requests are no longer
+	// sent to targets if their deadline is after its end. Callers are told at once; the
+	// platform takes a gateway out of rotation well before.
+	lastStartShare = 0.5
 	// exitMargin is the part of the setting "grace" that is left for the process to exit
 	// before it is killed.
 	exitMargin = 700 * time.Millisecond
@@ -245,9 +249,11 @@
 	if g.onShutdown != nil {
 		g.onShutdown()
 	}
+	end := startedAt.Add(g.settings.ShutdownGrace - exitMargin)
+	g.dispatcher.BeginShutdown(startedAt.Add(time.Duration(lastStartShare*float64(g.settings.ShutdownGrace))), end)
 	g.server.Drain()
 	g.log.Info("shutting down", zap.Duration("grace", g.settings.ShutdownGrace), zap.Int("connections", g.server.ConnectionCount()))
-	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(g.settings.ShutdownGrace-exitMargin))
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	acceptTimer := time.NewTimer(acceptPeriod)
 	defer acceptTimer.Stop()
--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -25,7 +25,9 @@
 	// stated or have asked for a pause.
 	CauseTargetsLimited Cause = "targets-limited"
 	CauseQuarantined    Cause = "quarantined"
-	CauseCallerGone     Cause = "caller-gone"
+	// CauseShuttingDown means that the gateway would end before the request's deadline.
+	CauseShuttingDown Cause = "shutting-down"
+	CauseCallerGone   Cause = "caller-gone"
 )
 
 const (
@@ -43,6 +45,8 @@
 	minRetryAfter = 30 * time.Millisecond
 	// maxRetryAfter is the longest delay that is advised when the targets are full.
 	maxRetryAfter = 250 * time.Millisecond
+	// shutdownRetryAfter is advised during a shutdown: another instance can serve at once.
+	shutdownRetryAfter = 30 * time.Millisecond
 	// noTargetRetryAfter is advised when no target is known.
 	noTargetRetryAfter = 150 * time.Millisecond
 )
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -79,6 +80,15 @@
 type Dispatcher struct {
 	Options
 	serviceStates serviceStates
+	// shutdown is set once the shutdown has started.
+	shutdown atomic.Pointer[shutdownTimes]
+}
+
+// shutdownTimes are the times of a shutdown by the monotonic clock.
+type shutdownTimes struct {
+	// lastStart is the time until which all requests are sent to targets. Later ones are
+	// only if their deadline is before end, at which the rest is broken off.
+	lastStart, end time.Time
 }
 
 // New returns a Dispatcher. The retry budget of each service starts empty.
@@ -93,6 +103,12 @@
 // retried.
 func (d *Dispatcher) SetRetryShare(share float64) { d.serviceStates.setRetryShare(share) }
 
+// BeginShutdown makes the dispatcher refuse requests that would be sent to a target after
+// lastStart and might be broken off at the end of the shutdown.
+func (d *Dispatcher) BeginShutdown(lastStart, end time.Time) {
+	d.shutdown.Store(&shutdownTimes{lastStart: lastStart, end: end})
+}
+
 // Limits returns the limits on connections and requests of callers that are in force, or
 // the zero value while no routes are known.
 func (d *Dispatcher) Limits() route.Limits {
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -63,6 +63,9 @@
 		if reply == nil {
 			candidate, reply = f.selectTarget(workCtx, lastFailure)
 		}
+		if reply == nil {
+			reply = f.checkShutdown()
+		}
 		if reply != nil {
 			cancel()
 			return f.finishFailed(ctx, *reply)
@@ -134,6 +137,16 @@
 	return &localReply{status: http.StatusServiceUnavailable, cause: CauseQuarantined, retryAfter: time.Until(until)}
 }
 
+// checkShutdown returns the reply to a request that no target has received and that the end
+// of the shutdown might break off, or nil.
+func (f *forwarder) checkShutdown() *localReply {
+	times := f.d.shutdown.Load()
+	if times == nil || f.deliveries > 0 || time.Now().Before(times.lastStart) || f.deadline.Before(times.end) {
+		return nil
+	}
+	return &localReply{status: http.StatusServiceUnavailable, cause: CauseShuttingDown, retryAfter: shutdownRetryAfter}
+}
+
 // fingerprint returns what identifies the request in all attempts, repeats by the caller
 // and instances. Of a streamed body only the first maxBufferedBody bytes and the length are
 // known.
