Tell in logs from whom routes came and when they were last confirmed

A 404 in dispute couldn't be explained: its line told the revision held, not its age, nor whether the store, a relay or a peer had brought it.

Each table keeps from whom it came, the holder when and by whom its table was last known to be the store's latest: by a strong read, or by a relay that has the same revision. "routes in force" and refusals with cause no-route tell it, and the new metric redwingpoint_routes_confirmed_seconds.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -201,6 +201,7 @@
 		}
 		return 0
 	})
+	g.set.NewGauge("redwingpoint_routes_confirmed_seconds", func() float64 { return g.routes.Confirmed().Age().Seconds() })
 	g.set.NewGauge("redwingpoint_caller_connections", func() float64 { return float64(g.server.ConnectionCount()) })
 	g.set.NewGauge("redwingpoint_gateway_quarantined_requests", func() float64 { return float64(g.quarantine.QuarantinedCount()) })
 	if g.provider.DroppedLogLines != nil {
--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -58,7 +58,8 @@
 
 // RoutesApplied implements replica.RouteObserver.
 func (g *gateway) RoutesApplied(t *route.Table) {
-	g.log.Info("routes in force", zap.Uint64("revision", uint64(t.Revision)), zap.Int("rules", t.RuleCount()))
+	g.log.Info("routes in force", zap.Uint64("revision", uint64(t.Revision)), zap.Int("rules", t.RuleCount()),
+		zap.String("learnt_from", string(t.LearntFrom)))
 }
 
 // RoutesRejected implements replica.RouteObserver.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -126,7 +126,7 @@
 	}
 	rule := table.Match(r.HTTP.Host, r.Path)
 	if rule == nil {
-		return d.rejectUnrouted(r, localReply{status: http.StatusNotFound, cause: CauseNoRoute, revision: table.Revision})
+		return d.rejectUnrouted(r, localReply{status: http.StatusNotFound, cause: CauseNoRoute, table: table})
 	}
 	return d.newForwarder(r, table, rule).run(ctx)
 }
@@ -153,9 +153,14 @@
 // response.
 func (d *Dispatcher) rejectUnrouted(r *httpserver.Request, reply localReply) *httpserver.Response {
 	requestID := r.HTTP.Header.Get(d.Protocol.RequestID)
-	d.Log.Info("request refused", zap.String("request", requestID), zap.Int("status", reply.status),
-		zap.String("cause", string(reply.cause)), zap.Uint64("revision", uint64(reply.revision)),
-		zap.String("host", r.HTTP.Host), zap.String("path", r.Path))
+	fields := []zap.Field{zap.String("request", requestID), zap.Int("status", reply.status),
+		zap.String("cause", string(reply.cause)), zap.String("host", r.HTTP.Host), zap.String("path", r.Path)}
+	if reply.table != nil {
+		confirmed := d.Routes.Confirmed()
+		fields = append(fields, zap.Uint64("revision", uint64(reply.table.Revision)), zap.String("learnt_from", string(reply.table.LearntFrom)),
+			zap.Duration("confirmed_before", confirmed.Age()), zap.String("confirmed_by", string(confirmed.By)))
+	}
+	d.Log.Info("request refused", fields...)
 	d.Metrics.countRefused("", reply.cause)
 	return d.buildLocalReply(requestID, reply)
 }
@@ -213,5 +218,6 @@
 	status     int
 	cause      Cause
 	retryAfter time.Duration
-	revision   model.Revision
+	// table is set if the reply follows from the routes in force.
+	table *route.Table
 }
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -10,6 +10,7 @@
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/peer"
 	"redwingpoint.org/redwingpoint/internal/replica"
+	"redwingpoint.org/redwingpoint/internal/route"
 	"redwingpoint.org/redwingpoint/internal/wait"
 )
 
@@ -213,6 +214,7 @@
 	c.current, c.latest = true, remote.Versions
 	if remote.Versions.Routes == own.Routes {
 		c.routesAsOf = max(c.routesAsOf, remote.Versions.RoutesAsOf)
+		c.Replica.Routes.Holder.Confirm(route.FromRelay)
 	}
 	if c.isBehind(own) {
 		c.end()
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -319,6 +319,9 @@
 		store.put("targets", "17", "")
 		time.Sleep(time.Minute)
 		checkApplied(t, n, node, changedAt, 2, "17", 100*time.Millisecond)
+		if c := node.replica.Routes.Holder.Confirmed(); c.By != route.FromRelay || c.Age() > awaitWait {
+			t.Errorf("routes confirmed by %q %v ago", c.By, c.Age())
+		}
 		if lists, watches := store.takeCalls("node"); lists != 0 || watches != 1 {
 			t.Errorf("%d lists and %d watches, want none and 1", lists, watches)
 		}
--- a/internal/replica/floor_test.go
+++ b/internal/replica/floor_test.go
@@ -144,6 +144,7 @@
 	mu      sync.Mutex
 	applied map[model.Revision]time.Time
 	left    map[model.TargetID]time.Time
+	routes  *route.Holder
 }
 
 func (r *changeRecorder) RoutesApplied(t *route.Table) {
@@ -170,6 +171,7 @@
 		_, err := fmt.Sscan(string(o.Value), &revision)
 		return route.Config{Revision: revision}, true, err
 	}}
+	r.routes = routes.Holder
 	targets := &Targets{Decode: decode, Table: new(recordingTable), Observer: r}
 	breaker, floor := new(Breaker), new(Floor)
 	for kind, view := range map[string]View{"routes": routes, "targets": targets} {
@@ -211,6 +213,9 @@
 					time.Sleep(8 * time.Second)
 					cancel()
 					time.Sleep(2 * time.Second)
+					if c := r.routes.Confirmed(); c.By != route.FromStore {
+						t.Errorf("routes confirmed by %q", c.By)
+					}
 					r.mu.Lock()
 					defer r.mu.Unlock()
 					for revision, at := range routesAt {
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -152,6 +152,7 @@
 	}
 	f.handleSuccess()
 	f.goneRevision, f.listNext = 0, false
+	batch.Strong = true
 	f.Floor.raise(0, Batch{AsOf: batch.AsOf})
 	f.View.Replace(batch, f.removeAfter)
 	return batch.AsOf, nil
@@ -202,6 +203,7 @@
 		return after, nil
 	}
 	if consistency == Strong {
+		batch.Strong = true
 		f.raiseFloor(after, batch)
 	}
 	if f.consecutiveFailures == 0 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -131,7 +131,7 @@
 // Merge merges what another instance sent, as far as it is newer.
 func (r *Replica) Merge(d Delta) {
 	if d.Routes != nil {
-		r.Routes.apply(*d.Routes)
+		r.Routes.apply(*d.Routes, route.FromPeer)
 	}
 	r.Targets.mergeDelta(d)
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -41,7 +41,7 @@
 
 func TestEmptyInstanceReceivesFullState(t *testing.T) {
 	source, _ := newReplica()
-	source.Routes.apply(routesAt(7))
+	source.Routes.apply(routesAt(7), route.FromStore)
 	source.Targets.Replace(Batch{AsOf: 40, Objects: []Object{object("1", 1, "a"), object("2", 2, "b")}}, removeAtOnce)
 	empty, out := newReplica()
 	empty.Merge(roundTrip(t, source.DeltaFor(empty.Versions())))
@@ -64,10 +64,10 @@
 
 func TestOnlyNewerStateIsMerged(t *testing.T) {
 	local, out := newReplica()
-	local.Routes.apply(routesAt(9))
+	local.Routes.apply(routesAt(9), route.FromStore)
 	local.Targets.Replace(Batch{AsOf: 50, Objects: []Object{object("1", 5, "a")}}, removeAtOnce)
 	older, _ := newReplica()
-	older.Routes.apply(routesAt(8))
+	older.Routes.apply(routesAt(8), route.FromStore)
 	older.Targets.Replace(Batch{AsOf: 45, Objects: []Object{object("1", 5, "a"), object("gone", 2, "a")}}, removeAtOnce)
 	local.Merge(roundTrip(t, older.DeltaFor(Versions{})))
 	if local.Routes.Holder.Current().Revision != 9 || out.has("gone") {
--- a/internal/replica/routes.go
+++ b/internal/replica/routes.go
@@ -40,6 +40,9 @@
 			r.decodeAndApply(o)
 		}
 	}
+	if changes.Strong {
+		r.Holder.Confirm(route.FromStore)
+	}
 	r.asOf.Store(max(r.asOf.Load(), changes.AsOf))
 }
 
@@ -50,17 +53,18 @@
 		return
 	}
 	if ok {
-		r.apply(config)
+		r.apply(config, route.FromStore)
 	}
 }
 
 // apply puts a configuration in force unless the current one is as new or newer.
-func (r *Routes) apply(config route.Config) {
+func (r *Routes) apply(config route.Config, from route.Source) {
 	table, err := route.NewTable(config)
 	if err != nil {
 		r.Observer.RoutesRejected(err)
 		return
 	}
+	table.LearntFrom = from
 	if r.Holder.Apply(table) {
 		r.Observer.RoutesApplied(table)
 		if r.OnChange != nil {
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -24,6 +24,9 @@
 	Objects []Object
 	// AsOf is the store's revision that the batch reflects; the next watch starts there.
 	AsOf uint64
+	// Strong is set by the follower if the batch shows all writes that the store had
+	// acknowledged before the call.
+	Strong bool
 }
 
 // Consistency is the consistency required of a watch.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"redwingpoint.org/redwingpoint/internal/model"
 )
@@ -33,9 +34,11 @@
 // Table looks up rules by host and path. It is immutable and safe for concurrent use.
 type Table struct {
 	Revision model.Revision
-	Limits   Limits
-	hosts    map[string][]*Rule
-	services map[model.ServiceName]Service
+	// LearntFrom is from whom this instance has the table.
+	LearntFrom Source
+	Limits     Limits
+	hosts      map[string][]*Rule
+	services   map[model.ServiceName]Service
 }
 
 // NewTable validates a configuration and builds its table. It takes ownership of the
@@ -150,6 +153,8 @@
 // concurrent use.
 type Holder struct {
 	current atomic.Pointer[Table]
+	// confirmed is nil until the first call of Confirm.
+	confirmed atomic.Pointer[Confirmation]
 	// first is closed when the first table is in force.
 	first chan struct{}
 }
@@ -170,6 +175,20 @@
 // Current returns the table in force, or nil if there is none yet.
 func (h *Holder) Current() *Table { return h.current.Load() }
 
+// Confirm records that the table in force is the store's latest as of now, as far as
+// the store's latest can be applied.
+func (h *Holder) Confirm(by Source) {
+	h.confirmed.Store(&Confirmation{At: time.Now(), By: by})
+}
+
+// Confirmed returns the latest confirmation, or the zero value if there was none.
+func (h *Holder) Confirmed() Confirmation {
+	if c := h.confirmed.Load(); c != nil {
+		return *c
+	}
+	return Confirmation{}
+}
+
 // Apply puts a table in force unless the current one has the same or a later revision,
 // and reports whether it did.
 func (h *Holder) Apply(t *Table) bool {
