Failed reads don't end the search for routes that a relay told of

A follower read a revision that its relay told of at most four times, whether the reads succeeded or not, and then waited for the next revision. While the store refuses strong reads (429 above its rate) and cheap ones lag, all four fail, and the old routes stay in force.

Change: the search ends with the first strong read that the store answers. If that doesn't bring the revision, it can't be applied.

TestFailedReadsDontCountAsLookedFor fails before: the routes never come in force. The bound of TestInvalidRoutesAreNotReadForever is 2 reads in place of 4.

--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -37,9 +37,6 @@
 	// peer right after, delays a change: the watch and the request with their timeouts, and
 	// the search for another relay.
 	MaxRelayLag = RelayWatchWait + awaitWait + 2*exchangeTimeout + searchTimeout
-	// maxBehindReads is how often the store is read for a revision of the routes that a
-	// relay has told of. A revision that can't be applied would be read forever.
-	maxBehindReads = 4
 )
 
 // awaitRequest is the request of peer.OpAwaitChange.
@@ -105,9 +102,10 @@
 	// routesAsOf is the store's latest revision up to which the routes of this instance are
 	// known to be in force.
 	routesAsOf uint64
-	// behindReads counts the reads of the store for the revision behindRoutes.
-	behindRoutes model.Revision
-	behindReads  int
+	// soughtRoutes is the revision of the relay's routes for which the store was read last.
+	// absentRoutes is one that a strong read has looked for: if it isn't in force, it can't
+	// be applied, and must not be read forever.
+	soughtRoutes, absentRoutes model.Revision
 }
 
 // Run receives changes until ctx ends.
@@ -240,10 +238,7 @@
 // isBehind reports whether the relay has newer routes than this instance that may still be
 // read from the store. c.mu must be held.
 func (c *RelayClient) isBehind(own replica.Versions) bool {
-	if c.latest.Routes <= own.Routes {
-		return false
-	}
-	return c.latest.Routes != c.behindRoutes || c.behindReads < maxBehindReads
+	return c.latest.Routes > own.Routes && c.latest.Routes != c.absentRoutes
 }
 
 // toldRoutes returns the revision of the routes at the relay's last response.
@@ -286,6 +281,15 @@
 	return false
 }
 
+// StrongReadFinished implements replica.Relay.
+func (w *relayWaiter) StrongReadFinished() {
+	w.client.mu.Lock()
+	defer w.client.mu.Unlock()
+	if w.routes {
+		w.client.absentRoutes = w.client.soughtRoutes
+	}
+}
+
 // Await implements replica.Relay.
 func (w *relayWaiter) Await(ctx context.Context) replica.RelayState {
 	var state replica.RelayState
@@ -318,11 +322,8 @@
 	}
 	state.Relayed = true
 	if w.routes && c.isBehind(own) {
-		if c.behindRoutes != c.latest.Routes {
-			c.behindRoutes, c.behindReads = c.latest.Routes, 0
-		}
-		c.behindReads++
-		state.Behind = c.behindReads == 1
+		state.Behind = c.soughtRoutes != c.latest.Routes
+		c.soughtRoutes = c.latest.Routes
 		return nil
 	}
 	if c.ended == nil {
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -29,7 +29,9 @@
 	objects map[string]map[string]replica.Object
 	changed chan struct{}
 	downFor func(node, kind string) bool
-	calls   map[string]int
+	// strongRefused is set while strong watches fail and cheap ones show no change.
+	strongRefused bool
+	calls         map[string]int
 }
 
 func newRelayStore(targets int) *relayStore {
@@ -107,10 +109,17 @@
 	return s.changesAfter(0, false), nil
 }
 
-func (s relaySource) Watch(ctx context.Context, after uint64, wait time.Duration, _ replica.Consistency, _ func()) (replica.Batch, error) {
+func (s relaySource) Watch(ctx context.Context, after uint64, wait time.Duration, c replica.Consistency, _ func()) (replica.Batch, error) {
 	s.mu.Lock()
 	s.calls[s.node+" watch"]++
+	refused := s.strongRefused && s.node == "node"
 	s.mu.Unlock()
+	if refused && c == replica.Strong {
+		return replica.Batch{}, errStoreDown
+	}
+	if refused {
+		return replica.Batch{AsOf: after}, nil
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -453,8 +462,34 @@
 			n.nodes[seed].replica.NotifyChanged()
 		}
 		time.Sleep(time.Minute)
-		if lists, watches := store.takeCalls("node"); lists+watches > maxBehindReads {
-			t.Errorf("%d lists and %d watches, want up to %d", lists, watches, maxBehindReads)
+		// One cheap read and a strong one.
+		if lists, watches := store.takeCalls("node"); lists+watches > 2 {
+			t.Errorf("%d lists and %d watches, want up to 2", lists, watches)
+		}
+	})
+}
+
+// TestFailedReadsDontCountAsLookedFor guards against routes that stay old for good: a relay told
+// of a newer revision, the store refused strong reads while cheap ones lagged, and the
+// instance gave up.
+func TestFailedReadsDontCountAsLookedFor(t *testing.T) {
+	relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, node *relayNode) {
+		refuse := func(refused bool) {
+			store.mu.Lock()
+			defer store.mu.Unlock()
+			store.strongRefused = refused
+		}
+		refuse(true)
+		store.put("routes", "main", "2")
+		store.put("targets", "17", "")
+		time.Sleep(20 * time.Second)
+		refuse(false)
+		recoveredAt := time.Now()
+		time.Sleep(10 * time.Second)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if at := node.applied[2]; at.IsZero() || at.Sub(recoveredAt) > ownMaxBackoff+time.Second {
+			t.Errorf("the routes came in force %v after the store took strong reads again", at.Sub(recoveredAt))
 		}
 	})
 }
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -37,6 +37,9 @@
 	// AwaitReturn waits a short time for a peer that relays changes and reports whether
 	// there is one. It is called before all objects are listed after a loss of history.
 	AwaitReturn(ctx context.Context) bool
+	// StrongReadFinished is called after a strong read of the store, which shows all changes
+	// that Await told of before.
+	StrongReadFinished()
 }
 
 // RelayState is the state in which a Follower goes to the store.
@@ -155,9 +158,17 @@
 	batch.Strong = true
 	f.Floor.raise(0, Batch{AsOf: batch.AsOf})
 	f.View.Replace(batch, f.removeAfter)
+	f.notifyRelay(batch)
 	return batch.AsOf, nil
 }
 
+// notifyRelay tells the relay of a strong read that the view reflects.
+func (f *Follower) notifyRelay(batch Batch) {
+	if batch.Strong && f.Relay != nil {
+		f.Relay.StrongReadFinished()
+	}
+}
+
 // watch makes one watch call and returns the revision to continue from. Only a loss of
 // history or the end of ctx is returned as an error; other failures are retried
 // from the same revision. After a failure, watches ask for an immediate response until
@@ -212,6 +223,7 @@
 	f.handleSuccess()
 	f.listNext = supersededBytes(batch) > maxSupersededBytes
 	f.View.Update(batch, f.removeAfter)
+	f.notifyRelay(batch)
 	if len(batch.Objects) > 0 {
 		wait.For(ctx, f.BatchDelay)
 	}
