--- a/internal/soak/gateway_process_test.go
+++ b/internal/soak/gateway_process_test.go
@@ -111,6 +111,12 @@
 	command := g.command
 	g.command = nil
 	g.mu.Unlock()
+	endProcess(command, s)
+}
+
+// endProcess sends s to a process, resumes it in case it is frozen, and waits for its end. It
+// does nothing without a process.
+func endProcess(command *exec.Cmd, s os.Signal) {
 	if command == nil {
 		return
 	}
--- a/internal/soak/routes_test.go
+++ b/internal/soak/routes_test.go
@@ -243,12 +243,7 @@
 	command := g.command
 	g.command = nil
 	g.mu.Unlock()
-	if command == nil {
-		return
-	}
-	_ = command.Process.Signal(s)
-	_ = command.Process.Signal(syscall.SIGCONT)
-	_ = command.Wait()
+	endProcess(command, s)
 }
 
 // excuse excuses the gateway until fleetContactTime from now.
@@ -333,8 +328,8 @@
 // check checks one response: whether the version by which it was served was allowed.
 func (r *fleetRun) check(g *fleetGateway, id string, sentAt time.Time, starts, status int, target string) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	excused := g.starts != starts || sentAt.Before(g.excusedUntil)
-	g.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch status {
@@ -354,7 +349,14 @@
 	}
 	latest := len(r.versions)
 	held := latest - (latest-index%markerServiceCount+markerServiceCount)%markerServiceCount
-	if excused || sentAt.Before(r.storeFaultUntil) || held >= latest {
+	if excused || sentAt.Before(r.storeFaultUntil) {
+		return
+	}
+	if held < g.newest {
+		r.t.Errorf("%s: request %s was served by version %d after one by version %d", g.name, id, held, g.newest)
+	}
+	g.newest = held
+	if held >= latest {
 		return
 	}
 	// The successor of the version held was acknowledged at versions[held].
