--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -155,7 +155,9 @@
 	requestID := r.HTTP.Header.Get(d.Protocol.RequestID)
 	fields := []zap.Field{zap.String("request", requestID), zap.Int("status", reply.status),
 		zap.String("cause", string(reply.cause)), zap.String("host", r.HTTP.Host), zap.String("path", r.Path)}
-	if reply.table != nil {
+	if reply.table == nil {
+		fields = append(fields, zap.Uint64("revision", 0))
+	} else {
 		confirmed := d.Routes.Confirmed()
 		fields = append(fields, zap.Uint64("revision", uint64(reply.table.Revision)), zap.String("learnt_from", string(reply.table.LearntFrom)),
 			zap.Duration("confirmed_before", confirmed.Age()), zap.String("confirmed_by", string(confirmed.By)))
