--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -30,6 +30,8 @@
 	state     *serviceState
 	limits    route.Limits
 	revision  model.Revision
+	// organisation is the one on whose behalf the request was sent, or nil.
+	organisation *route.Organisation
 	// objectiveDeadline is the time by which a response meets the rule's latency
 	// objective, deadline the time after which the caller no longer waits.
 	objectiveDeadline, deadline time.Time
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -55,6 +55,9 @@
 // ServiceName is the name of a service, such as "nahled".
 type ServiceName string
 
+// OrganisationName is the name of an organisation on whose behalf callers send requests.
+type OrganisationName string
+
 // TargetID identifies a target. It is unique across services.
 type TargetID string
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -30,6 +30,11 @@
 	Priority int
 	// Backends are the services among which requests are split by weight.
 	Backends []Backend
+	// Homes are the regions in which requests may be served; none means all. Those of the
+	// request's organisation bind as well.
+	Homes []model.Region
+	// Public requests need no key.
+	Public bool
 
 	totalWeight int
 	// position counts the requests that were split, from a random start.
@@ -52,6 +57,11 @@
 	// MaxConnections is the number of connections that a target accepts from all
 	// instances together.
 	MaxConnections int
+	// ColdPerSecond is the number of requests a second that a cold target takes from all
+	// instances together; zero means that it is not limited.
+	ColdPerSecond float64
+	// ColdStart is how long a target is cold after its start.
+	ColdStart time.Duration
 }
 
 // Limits bounds the size and duration of callers' requests.
@@ -88,6 +98,7 @@
 	return &Rule{
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Class: r.Class, Objective: r.Objective, Timeout: r.Timeout,
 		MaxAttempts: r.MaxAttempts, Priority: r.Priority, Backends: r.Backends,
+		Homes: r.Homes, Public: r.Public,
 	}
 }
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -18,6 +18,8 @@
 	Limits   Limits
 	Rules    []*Rule
 	Services []Service
+	// Organisations are those that may send requests. Without any, requests need no key.
+	Organisations []Organisation
 }
 
 // InvalidError reports an invalid rule in a configuration.
@@ -37,18 +39,21 @@
 	// LearntFrom is from whom this instance has the table.
 	LearntFrom Source
 	Limits     Limits
-	hosts      map[string][]*Rule
-	services   map[model.ServiceName]Service
+	// organisations are sorted as in the configuration.
+	organisations []Organisation
+	hosts         map[string][]*Rule
+	services      map[model.ServiceName]Service
 }
 
 // NewTable validates a configuration and builds its table. It takes ownership of the
 // rules. The error is *InvalidError.
 func NewTable(c Config) (*Table, error) {
 	t := &Table{
-		Revision: c.Revision,
-		Limits:   c.Limits,
-		hosts:    make(map[string][]*Rule),
-		services: make(map[model.ServiceName]Service, len(c.Services)),
+		Revision:      c.Revision,
+		Limits:        c.Limits,
+		organisations: c.Organisations,
+		hosts:         make(map[string][]*Rule),
+		services:      make(map[model.ServiceName]Service, len(c.Services)),
 	}
 	for _, s := range c.Services {
 		t.services[s.Name] = s
@@ -114,7 +119,7 @@
 // Config returns the configuration of the table. Its rules are copies that can be
 // passed to NewTable.
 func (t *Table) Config() Config {
-	c := Config{Revision: t.Revision, Limits: t.Limits}
+	c := Config{Revision: t.Revision, Limits: t.Limits, Organisations: t.organisations}
 	for _, rules := range t.hosts {
 		for _, r := range rules {
 			c.Rules = append(c.Rules, r.copy())
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -38,6 +38,46 @@
 	DrainTimeout time.Duration `yaml:"drain" range:"500ms..1m"`
 	// ShutdownGrace is how long the process may run after SIGTERM.
 	ShutdownGrace time.Duration `yaml:"grace" range:"1s..1h"`
+	Keys          Keys          `yaml:"keys"`
+	Quotas        Quotas        `yaml:"quotas"`
+	ColdTargets   ColdTargets   `yaml:"coldTargets"`
+	// EvacuationTimeout is the maximum time from the request to evacuate a failure domain
+	// until its targets are out of use. Zero means that such requests aren't followed.
+	EvacuationTimeout time.Duration `yaml:"evacuation" range:"0s..1m"`
+	Machine           Machine       `yaml:"machine"`
+}
+
+// Keys configures how withdrawn keys take effect.
+type Keys struct {
+	// WithdrawWithin is the maximum time after the withdrawal of a key for which any
+	// instance, connected to the store or not, still accepts it. Zero means no bound of
+	// its own: a withdrawal takes effect like any change of the routes.
+	WithdrawWithin time.Duration `yaml:"withdrawWithin" range:"0s..1h"`
+}
+
+// Quotas configures how exactly the quotas of organisations are kept.
+type Quotas struct {
+	// Window is the time over which the requests of an organisation are counted.
+	Window time.Duration `yaml:"window" range:"100ms..1h"`
+	// Overage is the share of the quota, and Slack the number of requests, by which all
+	// instances together may exceed it in a window.
+	Overage float64 `yaml:"overage" range:"0..1"`
+	Slack   float64 `yaml:"slack" range:"0..1000000"`
+}
+
+// ColdTargets configures by how much the limit of a cold target may be exceeded in one
+// second: all instances together may send limit x Overage + Slack requests.
+type ColdTargets struct {
+	Overage float64 `yaml:"overage" range:"1..100"`
+	Slack   float64 `yaml:"slack" range:"0..1000000"`
+}
+
+// Machine tells the limits of the machine that the process runs on.
+type Machine struct {
+	// MemoryMB is the memory in megabytes (10^6 bytes), Descriptors the number of open
+	// file descriptors that the process may use. Zero means unknown.
+	MemoryMB    int `yaml:"memoryMB" range:"0..16777216"`
+	Descriptors int `yaml:"descriptors" range:"0..16777216"`
 }
 
 // GatewayPeers configures what gateways exchange: routes and targets while the store is
@@ -87,6 +127,13 @@
 	defaultSettleTimeout = 3 * time.Second
 	// defaultDrainTimeout is the time that platforms usually allow.
 	defaultDrainTimeout = 2 * time.Second
+	// defaultQuotaWindow, defaultQuotaOverage and defaultQuotaSlack are those that
+	// platforms usually allow, defaultColdOverage and defaultColdSlack too.
+	defaultQuotaWindow  = 5 * time.Second
+	defaultQuotaOverage = 0.1
+	defaultQuotaSlack   = 20
+	defaultColdOverage  = 1.5
+	defaultColdSlack    = 8
 )
 
 // DefaultGateway returns the default settings, which a settings file overrides.
@@ -97,6 +144,8 @@
 		SettleTimeout: defaultSettleTimeout,
 		DrainTimeout:  defaultDrainTimeout,
 		ShutdownGrace: defaultShutdownGrace,
+		Quotas:        Quotas{Window: defaultQuotaWindow, Overage: defaultQuotaOverage, Slack: defaultQuotaSlack},
+		ColdTargets:   ColdTargets{Overage: defaultColdOverage, Slack: defaultColdSlack},
 	}
 }
 
