Keep requests in the homes of their rule and organisation

Need: a rule and an organisation may name the regions in which their requests may be served.

Weighed: a check after the pick still probes targets that can't be used, and a pick may end without any; one probe round for all homes holds targets of all regions for each request. A redirect to another gateway carries bodies through machines that the caller didn't choose.

Change: homes are part of the request to the picker and take out targets before anything is probed, asked for a permit or told when to come back. Requests that aren't at home in the gateway's region have rounds and a backoff of their own. Homes of the routes of the arrival and of those in force both bind. Without a home that exists the request is refused at once with 503, cause no-home. A home that names no region of the deployment is logged once.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -102,6 +103,7 @@
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
 		Quarantine:  marks,
+		Regions:     knownRegions(s.Regions),
 		Log:         log,
 		Metrics:     dispatch.NewMetrics(set),
 	})
@@ -126,6 +128,8 @@
 	breaker replica.Breaker
 	// floor is shared by the followers of routes and targets.
 	floor replica.Floor
+	// unknownHomes holds the homes, by region, that were checked and logged if unknown.
+	unknownHomes sync.Map
 	// shuttingDown is set when the shutdown starts.
 	shuttingDown atomic.Bool
 	// onShutdown, if set, is called when the shutdown has started.
--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -60,6 +60,26 @@
 func (g *gateway) RoutesApplied(t *route.Table) {
 	g.log.Info("routes in force", zap.Uint64("revision", uint64(t.Revision)), zap.Int("rules", t.RuleCount()),
 		zap.String("learnt_from", string(t.LearntFrom)))
+	g.logUnknownHomes(t)
+}
+
+// logUnknownHomes logs homes that are no region of the deployment, once each.
+func (g *gateway) logUnknownHomes(t *route.Table) {
+	known := knownRegions(g.settings.Regions)
+	for region := range t.HomeRegions() {
+		if _, logged := g.unknownHomes.LoadOrStore(region, true); !known[region] && !logged {
+			g.log.Warn("home ignored: unknown region", zap.String("region", string(region)), zap.Uint64("revision", uint64(t.Revision)))
+		}
+	}
+}
+
+// knownRegions returns the regions of the deployment.
+func knownRegions(regionOf map[string]string) map[model.Region]bool {
+	known := make(map[model.Region]bool, len(regionOf))
+	for _, region := range regionOf {
+		known[model.Region(region)] = true
+	}
+	return known
 }
 
 // RoutesRejected implements replica.RouteObserver.
--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -8,9 +8,11 @@
 
 // Causes of refused and failed requests.
 const (
-	CauseNoRoutes           Cause = "no-routes-yet"
-	CauseNoRoute            Cause = "no-route"
-	CauseMalformed          Cause = "malformed"
+	CauseNoRoutes  Cause = "no-routes-yet"
+	CauseNoRoute   Cause = "no-route"
+	CauseMalformed Cause = "malformed"
+	// CauseNoHome means that no region may serve the request by its homes.
+	CauseNoHome             Cause = "no-home"
 	CauseNoTarget           Cause = "no-target"
 	CauseTargetsFull        Cause = "targets-full"
 	CauseTargetsDeclined    Cause = "targets-declined"
@@ -47,6 +49,9 @@
 	maxRetryAfter = 250 * time.Millisecond
 	// shutdownRetryAfter is advised during a shutdown: another instance can serve at once.
 	shutdownRetryAfter = 30 * time.Millisecond
+	// noHomeRetryAfter is advised when no region may serve a request. Only a change of the
+	// routes changes that.
+	noHomeRetryAfter = time.Second
 	// noTargetRetryAfter is advised when no target is known.
 	noTargetRetryAfter = 150 * time.Millisecond
 )
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -71,8 +71,11 @@
 	Protocol    *upstream.Protocol
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
-	Log         *zap.Logger
-	Metrics     *Metrics
+	// Regions are those that exist; homes elsewhere don't count. None means that they
+	// aren't known and all homes count.
+	Regions map[model.Region]bool
+	Log     *zap.Logger
+	Metrics *Metrics
 }
 
 // Dispatcher forwards the requests of callers to targets. It implements
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -22,13 +22,18 @@
 	var candidates []routing.Candidate
 	for rounds := 1; ; rounds++ {
 		req := f.pickRequest()
+		if f.lacksHome(req.Homes) {
+			return routing.Candidate{}, f.noHomeReply(lastFailure, req.Homes)
+		}
 		req.Repeated = rounds > 1
 		ranked, err := f.d.Picker.Pick(ctx, req)
 		var probesSpent *routing.ProbeBudgetError
 		if !errors.As(err, &probesSpent) {
 			candidates = ranked
 		}
-		candidates = slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return !c.TakesRequest() })
+		candidates = slices.DeleteFunc(candidates, func(c routing.Candidate) bool {
+			return !c.TakesRequest() || !req.Homes.Allows(c.Endpoint.Target.Location.Region)
+		})
 		var unavailable *routing.UnavailableError
 		if errors.As(err, &unavailable) && lastFailure.cause == "" && unavailable.RetryAfter > time.Until(waitUntil) {
 			return routing.Candidate{}, f.unavailableReply(unavailable)
@@ -86,6 +91,7 @@
 		Service:    f.service.Name,
 		HealthPath: f.service.HealthPath,
 		Exclude:    f.triedTargets,
+		Homes:      f.homes(),
 		Work: routing.Work{
 			ServiceTime: f.state.expectedDuration(f.rule.Objective),
 			TimeLeft:    time.Until(f.objectiveDeadline),
--- a/internal/routing/limited.go
+++ b/internal/routing/limited.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/model"
@@ -51,7 +50,7 @@
 // if none is paused.
 func shortestPause(pool *Pool, req ProbingRequest, now time.Duration) (left time.Duration) {
 	for _, e := range pool.Endpoints {
-		if !e.isLeaving() && !slices.Contains(req.Exclude, e.Target.ID) {
+		if !e.isLeaving() && req.admits(e) {
 			left = earlier(left, e.Load.pauseLeft(now))
 		}
 	}
@@ -79,7 +78,7 @@
 	var local, remote []*Endpoint
 	for _, e := range pool.Endpoints {
 		switch {
-		case !e.takesRequests(now) || !e.Load.isLimited() || slices.Contains(req.Exclude, e.Target.ID):
+		case !e.takesRequests(now) || !e.Load.isLimited() || !req.admits(e):
 		case e.Distance == model.OtherRegion:
 			remote = append(remote, e)
 		default:
--- a/internal/routing/probe_round.go
+++ b/internal/routing/probe_round.go
@@ -27,29 +27,30 @@
 	err      error
 }
 
-// joinRound returns a round of probes within the region that is running or recent
+// joinRound returns a round of probes of the preferred targets that is running or recent
 // enough, or runs a new one. It returns *ProbeBudgetError if a repeated request would
 // need a new round that the budget doesn't allow.
 func (p *ProbingPicker) joinRound(ctx context.Context, req ProbingRequest, pool *Pool) (*probeRound, error) {
 	p.mu.Lock()
-	r := p.rounds[req.Service]
+	key := p.roundKey(req)
+	r := p.rounds[key]
 	if r != nil && r.pool == pool && r.reusable(p.now()) {
 		p.mu.Unlock()
 		<-r.done
 		return r, nil
 	}
-	preferred, _, _ := splitByPreference(pool, p.now())
+	preferred, _, _ := p.splitByPreference(pool, req.Homes)
 	if req.Repeated && !p.budget.AllowN(time.Now(), len(preferred)) {
 		p.mu.Unlock()
 		return nil, &ProbeBudgetError{Service: req.Service}
 	}
 	r = &probeRound{sentAt: p.now(), pool: pool, done: make(chan struct{})}
-	p.rounds[req.Service] = r
+	p.rounds[key] = r
 	p.mu.Unlock()
 	if !req.Repeated {
 		preferred = p.limitToBudget(preferred)
 	}
-	r.results = p.probeAll(ctx, req.HealthPath, preferred, localProbeWait)
+	r.results = p.probeAll(ctx, req.HealthPath, preferred, p.preferredWait(req.Homes))
 	r.endedAt = p.now()
 	close(r.done)
 	return r, nil
@@ -74,14 +75,16 @@
 	}
 }
 
-// splitByPreference splits the endpoints that may receive requests without a permit at a
-// reading of a Clock: the preferred ones of the region, which are the first in the
-// instance's stable order, the other ones of the region, and those of other regions.
-func splitByPreference(pool *Pool, now time.Duration) (preferred, otherLocal, remote []*Endpoint) {
+// splitByPreference splits the endpoints in the homes that may receive requests without a
+// permit at a reading of a Clock: the preferred ones of the region, which are the first in
+// the instance's stable order, the other ones of the region, and those of other regions. For
+// requests that aren't at home in the region, the homes take its place.
+func (p *ProbingPicker) splitByPreference(pool *Pool, homes model.Homes) (preferred, otherLocal, remote []*Endpoint) {
+	now, atHome := p.now(), p.isHome(homes)
 	for _, e := range pool.Endpoints {
 		switch {
-		case !e.takesRequests(now) || e.Load.isLimited():
-		case e.Distance == model.OtherRegion:
+		case !homes.Allows(e.Target.Location.Region) || !e.takesRequests(now) || e.Load.isLimited():
+		case e.Distance == model.OtherRegion && atHome:
 			remote = append(remote, e)
 		default:
 			preferred = append(preferred, e)
--- a/internal/routing/probing_picker.go
+++ b/internal/routing/probing_picker.go
@@ -57,6 +57,9 @@
 	Work       Work
 	// Exclude lists the targets that this request has already been sent to.
 	Exclude []model.TargetID
+	// Homes are the regions in which the request may be served. Targets elsewhere are not
+	// even probed for it.
+	Homes model.Homes
 	// Repeated is set if this request has picked before. New probe rounds for it are
 	// made only if the budget covers them in full.
 	Repeated bool
@@ -96,10 +99,10 @@
 	permits Permits
 
 	mu sync.Mutex
-	// rounds holds the latest local probe round of each service.
-	rounds map[model.ServiceName]*probeRound
-	// remoteBackoffUntil is until when the other regions are not probed for a service.
-	remoteBackoffUntil map[model.ServiceName]time.Duration
+	// rounds holds the latest probe round of preferred targets for each reach.
+	rounds map[reach]*probeRound
+	// remoteBackoffUntil is until when the other regions are not probed for a reach.
+	remoteBackoffUntil map[reach]time.Duration
 }
 
 // NewProbingPicker returns a picker that uses the snapshots of a table. The budget
@@ -111,8 +114,8 @@
 		table:              t,
 		prober:             prober,
 		now:                now,
-		rounds:             make(map[model.ServiceName]*probeRound),
-		remoteBackoffUntil: make(map[model.ServiceName]time.Duration),
+		rounds:             make(map[reach]*probeRound),
+		remoteBackoffUntil: make(map[reach]time.Duration),
 	}
 }
 
@@ -133,7 +136,7 @@
 		return nil, err
 	}
 	candidates := p.evaluateAll(r.results, req, r.sentAt)
-	for _, probeMore := range p.fallbacks(pool) {
+	for _, probeMore := range p.fallbacks(pool, req.Homes) {
 		if slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
 			break
 		}
@@ -156,11 +159,11 @@
 }
 
 // fallbacks returns functions that probe more targets, the cheapest way first.
-func (p *ProbingPicker) fallbacks(pool *Pool) []func(context.Context, ProbingRequest) []Candidate {
-	_, otherLocal, remote := splitByPreference(pool, p.now())
+func (p *ProbingPicker) fallbacks(pool *Pool, homes model.Homes) []func(context.Context, ProbingRequest) []Candidate {
+	_, otherLocal, remote := p.splitByPreference(pool, homes)
 	return []func(context.Context, ProbingRequest) []Candidate{
 		func(ctx context.Context, req ProbingRequest) []Candidate {
-			return p.probeFirst(ctx, req, otherLocal, maxOtherLocalProbes, localProbeWait)
+			return p.probeFirst(ctx, req, otherLocal, maxOtherLocalProbes, p.preferredWait(req.Homes))
 		},
 		func(ctx context.Context, req ProbingRequest) []Candidate { return p.probeRemote(ctx, req, remote) },
 	}
@@ -183,7 +186,7 @@
 // remoteBackoff.
 func (p *ProbingPicker) probeRemote(ctx context.Context, req ProbingRequest, remote []*Endpoint) []Candidate {
 	p.mu.Lock()
-	backingOff := p.now() < p.remoteBackoffUntil[req.Service]
+	backingOff := p.now() < p.remoteBackoffUntil[reachOf(req.Service, req.Homes)]
 	p.mu.Unlock()
 	if backingOff {
 		return nil
@@ -191,7 +194,7 @@
 	candidates := p.probeFirst(ctx, req, remote, maxRemoteProbes, remoteProbeWait)
 	if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
 		p.mu.Lock()
-		p.remoteBackoffUntil[req.Service] = p.now() + remoteBackoff
+		p.remoteBackoffUntil[reachOf(req.Service, req.Homes)] = p.now() + remoteBackoff
 		p.mu.Unlock()
 	}
 	return candidates
@@ -202,7 +205,7 @@
 	out := make([]Candidate, 0, len(results))
 	for _, r := range results {
 		e := r.endpoint
-		if !slices.Contains(req.Exclude, e.Target.ID) && !e.Load.isLimited() && e.takesRequests(p.now()) {
+		if req.admits(e) && !e.Load.isLimited() && e.takesRequests(p.now()) {
 			out = append(out, p.evaluate(r, req.Work, sentAt))
 		}
 	}
