Identify the organisation of a request by its key

Need: where a configuration lists organisations, requests need a key of one of them, targets get the organisation's name and never the key. Nothing read the keys: any caller was served, and the key passed on.

Weighed: a bad entry that spoils the whole document (a typing error would stop all later changes); a shared key that belongs to its first entry (requests would run for the wrong organisation). So entries are decoded one by one, a bad one opens nothing, and a shared key belongs to none.

Change: route.Table looks digests up by a hash with a seed of the process; dispatch.caller identifies, denies (401) and marks requests in every attempt. An unknown key is denied only while the routes were confirmed in the last 2 s, as a newer configuration may know it. Errors of malformed input are logged without the input. Without a list of organisations nothing changes.

--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -59,7 +59,13 @@
 // RoutesApplied implements replica.RouteObserver.
 func (g *gateway) RoutesApplied(t *route.Table) {
 	g.log.Info("routes in force", zap.Uint64("revision", uint64(t.Revision)), zap.Int("rules", t.RuleCount()),
-		zap.String("learnt_from", string(t.LearntFrom)))
+		zap.String("learnt_from", string(t.LearntFrom)), zap.Int("organisations", len(t.Organisations())))
+	for _, o := range t.Organisations() {
+		if o.Problem != "" {
+			g.log.Error("organisation rejected", zap.Uint64("revision", uint64(t.Revision)),
+				zap.String("organisation", string(o.Name)), zap.String("problem", o.Problem))
+		}
+	}
 }
 
 // RoutesRejected implements replica.RouteObserver.
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -57,8 +57,8 @@
 const maxTriedTargets = 4
 
 // targetHeader returns the request header for a target: the caller's fields without
-// hop-by-hop fields, the remaining time in milliseconds, and the ID of the only target
-// that may run the request.
+// hop-by-hop fields and key, the remaining time in milliseconds, the organisation, and the
+// ID of the only target that may run the request.
 func (f *forwarder) targetHeader(target model.TargetID) http.Header {
 	protocol := f.d.Protocol
 	h := make(http.Header, len(f.inbound.HTTP.Header)+3)
@@ -66,6 +66,7 @@
 		h[name] = values
 	}
 	upstream.DropHopByHop(h)
+	f.caller.mark(h, protocol.Organisation)
 	if _, present := h["User-Agent"]; !present {
 		h["User-Agent"] = []string{""}
 	}
--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -8,9 +8,13 @@
 
 // Causes of refused and failed requests.
 const (
-	CauseNoRoutes           Cause = "no-routes-yet"
-	CauseNoRoute            Cause = "no-route"
-	CauseMalformed          Cause = "malformed"
+	CauseNoRoutes   Cause = "no-routes-yet"
+	CauseNoRoute    Cause = "no-route"
+	CauseMalformed  Cause = "malformed"
+	CauseKeyMissing Cause = "key-missing"
+	CauseKeyUnknown Cause = "key-unknown"
+	// CauseKeysUnconfirmed means that a newer configuration may decide otherwise on the key.
+	CauseKeysUnconfirmed    Cause = "keys-unconfirmed"
 	CauseNoTarget           Cause = "no-target"
 	CauseTargetsFull        Cause = "targets-full"
 	CauseTargetsDeclined    Cause = "targets-declined"
@@ -37,6 +41,13 @@
 	// noRoutesRetryAfter is advised until the first configuration is known. A start takes
 	// about a second.
 	noRoutesRetryAfter = 200 * time.Millisecond
+	// maxDenialAge is the age of the confirmation up to which an unknown key is denied, in a
+	// way that callers don't repeat. Later the key may be one that the configuration has
+	// meanwhile; instances without a relay confirm their routes every 1.6 s as a rule.
+	maxDenialAge = 2 * time.Second
+	// unconfirmedRetryAfter is advised while the keys in force aren't confirmed: another
+	// instance may know more, or this one after its next read.
+	unconfirmedRetryAfter = 100 * time.Millisecond
 	// busyRetryAfter is advised after all attempts were declined or failed to connect.
 	// The load of targets shifts within milliseconds, and another instance may have newer
 	// information.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -128,7 +128,13 @@
 	if rule == nil {
 		return d.rejectUnrouted(r, localReply{status: http.StatusNotFound, cause: CauseNoRoute, table: table})
 	}
-	return d.newForwarder(r, table, rule).run(ctx)
+	caller, denial := d.identify(r.HTTP.Header, table, rule)
+	if denial != nil {
+		return d.rejectUnrouted(r, *denial)
+	}
+	f := d.newForwarder(r, table, rule)
+	f.caller, f.organisation = caller, caller.organisation
+	return f.run(ctx)
 }
 
 // routes returns the route table in force. Before the first table is known it waits up to
@@ -144,13 +150,13 @@
 
 // Reject implements httpserver.Handler.
 func (d *Dispatcher) Reject(status int, cause error) *httpserver.Response {
-	d.Log.Info("request rejected", zap.Int("status", status), zap.Error(cause))
+	d.Log.Info("request rejected", zap.Int("status", status), zap.String("error", inputProblem(cause)))
 	d.Metrics.countRefused("", CauseMalformed)
 	return plainTextResponse(status, nil)
 }
 
-// rejectUnrouted logs and counts a request for which no route is known and returns its
-// response.
+// rejectUnrouted logs and counts a request for which no route is known, or none that its
+// key opens, and returns its response.
 func (d *Dispatcher) rejectUnrouted(r *httpserver.Request, reply localReply) *httpserver.Response {
 	requestID := r.HTTP.Header.Get(d.Protocol.RequestID)
 	fields := []zap.Field{zap.String("request", requestID), zap.Int("status", reply.status),
@@ -174,6 +180,9 @@
 	if requestID != "" {
 		h.Set(d.Protocol.RequestID, requestID)
 	}
+	if reply.status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", bearerScheme)
+	}
 	if reply.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(reply.retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/internal/dispatch/fields.go
+++ b/internal/dispatch/fields.go
@@ -10,13 +10,17 @@
 // logFields returns the fields of a log line about the request, followed by additional
 // ones.
 func (f *forwarder) logFields(additional ...zap.Field) []zap.Field {
-	return append([]zap.Field{
+	fields := make([]zap.Field, 0, 7+len(additional))
+	fields = append(fields,
 		zap.String("request", f.requestID),
 		zap.String("rule", f.rule.Name),
 		zap.String("service", string(f.service.Name)),
 		zap.Uint64("revision", uint64(f.revision)),
-		zap.Int("arrivals", f.deliveries),
-	}, additional...)
+		zap.Int("arrivals", f.deliveries))
+	if f.organisation != nil {
+		fields = append(fields, zap.String("organisation", string(f.organisation.Name)), zap.Int("priority", f.priority()))
+	}
+	return append(fields, additional...)
 }
 
 // candidateFields logs a candidate with the values on which its rank is based.
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -30,6 +30,7 @@
 	state     *serviceState
 	limits    route.Limits
 	revision  model.Revision
+	caller    caller
 	// organisation is the one on whose behalf the request was sent, or nil.
 	organisation *route.Organisation
 	// objectiveDeadline is the time by which a response meets the rule's latency
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -18,7 +18,9 @@
 	Limits   Limits
 	Rules    []*Rule
 	Services []Service
-	// Organisations are those that may send requests. Without any, requests need no key.
+	// KeysRequired is set if the configuration lists organisations, be it none: requests need
+	// a key of one of them, unless their rule is public.
+	KeysRequired  bool
 	Organisations []Organisation
 }
 
@@ -39,8 +41,11 @@
 	// LearntFrom is from whom this instance has the table.
 	LearntFrom Source
 	Limits     Limits
+	// KeysRequired is set if requests to rules that aren't public need a key.
+	KeysRequired bool
 	// organisations are sorted as in the configuration.
 	organisations []Organisation
+	keys          keyIndex
 	hosts         map[string][]*Rule
 	services      map[model.ServiceName]Service
 }
@@ -51,10 +56,12 @@
 	t := &Table{
 		Revision:      c.Revision,
 		Limits:        c.Limits,
-		organisations: c.Organisations,
+		KeysRequired:  c.KeysRequired,
+		organisations: checkOrganisations(c.Organisations),
 		hosts:         make(map[string][]*Rule),
 		services:      make(map[model.ServiceName]Service, len(c.Services)),
 	}
+	t.keys = newKeyIndex(t.organisations)
 	for _, s := range c.Services {
 		t.services[s.Name] = s
 	}
@@ -119,7 +126,7 @@
 // Config returns the configuration of the table. Its rules are copies that can be
 // passed to NewTable.
 func (t *Table) Config() Config {
-	c := Config{Revision: t.Revision, Limits: t.Limits, Organisations: t.organisations}
+	c := Config{Revision: t.Revision, Limits: t.Limits, KeysRequired: t.KeysRequired, Organisations: t.organisations}
 	for _, rules := range t.hosts {
 		for _, r := range rules {
 			c.Rules = append(c.Rules, r.copy())
@@ -142,6 +149,13 @@
 	return nil
 }
 
+// OrganisationOf returns the organisation that holds a key, or nil if none does.
+func (t *Table) OrganisationOf(key KeyDigest) *Organisation { return t.keys.find(key) }
+
+// Organisations returns the organisations of the configuration, those with a Problem
+// included. The slice must not be changed.
+func (t *Table) Organisations() []Organisation { return t.organisations }
+
 // Service returns the configuration of a service, or a zero value if it isn't defined.
 func (t *Table) Service(name model.ServiceName) Service { return t.services[name] }
 
--- a/internal/upstream/protocol.go
+++ b/internal/upstream/protocol.go
@@ -16,6 +16,9 @@
 	Deadline string
 	// ExpectedTarget is the field with the ID of the only target that may run the request.
 	ExpectedTarget string
+	// Organisation is the field with the name of the organisation on whose behalf a request
+	// is sent.
+	Organisation string
 	// TargetID is the field with the ID of the target that responds to a probe.
 	TargetID string
 	// Signature is a field that is present in every response that a target generated
