Count the bytes of requests between gateways by operation and distance

Need: a fleet of three hundred moves megabytes a second at its busiest gateway, and nothing tells which exchange carries them, nor whether they cross regions.

Change: the transport reports each request, made or served, with the bytes of its frames; the gateway counts them by operation, role and distance. Where a peer runs stands in its certificate, beside fleet and instance, so it costs bytes once a connection only and older builds ignore it. Weighed: a field in each request (bytes in every exchange), the map of the seeds' addresses (tells nothing of those that ask).

--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"time"
@@ -112,7 +113,7 @@
 // listenForPeers returns a transport that listens for peers with a self-signed
 // certificate.
 func (g *gateway) listenForPeers() (*peer.Transport, error) {
-	credentials, err := keys.NewSelfSigned(gatewayFleet, g.settings.Instance, time.Now)
+	credentials, err := keys.NewSelfSigned(keys.Identity{Fleet: gatewayFleet, Instance: g.settings.Instance, Location: g.settings.Location}, time.Now)
 	if err != nil {
 		return nil, err
 	}
@@ -123,9 +124,24 @@
 		Recorder:    events.Discard,
 		MaxLinks:    maxSyncLinks,
 		IdleTimeout: syncIdleTimeout,
+		OnExchange:  g.countExchange,
 	})
 }
 
+// countExchange counts the bytes of a request between gateways by its operation and the
+// distance to the peer. A location that isn't known counts as another region.
+func (g *gateway) countExchange(e peer.Exchange) {
+	distance := g.settings.Location.DistanceTo(e.Link.Location)
+	role := "asks"
+	if e.Served {
+		role = "serves"
+	}
+	labels := fmt.Sprintf("op=%q,role=%q,distance=%q", e.Op, role, distance)
+	g.set.GetOrCreateCounter("redwingpoint_peer_exchanges_total{" + labels + "}").Inc()
+	g.set.GetOrCreateCounter("redwingpoint_peer_sent_bytes_total{" + labels + "}").Add(e.Sent)
+	g.set.GetOrCreateCounter("redwingpoint_peer_received_bytes_total{" + labels + "}").Add(e.Received)
+}
+
 // syncLinkHandler is the peer.Handler of connections between gateways. It ignores all
 // events, because the connections are opened on demand.
 type syncLinkHandler struct{}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -22,6 +22,9 @@
 const (
 	// uriScheme is the scheme of the URI redwingpoint://fleet/instance.
 	uriScheme = "redwingpoint"
+	// uriRegion and uriDomain are the query parameters of the URI that tell the location.
+	uriRegion = "region"
+	uriDomain = "domain"
 
 	// pemCertificate is the type of a certificate's PEM block.
 	pemCertificate = "CERTIFICATE"
@@ -35,10 +38,12 @@
 	maxClockSkew = 5 * time.Minute
 )
 
-// Identity is the fleet and instance that a certificate identifies.
+// Identity is what a certificate says of an instance.
 type Identity struct {
 	Fleet    string
 	Instance model.InstanceID
+	// Location is where the instance runs; the zero value if the certificate doesn't tell.
+	Location model.Location
 }
 
 // KeyPair is a certificate and its private key, both in PEM format.
--- a/internal/keys/selfsigned.go
+++ b/internal/keys/selfsigned.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"redwingpoint.org/redwingpoint/internal/model"
 )
 
 // selfSignedLifetime is longer than any process runs. The key exists only in the memory of
@@ -22,8 +20,8 @@
 // generates at its start for deployments without a CA. They encrypt the peer protocol,
 // but don't authenticate peers: anyone who can reach a peer's address can claim any
 // identity in the fleet. It returns *NameError for a name that is not allowed.
-func NewSelfSigned(fleet string, instance model.InstanceID, now func() time.Time) (*Credentials, error) {
-	for _, name := range []string{fleet, string(instance)} {
+func NewSelfSigned(self Identity, now func() time.Time) (*Credentials, error) {
+	for _, name := range []string{self.Fleet, string(self.Instance)} {
 		if err := validateName(name); err != nil {
 			return nil, err
 		}
@@ -36,7 +34,8 @@
 	if err != nil {
 		return nil, err
 	}
-	template.URIs = []*url.URL{{Scheme: uriScheme, Host: fleet, Path: "/" + string(instance)}}
+	location := url.Values{uriRegion: {string(self.Location.Region)}, uriDomain: {string(self.Location.FailureDomain)}}
+	template.URIs = []*url.URL{{Scheme: uriScheme, Host: self.Fleet, Path: "/" + string(self.Instance), RawQuery: location.Encode()}}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
 	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
@@ -44,7 +43,7 @@
 		return nil, eris.Wrap(err, "sign certificate")
 	}
 	return &Credentials{
-		Self:       Identity{Fleet: fleet, Instance: instance},
+		Self:       self,
 		cert:       tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key},
 		now:        now,
 		selfSigned: true,
--- a/internal/keys/tls.go
+++ b/internal/keys/tls.go
@@ -98,7 +98,11 @@
 	if validateName(uri.Host) != nil || validateName(instance) != nil {
 		return Identity{}, &IdentityError{Reason: "names no instance"}
 	}
-	return Identity{Fleet: uri.Host, Instance: model.InstanceID(instance)}, nil
+	query := uri.Query()
+	return Identity{Fleet: uri.Host, Instance: model.InstanceID(instance), Location: model.Location{
+		Region:        model.Region(query.Get(uriRegion)),
+		FailureDomain: model.FailureDomain(query.Get(uriDomain)),
+	}}, nil
 }
 
 // TLS returns the TLS configuration for both ends of the peer protocol: TLS 1.3 with
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -40,6 +40,18 @@
 	OtherRegion
 )
 
+// String returns the name of the distance in metrics.
+func (d Distance) String() string {
+	switch d {
+	case SameDomain:
+		return "same_domain"
+	case SameRegion:
+		return "same_region"
+	default:
+		return "other_region"
+	}
+}
+
 // DistanceTo returns the distance between two locations.
 func (l Location) DistanceTo(other Location) Distance {
 	switch {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -35,6 +36,25 @@
 	OpAcquirePermit
 )
 
+// opNames are the names of the operations in metrics.
+var opNames = map[Op]string{
+	OpReadObjects:   "read_objects",
+	OpCommit:        "commit",
+	OpFetchState:    "fetch_state",
+	OpPushState:     "push_state",
+	OpAwaitChange:   "await_change",
+	OpExchangeMarks: "exchange_marks",
+	OpAcquirePermit: "acquire_permit",
+}
+
+// String returns the name of the operation in metrics.
+func (o Op) String() string {
+	if name, ok := opNames[o]; ok {
+		return name
+	}
+	return "op_" + strconv.Itoa(int(o))
+}
+
 // RequestHandler handles the requests of one Op. It is called concurrently. It returns the
 // result to send to the peer; the text of an error is sent as the refusal.
 type RequestHandler func(from model.InstanceID, body []byte) (any, error)
@@ -130,12 +150,14 @@
 	}
 	stop := context.AfterFunc(ctx, func() { abort(stream) })
 	defer stop()
-	if err := WriteFrame(stream, request{Op: op, Body: raw}); err != nil {
+	counted := &countingStream{ReadWriter: stream}
+	defer c.report(op, false, counted)
+	if err := WriteFrame(counted, request{Op: op, Body: raw}); err != nil {
 		return &ConnectionError{Peer: c.link.Peer, Cause: err}
 	}
 	_ = stream.Close()
 	var r response
-	if err := ReadFrame(stream, &r); err != nil {
+	if err := ReadFrame(counted, &r); err != nil {
 		abort(stream)
 		return &ConnectionError{Peer: c.link.Peer, Cause: err}
 	}
@@ -171,12 +193,14 @@
 // handleStream reads one request and writes its response.
 func (t *Transport) handleStream(c *conn, s *quic.Stream) {
 	_ = s.SetDeadline(time.Now().Add(serveTimeout))
+	counted := &countingStream{ReadWriter: s}
 	var r request
-	if err := ReadFrame(s, &r); err != nil {
+	if err := ReadFrame(counted, &r); err != nil {
 		abort(s)
 		return
 	}
-	if err := WriteFrame(s, t.handleRequest(c.link.Peer, r)); err != nil {
+	defer c.report(r.Op, true, counted)
+	if err := WriteFrame(counted, t.handleRequest(c.link.Peer, r)); err != nil {
 		abort(s)
 		return
 	}
--- a/internal/peer/call_test.go
+++ b/internal/peer/call_test.go
@@ -11,7 +11,7 @@
 
 func selfSigned(t *testing.T, fleet string, id model.InstanceID) *keys.Credentials {
 	t.Helper()
-	c, err := keys.NewSelfSigned(fleet, id, time.Now)
+	c, err := keys.NewSelfSigned(keys.Identity{Fleet: fleet, Instance: id}, time.Now)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -60,6 +60,8 @@
 	Peer model.InstanceID
 	// Addr is the UDP address of the peer.
 	Addr string
+	// Location is where the peer runs; the zero value if its certificate doesn't tell.
+	Location model.Location
 	// Protocol is the negotiated protocol version.
 	Protocol string
 	// Dialed is set if this instance opened the connection.
@@ -91,6 +93,8 @@
 	// OnSend, if set, is called with the size of every packet before it is sent, including
 	// the IP and UDP headers.
 	OnSend func(bytes int)
+	// OnExchange, if set, is called concurrently after each request, made or served.
+	OnExchange func(Exchange)
 	// MaxLinks is the number of connections from which no more are accepted from peers.
 	// Connections that this instance dials are not limited.
 	MaxLinks int
@@ -128,6 +132,8 @@
 type conn struct {
 	*quic.Conn
 	link Link
+	// onExchange is that of the options, or nil.
+	onExchange func(Exchange)
 	// cert is the peer's certificate.
 	cert *x509.Certificate
 }
@@ -283,8 +289,9 @@
 		_ = qc.CloseWithError(closeNotNeeded, "")
 		return
 	}
-	c := &conn{Conn: qc, cert: state.PeerCertificates[0], link: Link{
+	c := &conn{Conn: qc, cert: state.PeerCertificates[0], onExchange: t.options.OnExchange, link: Link{
 		Peer:     id.Instance,
+		Location: id.Location,
 		Addr:     qc.RemoteAddr().String(),
 		Protocol: state.NegotiatedProtocol,
 		Dialed:   dialed,
