Calls of a peer end with their context while it is dialed

Cause: concurrent calls of an address share one connection attempt, and each of them waited for its end: a request with a limit of 100 ms for a permit was held for up to 800 ms at an address that doesn't answer.

Change: a call waits for the attempt or its own context. The attempt goes on for the other calls. Weighed: an attempt for each call (a handshake is 6.5 kB).

TestCallOfASilentAddressEndsWithItsContext fails on the code before: the call returns the end of the attempt after 0.8 s.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -83,8 +83,7 @@
 func (t *Transport) DialAndCall(ctx context.Context, peer model.InstanceID, addr string, op Op, body, result any) error {
 	c := t.conn(peer)
 	if c == nil {
-		_, err, _ := t.dials.Do(addr, func() (any, error) { return nil, t.dial(addr) })
-		if err != nil {
+		if err := t.dialShared(ctx, addr); err != nil {
 			return &ConnectionError{Peer: peer, Cause: err}
 		}
 		if c = t.conn(peer); c == nil {
@@ -99,14 +98,32 @@
 	return err
 }
 
+// dialShared opens a connection that concurrent calls of the same address share. If ctx ends
+// first, it returns the cause; the attempt goes on for the other calls and the next ones.
+func (t *Transport) dialShared(ctx context.Context, addr string) error {
+	dialed := t.dials.DoChan(addr, func() (any, error) {
+		if t.ctx.Err() != nil {
+			return nil, context.Cause(t.ctx)
+		}
+		t.goroutines.Add(1)
+		defer t.goroutines.Done()
+		return nil, t.dial(addr)
+	})
+	select {
+	case d := <-dialed:
+		return d.Err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // CallAddr is like DialAndCall for a peer of which only the address is known. It
 // returns the ID of the peer at that address, also if the call fails after connecting.
 // If it can't connect, the errors contain the address in place of the ID.
 func (t *Transport) CallAddr(ctx context.Context, addr string, op Op, body, result any) (model.InstanceID, error) {
 	c := t.connByAddr(addr)
 	if c == nil {
-		_, err, _ := t.dials.Do(addr, func() (any, error) { return nil, t.dial(addr) })
-		if err != nil {
+		if err := t.dialShared(ctx, addr); err != nil {
 			return "", &ConnectionError{Peer: model.InstanceID(addr), Cause: err}
 		}
 		if c = t.connByAddr(addr); c == nil {
--- a/internal/peer/call_test.go
+++ b/internal/peer/call_test.go
@@ -1,12 +1,15 @@
 package peer
 
 import (
+	"context"
 	"errors"
+	"net"
 	"testing"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/keys"
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/standin"
 )
 
 func selfSigned(t *testing.T, fleet string, id model.InstanceID) *keys.Credentials {
@@ -42,3 +45,23 @@
 		t.Errorf("the call by a peer of another fleet returned %v", err)
 	}
 }
+
+// TestCallOfASilentAddressEndsWithItsContext guards against calls with a short time limit that
+// are held for the whole time of a connection attempt.
+func TestCallOfASilentAddressEndsWithItsContext(t *testing.T) {
+	silent, err := net.ListenPacket("udp", net.JoinHostPort(standin.LoopbackIP(133), "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	a, _ := startTransport(t, 134, selfSigned(t, "gateways", "a"))
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		// The first packet of the attempt has arrived.
+		_, _, _ = silent.ReadFrom(make([]byte, 2048))
+		cancel()
+	}()
+	if _, err := a.CallAddr(ctx, silent.LocalAddr().String(), OpReadObjects, "routes", nil); !errors.Is(err, context.Canceled) {
+		t.Errorf("the call returned %v", err)
+	}
+}
