A call that ends leaves its connection to the calls that share it

Cause: a call whose context ended closed the connection, so that a peer that went silent is dialed anew. Cancelled calls and those with a short limit, such as a search for a relay or a question for a permit, took the connection from requests that were held on it for a change, and made all of them start over.

Change: the connection is closed if nothing at all was received on it during the call and the peer had the time to acknowledge the request; a cancelled call never closes it. A frozen or unreachable peer acknowledges nothing, so it is still dialed anew after the first call that times out.

Weighed: never closing (a silent connection would stay until its idle time, 3 s between gateways), closing after several failures (slower for no gain).

TestEndedCallLeavesTheConnectionToOthers fails on the code before for both ends of a call.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -62,6 +63,10 @@
 // serveTimeout limits the time to read, handle and answer one request.
 const serveTimeout = 10 * time.Second
 
+// ackTimeout is the time in which a peer acknowledges a request: a round trip to another
+// region takes 24 ms, and QUIC delays acknowledgements by up to 25 ms.
+const ackTimeout = 100 * time.Millisecond
+
 // request is the only frame that the requester sends on a stream.
 type request struct {
 	Op   Op              `cbor:"1,keyasint"`
@@ -78,8 +83,8 @@
 func (t *Transport) Handle(op Op, handler RequestHandler) { t.handlers[op] = handler }
 
 // DialAndCall is like Call, but dials addr if there is no connection to the peer. If
-// the call ends with *ConnectionError, also because ctx is done, the connection is
-// closed, so that the next call opens a new one.
+// the call fails on a connection that seems dead, the connection is closed, so that the next
+// call opens a new one. Other calls on a connection that works are not affected.
 func (t *Transport) DialAndCall(ctx context.Context, peer model.InstanceID, addr string, op Op, body, result any) error {
 	c := t.conn(peer)
 	if c == nil {
@@ -90,14 +95,25 @@
 			return &NotConnectedError{Peer: peer}
 		}
 	}
+	startedAt, received := time.Now(), c.ConnectionStats().PacketsReceived
 	err := c.call(ctx, op, body, result)
 	var failed *ConnectionError
-	if eris.As(err, &failed) {
+	if eris.As(err, &failed) && c.isSilent(ctx, startedAt, received) {
 		_ = c.CloseWithError(closeNotNeeded, "")
 	}
 	return err
 }
 
+// isSilent reports whether a connection on which a call failed is to be given up: nothing was
+// received during the call, although the peer had the time to acknowledge the request. A
+// call that the caller cancelled says nothing about the connection.
+func (c *conn) isSilent(ctx context.Context, startedAt time.Time, received uint64) bool {
+	if ctx.Err() == nil {
+		return true
+	}
+	return !errors.Is(ctx.Err(), context.Canceled) && time.Since(startedAt) >= ackTimeout && c.ConnectionStats().PacketsReceived == received
+}
+
 // dialShared opens a connection that concurrent calls of the same address share. If ctx ends
 // first, it returns the cause; the attempt goes on for the other calls and the next ones.
 func (t *Transport) dialShared(ctx context.Context, addr string) error {
--- a/internal/peer/call_test.go
+++ b/internal/peer/call_test.go
@@ -65,3 +65,50 @@
 		t.Errorf("the call returned %v", err)
 	}
 }
+
+// TestEndedCallLeavesTheConnectionToOthers guards against a call that is cancelled, or whose
+// time ends, and takes the connection from the calls that share it.
+func TestEndedCallLeavesTheConnectionToOthers(t *testing.T) {
+	for name, limited := range map[string]func(context.Context) (context.Context, context.CancelFunc){
+		"cancelled": func(ctx context.Context) (context.Context, context.CancelFunc) { return context.WithCancel(ctx) },
+		"timed out": func(ctx context.Context) (context.Context, context.CancelFunc) {
+			return context.WithTimeout(ctx, 2*ackTimeout)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, _ := startTransport(t, 135, selfSigned(t, "gateways", "a"))
+			b, _ := newTransport(t, 136, selfSigned(t, "gateways", "b"))
+			arrived, release := make(chan bool, 2), make(chan bool)
+			b.Handle(OpAwaitChange, func(model.InstanceID, []byte) (any, error) {
+				arrived <- true
+				<-release
+				return "changed", nil
+			})
+			b.Start()
+			waiting := make(chan error, 1)
+			go func() {
+				_, err := a.CallAddr(t.Context(), b.Addr(), OpAwaitChange, "first", new(string))
+				waiting <- err
+			}()
+			<-arrived
+			ctx, cancel := limited(t.Context())
+			ended := make(chan error, 1)
+			go func() {
+				_, err := a.CallAddr(ctx, b.Addr(), OpAwaitChange, "second", new(string))
+				ended <- err
+			}()
+			<-arrived
+			if name == "cancelled" {
+				cancel()
+			}
+			if err := <-ended; err == nil {
+				t.Error("the second call has not ended with its context")
+			}
+			cancel()
+			close(release)
+			if err := <-waiting; err != nil {
+				t.Errorf("the call beside it returned %v", err)
+			}
+		})
+	}
+}
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -65,6 +65,14 @@
 // startTransport starts a transport on the n-th loopback address until the test ends. It
 // answers OpReadObjects.
 func startTransport(t *testing.T, n int, c *keys.Credentials, protocols ...string) (*Transport, *recordingHandler) {
+	t.Helper()
+	tr, r := newTransport(t, n, c, protocols...)
+	tr.Start()
+	return tr, r
+}
+
+// newTransport is like startTransport, but leaves the start to the test.
+func newTransport(t *testing.T, n int, c *keys.Credentials, protocols ...string) (*Transport, *recordingHandler) {
 	t.Helper()
 	r := newRecordingHandler()
 	tr, err := Listen(Options{
@@ -81,7 +89,6 @@
 		}
 		return string(from) + " asks for " + name, nil
 	})
-	tr.Start()
 	t.Cleanup(tr.Stop)
 	return tr, r
 }
