Follow the operator's requests to evacuate a failure domain

Need: an entry of the store asks that nothing more be sent to the targets of a failure domain until it is removed, in force within 5 s. Nothing read it.

They travel whole, by a digest and the store's revision, in the messages that carry targets: to gateways behind a relay, and by the exchange while the store is away. An older state never replaces a newer one. Gateways behind a relay list nothing at their start if the relay knows the evacuations.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -27,13 +27,17 @@
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
-// Provider connects a gateway to a platform: it supplies the sources of routes and
-// targets, their decoders, and the protocol with targets.
+// Provider connects a gateway to a platform: it supplies the sources of routes, targets
+// and evacuations, their decoders, and the protocol with targets.
 type Provider struct {
 	Routes, Targets replica.Source
 	DecodeRoutes    replica.RouteDecoder
 	DecodeTarget    replica.TargetDecoder
-	Protocol        *upstream.Protocol
+	// Evacuations are the requests to evacuate failure domains. They are read only if the
+	// settings say so.
+	Evacuations      replica.Source
+	DecodeEvacuation replica.EvacuationDecoder
+	Protocol         *upstream.Protocol
 	// SettingsUpdates delivers changed settings. If it is nil, settings are not reloaded.
 	SettingsUpdates <-chan *settings.Gateway
 	// DroppedLogLines, if set, returns the number of log lines dropped so far.
@@ -157,6 +161,9 @@
 		Routes:  &replica.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
 		Targets: &replica.Targets{Decode: g.provider.DecodeTarget, Table: g.table, Observer: g},
 	}
+	if g.settings.EvacuationTimeout > 0 {
+		local.Evacuations = &replica.Evacuations{Decode: g.provider.DecodeEvacuation, Table: g.table, Observer: g}
+	}
 	relay := g.startPeerSync(lc, local)
 	routes := g.newFollower("routes", g.provider.Routes, local.Routes, relay)
 	routes.Consistency, routes.BatchDelay, routes.Relay = replica.Strong, routesBatchDelay, relay.routes
@@ -166,6 +173,9 @@
 	targets.Consistency = replica.Eventual
 	targets.BatchDelay, targets.Relay = time.Duration(targetsBatchShare*float64(g.settings.DrainTimeout)), relay.targets
 	runLoop(lc, targets.Run)
+	if local.Evacuations != nil {
+		g.followEvacuations(lc, local.Evacuations, relay)
+	}
 	if g.provider.SettingsUpdates != nil {
 		runLoop(lc, g.reload)
 	}
@@ -173,7 +183,7 @@
 }
 
 // newFollower returns a follower that keeps a view up to date with the objects of a source.
-// The kind is "routes" or "targets".
+// The kind is "routes", "targets" or "evacuations".
 func (g *gateway) newFollower(kind string, source replica.Source, view replica.View, relay peerRelay) *replica.Follower {
 	watchWait := g.settings.SettleTimeout - watchReserve
 	if relay.isRelay {
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -32,8 +32,8 @@
 // peerRelay is how a gateway learns the store's changes from its peers. The zero value is
 // that of a gateway without peers.
 type peerRelay struct {
-	// routes and targets are Follower.Relay of the two followers, or nil.
-	routes, targets replica.Relay
+	// routes, targets and evacuations are Follower.Relay of the followers, or nil.
+	routes, targets, evacuations replica.Relay
 	// isRelay is set if this gateway relays changes to others.
 	isRelay bool
 }
@@ -87,7 +87,7 @@
 		return 0
 	})
 	runLoop(lc, client.Run)
-	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay()}
+	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay(), evacuations: client.EvacuationsRelay()}
 }
 
 // sharePermits divides the limits that targets state among the seeds.
@@ -104,6 +104,9 @@
 	local.Current = func() bool { return g.isReady() && !g.breaker.Open() }
 	local.Routes.OnChange = local.NotifyChanged
 	local.Targets.OnChange = local.NotifyChanged
+	if local.Evacuations != nil {
+		local.Evacuations.OnChange = local.NotifyChanged
+	}
 	g.breaker.OnOpen = local.NotifyChanged
 	g.onShutdown = local.NotifyChanged
 	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local}).HandleAwaitChange)
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -29,6 +29,9 @@
 	// have lost the store. A relay regains it about half a second after a lost history;
 	// then it has listed the targets for all its peers.
 	lossTolerance = time.Second
+	// startTolerance is how long the evacuations may be missing after a start, until they are
+	// listed: a relay that has started too is ready after about a second.
+	startTolerance = 1500 * time.Millisecond
 	// searchInterval is the time between two searches during lossTolerance, and
 	// idleSearchInterval that without a relay.
 	searchInterval     = 100 * time.Millisecond
@@ -50,8 +53,8 @@
 // changes. It is safe for concurrent use.
 type RelayServer struct{ Replica *replica.Replica }
 
-// HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets and the
-// versions held as soon as the targets differ from the requester's, newer routes are in
+// HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets and evacuations
+// and the versions held as soon as these differ from the requester's, newer routes are in
 // force or the instance can no longer relay; without a change it does after the wait asked
 // for. It never sends routes: every peer reads them from the store, because the same large
 // document sent to all peers would fill the instance's link.
@@ -66,7 +69,7 @@
 		changed := s.Replica.Changed()
 		delta := s.Replica.DeltaFor(req.Versions)
 		delta.Routes = nil
-		if delta.HasTargets() || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
+		if delta.HasTargets() || delta.Evacuations != nil || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
 			return delta, nil
 		}
 		select {
@@ -117,10 +120,19 @@
 			relay, found = c.replaceRelay(ctx, relay, responds)
 		}
 		c.setLost()
-		wait.For(ctx, idleSearchInterval)
+		wait.For(ctx, c.idleInterval())
 	}
 }
 
+// idleInterval returns the time until the next search for a relay. An instance that waits for
+// the evacuations searches as soon as its own state is known.
+func (c *RelayClient) idleInterval() time.Duration {
+	if own := c.Replica.Versions(); own.Evacuations.Followed && own.Evacuations.AsOf == 0 {
+		return searchInterval
+	}
+	return idleSearchInterval
+}
+
 // replaceRelay returns the next relay after one that has lost the store or, if responds is
 // not set, is silent. The silent one may have been without the store before, so its return
 // is not waited for.
@@ -214,11 +226,20 @@
 		c.routesAsOf = max(c.routesAsOf, remote.Versions.RoutesAsOf)
 		c.Replica.Routes.Holder.Confirm(route.FromRelay)
 	}
-	if c.isBehind(own) {
+	if c.Replica.Evacuations != nil && remote.Versions.Evacuations.Digest == own.Evacuations.Digest && remote.Versions.Evacuations.AsOf > 0 {
+		c.Replica.Evacuations.Confirm()
+	}
+	if c.isBehind(own) || !c.relaysEvacuations() {
 		c.end()
 	}
 }
 
+// relaysEvacuations reports whether the relay knows the evacuations, if this instance follows
+// them. c.mu must be held.
+func (c *RelayClient) relaysEvacuations() bool {
+	return c.Replica.Evacuations == nil || c.latest.Evacuations.AsOf > 0
+}
+
 // setLost records that no relay follows the store for this instance.
 func (c *RelayClient) setLost() {
 	c.mu.Lock()
@@ -258,6 +279,11 @@
 // TargetsRelay returns the replica.Relay of the follower of the targets.
 func (c *RelayClient) TargetsRelay() replica.Relay { return &relayWaiter{client: c} }
 
+// EvacuationsRelay returns the replica.Relay of the follower of the evacuations.
+func (c *RelayClient) EvacuationsRelay() replica.Relay {
+	return &relayWaiter{client: c, evacuations: true}
+}
+
 // RoutesRelay returns the replica.Relay of the follower of the routes, which are behind if
 // the relay has newer ones.
 func (c *RelayClient) RoutesRelay() replica.Relay { return &relayWaiter{client: c, routes: true} }
@@ -265,15 +291,20 @@
 // relayWaiter implements replica.Relay for one follower.
 type relayWaiter struct {
 	client *RelayClient
-	routes bool
+	// routes or evacuations is set if the follower is not that of the targets.
+	routes, evacuations bool
 }
 
 // AwaitReturn implements replica.Relay.
 func (w *relayWaiter) AwaitReturn(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, lossTolerance)
+	tolerance := lossTolerance
+	if w.evacuations {
+		tolerance = startTolerance
+	}
+	ctx, cancel := context.WithTimeout(ctx, tolerance)
 	defer cancel()
 	for ctx.Err() == nil {
-		if w.client.Relayed() {
+		if w.isRelayed() {
 			return true
 		}
 		wait.For(ctx, searchInterval)
@@ -281,6 +312,14 @@
 	return false
 }
 
+// isRelayed reports whether a relay answers that knows what the follower is for.
+func (w *relayWaiter) isRelayed() bool {
+	c := w.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current && (!w.evacuations || c.relaysEvacuations())
+}
+
 // StrongReadFinished implements replica.Relay.
 func (w *relayWaiter) StrongReadFinished() {
 	w.client.mu.Lock()
@@ -317,7 +356,10 @@
 	if w.routes {
 		state.AsOf = c.routesAsOf
 	}
-	if !c.current {
+	if w.evacuations {
+		state.AsOf = own.Evacuations.AsOf
+	}
+	if !c.current || (w.evacuations && !c.relaysEvacuations()) {
 		return nil
 	}
 	state.Relayed = true
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -36,7 +36,7 @@
 
 func newRelayStore(targets int) *relayStore {
 	s := &relayStore{
-		objects: map[string]map[string]replica.Object{"routes": {}, "targets": {}},
+		objects: map[string]map[string]replica.Object{"routes": {}, "targets": {}, "evacuations": {}},
 		changed: make(chan struct{}), calls: make(map[string]int), downFor: func(string, string) bool { return false },
 	}
 	s.put("routes", "main", "1")
@@ -156,12 +156,17 @@
 	// applied and left are the times at which routes came in force and targets left.
 	applied map[model.Revision]time.Time
 	left    map[model.TargetID]time.Time
+	// evacuated are the times at which failure domains were to be evacuated, returned those at
+	// which they took requests again.
+	evacuated, returned map[model.FailureDomain]time.Time
 }
 
 // relayNetwork connects nodes by name. A node that is missing or silent never responds.
 type relayNetwork struct {
 	mu    sync.Mutex
 	nodes map[string]*relayNode
+	// evacuations is set if the nodes follow evacuations.
+	evacuations bool
 }
 
 // CallAddr implements Transport.
@@ -245,7 +250,8 @@
 
 // start adds a node and runs it until ctx ends. Nodes named "seed-..." are relays.
 func (n *relayNetwork) start(ctx context.Context, store *relayStore, name string, seeds ...string) *relayNode {
-	node := &relayNode{applied: make(map[model.Revision]time.Time), left: make(map[model.TargetID]time.Time)}
+	node := &relayNode{applied: make(map[model.Revision]time.Time), left: make(map[model.TargetID]time.Time),
+		evacuated: make(map[model.FailureDomain]time.Time), returned: make(map[model.FailureDomain]time.Time)}
 	o := nodeObserver{node: node, mu: &n.mu}
 	decodeRoutes := func(object replica.Object) (route.Config, bool, error) {
 		revision, err := strconv.ParseUint(string(object.Value), 10, 64)
@@ -272,13 +278,20 @@
 	} else {
 		node.client = &RelayClient{Replica: node.replica, OnMerge: func() {}, Transport: n, Seeds: seeds, Log: zap.NewNop()}
 		routes.Relay, targets.Relay = node.client.RoutesRelay(), node.client.TargetsRelay()
-		go node.client.Run(ctx)
+	}
+	followers := []*replica.Follower{routes, targets}
+	if n.evacuations {
+		followers = append(followers, n.evacuationsFollower(node, follower, o))
 	}
 	n.mu.Lock()
 	n.nodes[name] = node
 	n.mu.Unlock()
-	go routes.Run(ctx)
-	go targets.Run(ctx)
+	if node.client != nil {
+		go node.client.Run(ctx)
+	}
+	for _, f := range followers {
+		go f.Run(ctx)
+	}
 	return node
 }
 
--- a/internal/peersync/sync.go
+++ b/internal/peersync/sync.go
@@ -116,7 +116,7 @@
 	s.merge(from, remote)
 	s.names.compare(s.Replica, remote.Versions)
 	delta := s.Replica.DeltaFor(remote.Versions)
-	if delta.Routes == nil && !delta.HasTargets() {
+	if !delta.HasState() {
 		return
 	}
 	var after replica.Versions
@@ -127,7 +127,7 @@
 
 // merge merges the state of a peer, if there is any.
 func (s *Syncer) merge(from model.InstanceID, state replica.Delta) {
-	if state.Routes == nil && !state.HasTargets() && state.Versions.AsOf <= s.Replica.Versions().AsOf {
+	if own := s.Replica.Versions(); !state.HasState() && state.Versions.AsOf <= own.AsOf && state.Versions.Evacuations.AsOf <= own.Evacuations.AsOf {
 		return
 	}
 	s.Replica.Merge(state)
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -105,6 +105,9 @@
 	Floor *Floor
 	// Relay, if set, replaces watches of the store while peers relay its changes.
 	Relay Relay
+	// StartFromRelay makes Run list the objects only if no relay brings them soon after the
+	// start.
+	StartFromRelay bool
 
 	outageStarted       time.Time
 	callStarted         time.Time
@@ -122,8 +125,14 @@
 
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	var after uint64
+	var err error
+	started := f.StartFromRelay && f.Relay != nil && f.Relay.AwaitReturn(ctx)
 	for ctx.Err() == nil {
-		after, err := f.list(ctx)
+		if !started {
+			after, err = f.list(ctx)
+		}
+		started = false
 		for (err == nil || f.relayReturns(ctx, err)) && ctx.Err() == nil {
 			after, err = f.watch(ctx, after)
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -32,6 +32,8 @@
 	// Current is set while the instance follows the store closely enough to relay its
 	// changes to others.
 	Current bool `cbor:"7,keyasint,omitempty"`
+	// Evacuations identifies the evacuations of failure domains; zero if none are followed.
+	Evacuations EvacuationsVersion `cbor:"8,keyasint,omitzero"`
 }
 
 // Delta is what one instance sends to another: its versions, and the routes and
@@ -49,6 +51,9 @@
 	Since uint64 `cbor:"5,keyasint,omitempty"`
 	// Removed holds the name hashes of the entries removed after Since.
 	Removed []byte `cbor:"6,keyasint,omitempty"`
+	// Evacuations are all failure domains to evacuate, or nil if the other holds the same or
+	// newer ones.
+	Evacuations *EvacuationList `cbor:"7,keyasint,omitempty"`
 }
 
 // HasTargets reports whether the delta changes the other's list of targets.
@@ -72,6 +77,8 @@
 type Replica struct {
 	Routes  *Routes
 	Targets *Targets
+	// Evacuations is nil if evacuations of failure domains aren't followed.
+	Evacuations *Evacuations
 	// Current, if set, provides the field of Versions of the same name.
 	Current func() bool
 
@@ -110,6 +117,7 @@
 		v.Routes = t.Revision
 	}
 	v.AcceptsRemovals = true
+	v.Evacuations = r.Evacuations.version()
 	v.Current = r.Current != nil && r.Current()
 	return v
 }
@@ -125,11 +133,17 @@
 	if own.AsOf > other.AsOf && own.Digest != other.Digest {
 		r.Targets.addChanges(&d, other)
 	}
+	r.Evacuations.addTo(&d, other.Evacuations)
 	return d
 }
 
-// Merge merges what another instance sent, as far as it is newer.
+// HasState reports whether the delta changes anything that the other holds.
+func (d *Delta) HasState() bool { return d.Routes != nil || d.HasTargets() || d.Evacuations != nil }
+
+// Merge merges what another instance sent, as far as it is newer. Evacuations come first, so
+// that a target that is new with them gets nothing.
 func (r *Replica) Merge(d Delta) {
+	r.Evacuations.merge(d)
 	if d.Routes != nil {
 		r.Routes.apply(*d.Routes, route.FromPeer)
 	}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -41,6 +41,8 @@
 	Distance model.Distance
 	State    TargetState
 	Load     *Load
+	// domain is the state of the target's failure domain, shared by all snapshots, or nil.
+	domain *domainState
 	// rendezvousHash orders the targets differently for each instance; lower hashes
 	// are preferred.
 	rendezvousHash uint64
--- a/internal/routing/limited.go
+++ b/internal/routing/limited.go
@@ -50,7 +50,7 @@
 // if none is paused.
 func shortestPause(pool *Pool, req ProbingRequest, now time.Duration) (left time.Duration) {
 	for _, e := range pool.Endpoints {
-		if !e.isLeaving() && req.admits(e) {
+		if !e.isLeaving() && !e.domain.isEvacuated() && req.admits(e) {
 			left = earlier(left, e.Load.pauseLeft(now))
 		}
 	}
--- a/internal/routing/statement.go
+++ b/internal/routing/statement.go
@@ -77,5 +77,5 @@
 
 // takesRequests reports whether the target takes new requests at a reading of a Clock.
 func (e *Endpoint) takesRequests(now time.Duration) bool {
-	return !e.isLeaving() && e.Load.pauseLeft(now) == 0
+	return !e.isLeaving() && !e.domain.isEvacuated() && e.Load.pauseLeft(now) == 0
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -36,6 +36,7 @@
 	position Position
 	targets  map[model.ServiceName][]model.Target
 	entries  map[model.TargetID]*entry
+	domains  map[model.FailureDomain]*domainState
 }
 
 // entry holds what survives snapshot changes for one target.
@@ -56,6 +57,7 @@
 		self:    self,
 		targets: make(map[model.ServiceName][]model.Target),
 		entries: make(map[model.TargetID]*entry),
+		domains: make(map[model.FailureDomain]*domainState),
 	}
 	t.current.Store(&Snapshot{})
 	return t
@@ -186,6 +188,7 @@
 		Distance:       t.self.DistanceTo(target.Location),
 		State:          state,
 		Load:           entry.load,
+		domain:         t.domain(target.Location.FailureDomain),
 		rendezvousHash: entry.rendezvousHash,
 		slotShare:      int32(slotShareOf(target.Slots, instancesPerTarget)),
 		maxInFlight:    int32(target.Slots),
