Send requests with a key only under recently confirmed routes

Need: with keys.withdrawWithin nothing may be sent later than that after a key was withdrawn, at gateways in touch or not. A gateway that was cut off served a withdrawn key for as long as it was.

Weighed: own strong reads of each gateway (137 gateways make 152 priced calls a second at watches of 0.9 s); confirmations that count from the answer of a read (unsound: the store may have changed while it was under way). So relays pass on the age of their own confirmation, which counts from the beginning of the read.

Change: a confirmation tells when its read began; its age is the longer one of the monotonic and the wall clock. The relay's answers carry the age (Versions key 9) and for how long the request was held (Delta key 8); a relay now builds its answer at the end of the wait instead of the beginning. dispatch checks key and age right before each send. With the setting, relays watch the routes for a tenth of it, and a gateway whose relay doesn't confirm reads the store itself.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -58,6 +58,16 @@
 	// delayed after targets changed: a release changes several per second. The rest is
 	// for the call and its latency.
 	targetsBatchShare = 0.25
+	// Shares of the setting "keys.withdrawWithin". Callers with keys may expect to be served for
+	// 0.6 of it without a way to the store, so a confirmation may be at most 0.4 of it old
+	// while there is one. It is as old as two watches, since it counts from the beginning of
+	// the one before; or two watches of a relay and the request that the relay holds.
+	confirmingWatchShare = 0.18
+	relayWatchShare      = 0.1
+	relayHoldShare       = 0.12
+	// confirmSelfShare is the age from which an instance reads the store itself although a
+	// relay answers.
+	confirmSelfShare = 0.5
 	// acceptPeriod is how long a gateway accepts new connections during shutdown: its
 	// readiness is checked every second, and two failed checks take it out of rotation.
 	acceptPeriod = 2300 * time.Millisecond
@@ -102,8 +112,11 @@
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
 		Quarantine:  marks,
-		Log:         log,
-		Metrics:     dispatch.NewMetrics(set),
+
+		WithdrawKeysWithin: s.Keys.WithdrawWithin,
+
+		Log:     log,
+		Metrics: dispatch.NewMetrics(set),
 	})
 }
 
@@ -156,6 +169,7 @@
 	relay := g.startPeerSync(lc, local)
 	routes := g.newFollower("routes", g.provider.Routes, local.Routes, relay)
 	routes.Consistency, routes.BatchDelay, routes.Relay = replica.Strong, routesBatchDelay, relay.routes
+	routes.WatchWait = g.confirmingWatchWait(routes.WatchWait, relay.isRelay)
 	runLoop(lc, routes.Run)
 	targets := g.newFollower("targets", g.provider.Targets, local.Targets, relay)
 	// Targets change often: their watches are the cheaper ones, bounded by those of the routes.
@@ -168,6 +182,20 @@
 	lc.Append(fx.Hook{OnStart: g.start, OnStop: g.shutDown})
 }
 
+// confirmingWatchWait returns how long the store may hold a watch of the routes so that their
+// confirmation stays recent enough where keys are withdrawn in a bounded time.
+func (g *gateway) confirmingWatchWait(watchWait time.Duration, isRelay bool) time.Duration {
+	within := g.settings.Keys.WithdrawWithin
+	if within == 0 {
+		return watchWait
+	}
+	share := confirmingWatchShare
+	if isRelay {
+		share = relayWatchShare
+	}
+	return min(watchWait, time.Duration(share*float64(within)))
+}
+
 // newFollower returns a follower that keeps a view up to date with the objects of a source.
 // The kind is "routes" or "targets".
 func (g *gateway) newFollower(kind string, source replica.Source, view replica.View, relay peerRelay) *replica.Follower {
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -80,6 +80,10 @@
 		return peerRelay{isRelay: true}
 	}
 	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds, Log: g.log}
+	if within := g.settings.Keys.WithdrawWithin; within > 0 {
+		client.HoldRequests = min(peersync.AwaitWait, time.Duration(relayHoldShare*float64(within)))
+		client.MaxConfirmationAge = time.Duration(confirmSelfShare * float64(within))
+	}
 	g.set.NewGauge("redwingpoint_store_changes_relayed", func() float64 {
 		if client.Relayed() {
 			return 1
--- a/internal/dispatch/caller.go
+++ b/internal/dispatch/caller.go
@@ -47,6 +47,30 @@
 	return c, &localReply{status: http.StatusUnauthorized, cause: CauseKeyUnknown, table: table}
 }
 
+// checkKey returns the reply to a request whose key the routes in force no longer know, or may
+// have lost since they were confirmed, or nil. It is called right before each send, so that
+// all waits count.
+func (f *forwarder) checkKey() *localReply {
+	if f.organisation == nil {
+		return nil
+	}
+	confirmed := f.d.Routes.Confirmed()
+	if table := f.d.Routes.Current(); table.Revision != f.revision && table.KeysRequired {
+		switch o := table.OrganisationOf(f.caller.key); {
+		case o == nil:
+			return &localReply{status: http.StatusUnauthorized, cause: CauseKeyUnknown}
+		case o.Name != f.organisation.Name:
+			return &localReply{status: http.StatusServiceUnavailable, cause: CauseKeysUnconfirmed, retryAfter: minRetryAfter}
+		}
+	}
+	if within := f.d.WithdrawKeysWithin; within > 0 {
+		if age := confirmed.Age(); age < 0 || age > within-keySendMargin {
+			return &localReply{status: http.StatusServiceUnavailable, cause: CauseKeysUnconfirmed, retryAfter: unconfirmedRetryAfter}
+		}
+	}
+	return nil
+}
+
 // bearerKey returns the key in the values of keyField. It reports false unless there is one
 // value, of the scheme and with one key.
 func bearerKey(values []string) (key string, found bool) {
--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -42,9 +42,13 @@
 	// about a second.
 	noRoutesRetryAfter = 200 * time.Millisecond
 	// maxDenialAge is the age of the confirmation up to which an unknown key is denied, in a
-	// way that callers don't repeat. Later the key may be one that the configuration has
-	// meanwhile; instances without a relay confirm their routes every 1.6 s as a rule.
-	maxDenialAge = 2 * time.Second
+	// way that callers don't repeat: platforms allow 2 to 3 s until a change is in force. Later
+	// the key may be one that the configuration has meanwhile.
+	maxDenialAge = 3 * time.Second
+	// keySendMargin is kept between the last send of a request with a key and the time at
+	// which a withdrawal of the key must be in force: a new connection to a target of another
+	// region takes some 50 ms.
+	keySendMargin = 100 * time.Millisecond
 	// unconfirmedRetryAfter is advised while the keys in force aren't confirmed: another
 	// instance may know more, or this one after its next read.
 	unconfirmedRetryAfter = 100 * time.Millisecond
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -71,8 +71,11 @@
 	Protocol    *upstream.Protocol
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
-	Log         *zap.Logger
-	Metrics     *Metrics
+	// WithdrawKeysWithin is the maximum time after the withdrawal of a key until no request
+	// with it is sent to a target. Zero means no bound of its own.
+	WithdrawKeysWithin time.Duration
+	Log                *zap.Logger
+	Metrics            *Metrics
 }
 
 // Dispatcher forwards the requests of callers to targets. It implements
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -62,10 +62,16 @@
 	var lastFailure localReply
 	for {
 		var candidate routing.Candidate
-		reply := f.checkQuarantine()
+		reply := f.checkKey()
+		if reply == nil {
+			reply = f.checkQuarantine()
+		}
 		if reply == nil {
 			candidate, reply = f.selectTarget(workCtx, lastFailure)
 		}
+		if reply == nil {
+			reply = f.checkKey()
+		}
 		if reply == nil {
 			reply = f.checkShutdown()
 		}
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -1,6 +1,7 @@
 package peersync
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -18,8 +19,8 @@
 	// RelayWatchWait is how long the store may hold a watch of a relay. A relay notices a
 	// watch that the store dropped after this and the timeout of the response.
 	RelayWatchWait = 700 * time.Millisecond
-	// awaitWait is how long a relay holds a request without a change.
-	awaitWait = 600 * time.Millisecond
+	// AwaitWait is how long a relay holds a request without a change.
+	AwaitWait = 600 * time.Millisecond
 	// maxAwaitWait bounds the wait that a request may ask for.
 	maxAwaitWait = 2 * time.Second
 	// searchTimeout bounds the search for a relay. A handshake and a call across regions
@@ -36,7 +37,7 @@
 	// MaxRelayLag is the longest time for which a relay that lost the store first, and its
 	// peer right after, delays a change: the watch and the request with their timeouts, and
 	// the search for another relay.
-	MaxRelayLag = RelayWatchWait + awaitWait + 2*exchangeTimeout + searchTimeout
+	MaxRelayLag = RelayWatchWait + AwaitWait + 2*exchangeTimeout + searchTimeout
 )
 
 // awaitRequest is the request of peer.OpAwaitChange.
@@ -60,19 +61,25 @@
 	if err := peer.Decode(body, &req); err != nil {
 		return nil, err
 	}
+	arrivedAt := time.Now()
 	timer := time.NewTimer(min(time.Duration(req.WaitMillis)*time.Millisecond, maxAwaitWait))
 	defer timer.Stop()
-	for {
+	for expired := false; ; {
 		changed := s.Replica.Changed()
+		confirmed := s.Replica.Routes.Holder.Confirmed()
 		delta := s.Replica.DeltaFor(req.Versions)
 		delta.Routes = nil
-		if delta.HasTargets() || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
+		// In this order, a pause of the process between the two makes the confirmation seem
+		// older, not younger.
+		delta.HeldMillis = time.Since(arrivedAt).Milliseconds()
+		delta.Versions.SetConfirmation(confirmed)
+		if expired || delta.HasTargets() || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
 			return delta, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return delta, nil
+			expired = true
 		}
 	}
 }
@@ -87,6 +94,12 @@
 	// Seeds are the peer addresses of the instances that may relay.
 	Seeds []string
 	Log   *zap.Logger
+	// HoldRequests is how long a relay may hold a request without a change; zero means
+	// AwaitWait.
+	HoldRequests time.Duration
+	// MaxConfirmationAge is the age of the confirmation of the routes from which the store is
+	// read although a relay answers; zero means never.
+	MaxConfirmationAge time.Duration
 
 	names nameComparison
 
@@ -187,15 +200,18 @@
 
 // awaitChange asks a relay for the next change and merges its targets.
 func (c *RelayClient) awaitChange(ctx context.Context, relay string) (replica.Delta, error) {
-	ctx, cancel := context.WithTimeout(ctx, awaitWait+exchangeTimeout)
+	hold := cmp.Or(c.HoldRequests, AwaitWait)
+	ctx, cancel := context.WithTimeout(ctx, hold+exchangeTimeout)
 	defer cancel()
 	var remote replica.Delta
-	request := awaitRequest{Versions: c.names.ownVersions(c.Replica), WaitMillis: uint32(awaitWait.Milliseconds())}
+	request := awaitRequest{Versions: c.names.ownVersions(c.Replica), WaitMillis: uint32(hold.Milliseconds())}
 	// The relay need not tell again of routes that are being read from the store.
 	request.Versions.Routes = max(request.Versions.Routes, c.toldRoutes())
+	sentAt := time.Now()
 	if _, err := c.Transport.CallAddr(ctx, relay, peer.OpAwaitChange, request, &remote); err != nil {
 		return replica.Delta{}, err
 	}
+	c.confirm(remote, sentAt)
 	c.Replica.Merge(remote)
 	c.names.compare(c.Replica, remote.Versions)
 	if remote.HasTargets() {
@@ -204,6 +220,18 @@
 	return remote, nil
 }
 
+// confirm passes on the relay's confirmation of routes that are in force here or were before.
+// The relay got the request after it was sent and held it, so that the confirmation is as old as
+// it says at the end of that time; what the response needed is added to the age.
+func (c *RelayClient) confirm(remote replica.Delta, sentAt time.Time) {
+	age, confirmed := remote.Versions.ConfirmedAge()
+	if !confirmed || !remote.Versions.Current || remote.Versions.Routes > c.Replica.Versions().Routes {
+		return
+	}
+	held := time.Duration(remote.HeldMillis) * time.Millisecond
+	c.Replica.Routes.Holder.Confirm(route.FromRelay, sentAt.Add(held-age))
+}
+
 // accept records a response of a relay that follows the store.
 func (c *RelayClient) accept(remote replica.Delta) {
 	own := c.Replica.Versions()
@@ -212,7 +240,6 @@
 	c.current, c.latest = true, remote.Versions
 	if remote.Versions.Routes == own.Routes {
 		c.routesAsOf = max(c.routesAsOf, remote.Versions.RoutesAsOf)
-		c.Replica.Routes.Holder.Confirm(route.FromRelay)
 	}
 	if c.isBehind(own) {
 		c.end()
@@ -300,12 +327,29 @@
 		}
 		select {
 		case <-ended:
+		case <-w.untilUnconfirmed():
 		case <-ctx.Done():
 			return state
 		}
 	}
 }
 
+// untilUnconfirmed returns a channel that receives when the confirmation of the routes is too
+// old, or nil if its age doesn't matter.
+func (w *relayWaiter) untilUnconfirmed() <-chan time.Time {
+	if !w.routes || w.client.MaxConfirmationAge == 0 {
+		return nil
+	}
+	return time.After(w.client.MaxConfirmationAge - w.client.Replica.Routes.Holder.Confirmed().Age())
+}
+
+// isUnconfirmed reports whether the store must be read because the confirmation of the routes
+// is too old.
+func (w *relayWaiter) isUnconfirmed() bool {
+	limit := w.client.MaxConfirmationAge
+	return w.routes && limit > 0 && w.client.Replica.Routes.Holder.Confirmed().Age() >= limit
+}
+
 // check updates the state and returns the channel to wait for, or nil if the follower must
 // go to the store.
 func (w *relayWaiter) check(state *replica.RelayState) <-chan struct{} {
@@ -326,6 +370,9 @@
 		c.soughtRoutes = c.latest.Routes
 		return nil
 	}
+	if w.isUnconfirmed() {
+		return nil
+	}
 	if c.ended == nil {
 		c.ended = make(chan struct{})
 	}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -155,7 +155,7 @@
 	}
 	f.handleSuccess()
 	f.goneRevision, f.listNext = 0, false
-	batch.Strong = true
+	batch.Strong, batch.BeganAt = true, startedAt
 	f.Floor.raise(0, Batch{AsOf: batch.AsOf})
 	f.View.Replace(batch, f.removeAfter)
 	f.notifyRelay(batch)
@@ -213,6 +213,7 @@
 		f.handleFailure(ctx, err)
 		return after, nil
 	}
+	batch.BeganAt = startedAt
 	if consistency == Strong {
 		batch.Strong = true
 		f.raiseFloor(after, batch)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -32,6 +33,24 @@
 	// Current is set while the instance follows the store closely enough to relay its
 	// changes to others.
 	Current bool `cbor:"7,keyasint,omitempty"`
+	// Key 8 is reserved.
+
+	// ConfirmedMillis is the age of the confirmation of the routes in milliseconds, plus 1; 0
+	// without one. Only relays send it.
+	ConfirmedMillis int64 `cbor:"9,keyasint,omitempty"`
+}
+
+// SetConfirmation sets ConfirmedMillis. The confirmation must have been loaded before the
+// versions.
+func (v *Versions) SetConfirmation(c route.Confirmation) {
+	if age := c.Age(); age >= 0 {
+		v.ConfirmedMillis = (age + time.Millisecond).Milliseconds() + 1
+	}
+}
+
+// ConfirmedAge returns the age of the confirmation of the routes, and whether there is one.
+func (v *Versions) ConfirmedAge() (age time.Duration, confirmed bool) {
+	return time.Duration(v.ConfirmedMillis-1) * time.Millisecond, v.ConfirmedMillis > 0
 }
 
 // Delta is what one instance sends to another: its versions, and the routes and
@@ -49,6 +68,9 @@
 	Since uint64 `cbor:"5,keyasint,omitempty"`
 	// Removed holds the name hashes of the entries removed after Since.
 	Removed []byte `cbor:"6,keyasint,omitempty"`
+	// HeldMillis is for how many milliseconds the sender held the request that the delta
+	// answers, rounded down.
+	HeldMillis int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // HasTargets reports whether the delta changes the other's list of targets.
--- a/internal/replica/routes.go
+++ b/internal/replica/routes.go
@@ -41,7 +41,7 @@
 		}
 	}
 	if changes.Strong {
-		r.Holder.Confirm(route.FromStore)
+		r.Holder.Confirm(route.FromStore, changes.BeganAt)
 	}
 	r.asOf.Store(max(r.asOf.Load(), changes.AsOf))
 }
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -27,6 +27,8 @@
 	// Strong is set by the follower if the batch shows all writes that the store had
 	// acknowledged before the call.
 	Strong bool
+	// BeganAt is when the call began; the follower sets it.
+	BeganAt time.Time
 }
 
 // Consistency is the consistency required of a watch.
--- a/internal/route/source.go
+++ b/internal/route/source.go
@@ -19,14 +19,19 @@
 // Confirmation tells when and by whom the routes in force were last known to be the store's
 // latest.
 type Confirmation struct {
+	// At is when the read that confirmed the routes began, or earlier: they reflect all changes
+	// that the store had acknowledged before.
 	At time.Time
 	By Source
 }
 
-// Age returns the time since the confirmation, or -1 s if there was none.
+// Age returns the time since the confirmation, or -1 s if there was none. It is the longer of
+// the times by the monotonic and the wall clock: the former stands still while the machine is
+// suspended, the latter may be set back.
 func (c Confirmation) Age() time.Duration {
 	if c.At.IsZero() {
 		return -time.Second
 	}
-	return time.Since(c.At)
+	now := time.Now()
+	return max(now.Sub(c.At), now.Round(0).Sub(c.At.Round(0)))
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -194,13 +194,21 @@
 // Current returns the table in force, or nil if there is none yet.
 func (h *Holder) Current() *Table { return h.current.Load() }
 
-// Confirm records that the table in force is the store's latest as of now, as far as
-// the store's latest can be applied.
-func (h *Holder) Confirm(by Source) {
-	h.confirmed.Store(&Confirmation{At: time.Now(), By: by})
+// Confirm records that the table in force, or one before it, was the store's latest when the
+// read began that showed it, as far as the store's latest can be applied. An older
+// confirmation than the one known changes nothing.
+func (h *Holder) Confirm(by Source, began time.Time) {
+	next := &Confirmation{At: began, By: by}
+	for {
+		known := h.confirmed.Load()
+		if known != nil && known.Age() <= next.Age() || h.confirmed.CompareAndSwap(known, next) {
+			return
+		}
+	}
 }
 
-// Confirmed returns the latest confirmation, or the zero value if there was none.
+// Confirmed returns the latest confirmation, or the zero value if there was none. A table that
+// is loaded after it is the confirmed one or a later one.
 func (h *Holder) Confirmed() Confirmation {
 	if c := h.confirmed.Load(); c != nil {
 		return *c
