Give the input of a caller's connection one owner

Cause: once an attempt had ended, nothing owned the input of its caller's connection. Beside it: a handler that cleared the body's deadline cleared the next head's; 100 Continue could come within an earlier response; a target took the blame for callers that stall; a malformed chunk got no 400.

Weighed: a pipe with a goroutine of its own, whose read blocks in the same place; closing the connection at each early end, which costs earlier answers; a lock without states, which an endless read would hold.

Change: httpserver.body has three states and a hand-over: read to its end, closed before, or open. The connection reads only when no read is pending, and an attempt closes the body when its connection to the target closes.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -89,7 +89,8 @@
 		KeepAlive: true,
 	}
 	if f.stream != nil {
-		call.Body, call.ContentLength = f.stream.newReader(), f.inbound.HTTP.ContentLength
+		reader := f.stream.newReader()
+		call.Body, call.ContentLength, call.OnClose = reader, f.inbound.HTTP.ContentLength, reader.stop
 		call.MaxIdle, call.KeepAlive = 0, false
 		return call
 	}
@@ -129,8 +130,13 @@
 		return outcome{retryable: f.mayResendBody(), budgetExempt: true, reply: reply}
 	}
 	f.deliveries++
-	if f.stream != nil && exceedsBodyLimit(f.stream.err()) {
-		return outcome{reply: localReply{status: http.StatusRequestEntityTooLarge, cause: CauseBodyTooLarge}}
+	if f.stream != nil {
+		switch bodyErr := f.stream.err(); {
+		case exceedsBodyLimit(bodyErr):
+			return outcome{reply: localReply{status: http.StatusRequestEntityTooLarge, cause: CauseBodyTooLarge}}
+		case isMalformedBody(bodyErr):
+			return outcome{reply: localReply{status: http.StatusBadRequest, cause: CauseMalformed}}
+		}
 	}
 	return f.classifyUnknownOutcome(failed)
 }
@@ -145,7 +151,7 @@
 }
 
 // recordFailure logs a failed attempt and counts it against the target's reliability,
-// unless the gateway cancelled it. It returns the error as *upstream.CallError; an error
+// unless the gateway cancelled it or the caller's body ended it. It returns the error as *upstream.CallError; an error
 // of another type counts as a connection that was lost after the request was sent. If the
 // connection was lost, it checks whether the target has ended.
 func (f *forwarder) recordFailure(ctx context.Context, c routing.Candidate, err error) *upstream.CallError {
@@ -155,6 +161,9 @@
 	}
 	f.d.Log.Info("attempt failed", f.logFields(zap.Object("target", candidateFields(c)),
 		zap.Stringer("reason", failed.Reason), zap.Bool("sent", failed.Sent), zap.Error(failed.Cause))...)
+	if f.stream != nil && f.stream.endedBy(failed.Reason) {
+		return failed
+	}
 	if failed.Sent && failed.Reason == upstream.ConnectionLost && f.d.Upstream.HasEnded(ctx, c.Endpoint) {
 		f.recordTargetEnd(c)
 	}
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -114,13 +114,15 @@
 	switch {
 	case err == nil:
 		f.bodyPrefix = buffered.Bytes()
-		f.stream = &streamedBody{src: io.MultiReader(bytes.NewReader(buffered.Bytes()), body)}
+		f.stream = &streamedBody{src: io.MultiReader(bytes.NewReader(buffered.Bytes()), body), inbound: req.Body}
 	case err == io.EOF:
 		f.body = buffered.Bytes()
 	case exceedsBodyLimit(err):
 		return localReply{status: http.StatusRequestEntityTooLarge, cause: CauseBodyTooLarge}, false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return localReply{status: http.StatusRequestTimeout, cause: CauseBodyLate}, false
+	case isMalformedBody(err):
+		return localReply{status: http.StatusBadRequest, cause: CauseMalformed}, false
 	default:
 		return localReply{cause: CauseBodyBroken}, false
 	}
@@ -171,6 +173,12 @@
 	return errors.As(err, &tooLarge)
 }
 
+// isMalformedBody reports whether the read of a body ended because it breaks the protocol.
+func isMalformedBody(err error) bool {
+	var malformed *httpserver.MalformedBodyError
+	return errors.As(err, &malformed)
+}
+
 // mayResendBody reports whether another attempt would send the whole body. If the body is
 // streamed, it ends the current attempt's use of it.
 func (f *forwarder) mayResendBody() bool { return f.stream == nil || f.stream.release() }
--- a/internal/dispatch/streamed_body_test.go
+++ b/internal/dispatch/streamed_body_test.go
@@ -16,6 +16,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/routing"
 )
 
 // sendSized sends a request with a body of the given size, with Content-Length or chunked.
@@ -123,6 +124,74 @@
 	}
 }
 
+// stalledBody is a request body that stalls after some bytes until it is closed.
+type stalledBody struct {
+	io.Reader
+	once   sync.Once
+	closed chan struct{}
+}
+
+func newStalledBody(size int) *stalledBody {
+	return &stalledBody{Reader: strings.NewReader(strings.Repeat("x", size)), closed: make(chan struct{})}
+}
+
+func (b *stalledBody) Read(p []byte) (int, error) {
+	if n, _ := b.Reader.Read(p); n > 0 {
+		return n, nil
+	}
+	<-b.closed
+	return 0, httpserver.BodyEndedError{}
+}
+
+func (b *stalledBody) Close() error {
+	b.once.Do(func() { close(b.closed) })
+	return nil
+}
+
+// sendStalled sends an upload that stalls beyond the size that is buffered.
+func (f *fixture) sendStalled(timeoutMs string) *httpserver.Response {
+	req := httptest.NewRequest(http.MethodPost, "/a/", newStalledBody(2*maxBufferedBody))
+	req.Host, req.ContentLength = "h", -1
+	req.Header.Set("Id", "request-1")
+	req.Header.Set("Left", timeoutMs)
+	return f.Serve(context.Background(), &httpserver.Request{
+		HTTP: req, RequestTarget: "/a/", Path: "/a/", ReceivedAt: time.Now(), BodyDeadline: func(time.Time) {},
+	})
+}
+
+// TestStalledStreamIsAnsweredAtItsDeadline guards against an upload that stalls beyond the
+// buffered size: the attempt waited for the rest of the body, whatever its deadline. It is the
+// caller who stalls, so the target's reliability doesn't count it.
+func TestStalledStreamIsAnsweredAtItsDeadline(t *testing.T) {
+	f := newFixtureWithBodyLimit(t, 0, model.Upload, hangs)
+	if resp := f.sendStalled("30"); resp.Status != http.StatusGatewayTimeout {
+		t.Errorf("status %d", resp.Status)
+	}
+	if risk := f.picker.endpoints[0].Load.Reliability.Risk(routing.Monotonic()); risk != 0 {
+		t.Errorf("the stall counts against the target: risk %v", risk)
+	}
+}
+
+// TestStalledStreamEndsWithItsTarget guards against an upload that stalls while its target
+// answers early, or breaks off: the caller got no answer before the deadline.
+func TestStalledStreamEndsWithItsTarget(t *testing.T) {
+	for _, target := range []struct {
+		name     string
+		behavior http.HandlerFunc
+		status   int
+	}{
+		{"declines early", declines, http.StatusServiceUnavailable},
+		{"breaks off", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, http.StatusBadGateway},
+	} {
+		t.Run(target.name, func(t *testing.T) {
+			f := newFixtureWithBodyLimit(t, 0, model.Upload, target.behavior)
+			if resp := f.sendStalled("600000"); resp.Status != target.status {
+				t.Errorf("status %d, want %d", resp.Status, target.status)
+			}
+		})
+	}
+}
+
 // TestReleasedStreamIsNotRead checks that an attempt that has ended can't take bytes from
 // the next one.
 func TestReleasedStreamIsNotRead(t *testing.T) {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -43,6 +43,8 @@
 	awaitingRequest atomic.Bool
 	ctx             context.Context
 	cancel          context.CancelFunc
+	// previous is the latest request that was read, or nil. Only the reading goroutine uses it.
+	previous *exchange
 	// writerDone is closed when the writing goroutine has ended.
 	writerDone chan struct{}
 
@@ -62,11 +64,18 @@
 	// response receives exactly one value; nil closes the connection without a response.
 	response chan *Response
 	// closeAfter is set if the connection closes after the response.
-	closeAfter bool
+	closeAfter atomic.Bool
 	// writeDone is closed when the response was written.
 	writeDone chan struct{}
 }
 
+// newExchange returns the exchange of a request.
+func newExchange(r *Request, closeAfter bool) *exchange {
+	x := &exchange{request: r, response: make(chan *Response, 1), writeDone: make(chan struct{})}
+	x.closeAfter.Store(closeAfter)
+	return x
+}
+
 // headerLimitConn limits the size of a request header: while limiting is set, reads fail
 // once remaining bytes were read.
 type headerLimitConn struct {
@@ -194,12 +203,7 @@
 		return false
 	}
 	_ = c.raw.SetReadDeadline(time.Time{})
-	x := &exchange{
-		request:    c.request(req),
-		response:   make(chan *Response, 1),
-		writeDone:  make(chan struct{}),
-		closeAfter: req.Close || c.server.draining.Load(),
-	}
+	x := newExchange(c.request(req), req.Close || c.server.draining.Load())
 	return c.startServing(x)
 }
 
@@ -242,55 +246,73 @@
 		Path:          path,
 		Query:         query,
 		ReceivedAt:    time.Now(),
-		BodyDeadline:  func(t time.Time) { _ = c.raw.SetReadDeadline(t) },
 	}
 }
 
 // startServing serves a request and reports whether the next one may be read. Requests
-// without a body are served concurrently; a body must be read to its end before the next
-// request can be read.
+// without a body are served concurrently. Otherwise the body owns the connection's input until
+// it was read to its end, or until the response was written.
 func (c *conn) startServing(x *exchange) bool {
 	if !c.beginRequest() {
 		return false
 	}
 	c.pending <- x
-	req := x.request.HTTP
-	body := &body{conn: c, source: req.Body, expectsContinue: hasExpectContinue(req), done: make(chan struct{})}
-	empty := req.Body == nil || req.Body == http.NoBody
-	req.Body = body
-	if empty {
-		body.source = http.NoBody
-		body.markDone()
+	body := newBody(c, x.request.HTTP)
+	x.request.HTTP.Body, x.request.BodyDeadline = body, body.setDeadline
+	if body.expectsContinue && !c.awaitPrevious() {
+		x.response <- nil
+		return false
 	}
+	c.previous = x
 	handlerDone := make(chan struct{})
 	go func() {
 		defer close(handlerDone)
 		response := c.server.handler.Serve(c.ctx, x.request)
-		if !body.isRead() {
+		if !body.handlerReturned() {
 			// The rest of the body would be parsed as a request.
-			x.closeAfter = true
+			x.closeAfter.Store(true)
 		}
 		x.response <- response
 	}()
 	select {
 	case <-body.done:
-		return !x.closeAfter
+		return !x.closeAfter.Load()
 	case <-handlerDone:
 	}
-	if body.isRead() {
-		return !x.closeAfter
+	select {
+	case <-body.done:
+		return !x.closeAfter.Load()
+	default:
 	}
-	c.discardInput(x)
+	c.discardInput(x, body)
 	return false
 }
 
-// discardInput reads and discards input for a short time after a response, so that
-// closing the connection does not reset it.
-func (c *conn) discardInput(x *exchange) {
+// awaitPrevious waits until the response to the previous request was written, since 100
+// Continue must not come before or within it. It reports false if nothing more is written.
+func (c *conn) awaitPrevious() bool {
+	if c.previous == nil {
+		return true
+	}
+	select {
+	case <-c.previous.writeDone:
+		return c.ctx.Err() == nil
+	case <-c.writerDone:
+		return false
+	}
+}
+
+// discardInput reads and discards input for a short time after a response, so that closing the
+// connection does not reset it. Until the response was written, a target may still read the
+// body. The body is nil if the request has none.
+func (c *conn) discardInput(x *exchange, body *body) {
 	select {
 	case <-x.writeDone:
 	case <-c.writerDone:
 	}
+	if body != nil {
+		body.takeInput()
+	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.CopyN(io.Discard, c.reader, maxLingerBytes)
 }
@@ -315,22 +337,17 @@
 		c.cancel()
 		return
 	}
-	x := &exchange{
-		request:    &Request{HTTP: &http.Request{Method: http.MethodGet}},
-		response:   make(chan *Response, 1),
-		writeDone:  make(chan struct{}),
-		closeAfter: true,
-	}
+	x := newExchange(&Request{HTTP: &http.Request{Method: http.MethodGet}}, true)
 	if !c.beginRequest() {
 		return
 	}
 	x.response <- c.server.handler.Reject(status, err)
 	c.pending <- x
-	c.discardInput(x)
+	c.discardInput(x, nil)
 }
 
 // isConnError reports whether err is an error of the connection other than a timeout.
 func isConnError(err error) bool {
 	var op *net.OpError
-	return errors.As(err, &op) && !op.Timeout()
+	return (errors.As(err, &op) && !op.Timeout()) || errors.Is(err, io.ErrClosedPipe)
 }
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -13,8 +13,9 @@
 
 // Request is one request of a caller.
 type Request struct {
-	// HTTP is the request as read from the connection. Its Body must not be read after
-	// Serve has returned.
+	// HTTP is the request as read from the connection. Its Body may be read until it is
+	// closed or the response was written. Closing it makes a pending read fail; a body that
+	// was not read to its end closes the connection after the response.
 	HTTP *http.Request
 	// RequestTarget is the request target exactly as the caller sent it.
 	RequestTarget string
@@ -22,7 +23,7 @@
 	Path, Query string
 	ReceivedAt  time.Time
 	// BodyDeadline sets the time after which reads of the body fail; the zero time means
-	// no limit.
+	// no limit. It does nothing once the body has ended.
 	BodyDeadline func(time.Time)
 }
 
--- a/internal/httpserver/write.go
+++ b/internal/httpserver/write.go
@@ -56,7 +56,7 @@
 	}
 	// Requests that were read must be answered, so that only the response to the last of
 	// them closes the connection.
-	closeAfter := x.closeAfter || (c.server.draining.Load() && c.closeIfLast())
+	closeAfter := x.closeAfter.Load() || (c.server.draining.Load() && c.closeIfLast())
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	err := response.write(w, x.request.HTTP.Method, closeAfter)
 	if response.OnWritten != nil {
@@ -66,7 +66,7 @@
 		c.abort()
 		return false
 	}
-	if closeAfter && !x.closeAfter {
+	if closeAfter && !x.closeAfter.Load() {
 		// The reader waits for another request, but the caller was told that the
 		// connection closes.
 		c.interruptRead()
