Follow the relay of the own region; searches bring no changes

Each search asked all three seeds with the own versions, so each of them answered with all changes, of which none were used.

Change: a search asks for the versions and the location alone. A relay in the own region is preferred to one that answers sooner, for as long as a search takes (250 ms), and a gateway that follows one elsewhere looks for one in its region every five seconds or so. The bound on the age of a change stays: it has counted the whole time of a search already.

Weighed: measured round trips (the cause is that they mislead under load), the addresses' order in the settings (says nothing of regions).

--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -80,7 +80,8 @@
 		g.serveRelay(transport, local)
 		return peerRelay{isRelay: true}
 	}
-	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds, Log: g.log}
+	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds,
+		Region: g.settings.Location.Region, Log: g.log}
 	g.set.NewGauge("redwingpoint_store_changes_relayed", func() float64 {
 		if client.Relayed() {
 			return 1
@@ -107,7 +108,7 @@
 	local.Targets.OnChange = local.NotifyChanged
 	g.breaker.OnOpen = local.NotifyChanged
 	g.onShutdown = local.NotifyChanged
-	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local}).HandleAwaitChange)
+	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local, Location: g.settings.Location}).HandleAwaitChange)
 }
 
 // listenForPeers returns a transport that listens for peers with a self-signed
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	// searchTimeout bounds the search for a relay. A handshake and a call across regions
 	// take about 75 ms.
 	searchTimeout = 250 * time.Millisecond
+	// returnInterval is the mean time between two searches for a relay in the own region while
+	// one in another region is followed.
+	returnInterval = 5 * time.Second
 	// lossTolerance is how long the changes may be missing after all relays said that they
 	// have lost the store. A relay regains it about half a second after a lost history;
 	// then it has listed the targets for all its peers.
@@ -44,22 +48,30 @@
 	Versions replica.Versions `cbor:"1,keyasint"`
 	// WaitMillis is how long the relay may hold the request without a change.
 	WaitMillis uint32 `cbor:"2,keyasint,omitempty"`
+	// Search is set if only the versions and the location of the relay are asked for.
+	Search bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RelayServer answers the requests of peers to which this instance relays the store's
 // changes. It is safe for concurrent use.
-type RelayServer struct{ Replica *replica.Replica }
+type RelayServer struct {
+	Replica *replica.Replica
+	// Location is where this instance runs.
+	Location model.Location
+}
 
-// HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets and the
-// versions held as soon as the targets differ from the requester's, newer routes are in
-// force or the instance can no longer relay; without a change it does after the wait asked
-// for. It never sends routes: every peer reads them from the store, because the same large
-// document sent to all peers would fill the instance's link.
+// HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets and the versions held as soon as the targets differ from the requester's, newer routes
+// are in force or the instance can no longer relay; without a change it does after the wait
+// asked for. A search gets the versions alone. It never sends routes: every peer reads them from
+// the store, because the same large document sent to all peers would fill the instance's link.
 func (s *RelayServer) HandleAwaitChange(_ model.InstanceID, body []byte) (any, error) {
 	var req awaitRequest
 	if err := peer.Decode(body, &req); err != nil {
 		return nil, err
 	}
+	if req.Search {
+		return replica.Delta{Versions: s.Replica.Versions(), Location: &s.Location}, nil
+	}
 	timer := time.NewTimer(min(time.Duration(req.WaitMillis)*time.Millisecond, maxAwaitWait))
 	defer timer.Stop()
 	for {
@@ -86,7 +98,9 @@
 	Transport Transport
 	// Seeds are the peer addresses of the instances that may relay.
 	Seeds []string
-	Log   *zap.Logger
+	// Region is that of this instance; a relay in it is preferred.
+	Region model.Region
+	Log    *zap.Logger
 
 	names nameComparison
 
@@ -108,80 +122,129 @@
 	soughtRoutes, absentRoutes model.Revision
 }
 
+// foundRelay is a seed that relays changes.
+type foundRelay struct {
+	addr string
+	// near is set if it runs in the own region.
+	near bool
+}
+
+// followEnd is why a relay is no longer followed.
+type followEnd uint8
+
+const (
+	// relaySilent: it doesn't respond.
+	relaySilent followEnd = iota
+	// relayLostStore: it responds, but no longer follows the store.
+	relayLostStore
+	// relayReplaced: a nearer one was found.
+	relayReplaced
+)
+
 // Run receives changes until ctx ends.
 func (c *RelayClient) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		relay, found := c.nearestRelay(ctx)
 		for found && ctx.Err() == nil {
-			responds := c.follow(ctx, relay)
-			relay, found = c.replaceRelay(ctx, relay, responds)
+			relay, found = c.replaceRelay(ctx, relay, c.follow(ctx, relay))
 		}
 		c.setLost()
 		wait.For(ctx, idleSearchInterval)
 	}
 }
 
-// replaceRelay returns the next relay after one that has lost the store or, if responds is
-// not set, is silent. The silent one may have been without the store before, so its return
-// is not waited for.
-func (c *RelayClient) replaceRelay(ctx context.Context, last string, responds bool) (addr string, found bool) {
-	addr, found = c.nearestRelay(ctx)
-	if found || !responds {
-		return addr, found
+// replaceRelay returns the relay that follows one. The silent one may have been without the
+// store before, so its return is not waited for.
+func (c *RelayClient) replaceRelay(ctx context.Context, last foundRelay, end followEnd) (next foundRelay, found bool) {
+	next, found = c.nearestRelay(ctx)
+	if found || end != relayLostStore {
+		return next, found
 	}
 	for until := time.Now().Add(lossTolerance); time.Now().Before(until) && ctx.Err() == nil; {
 		wait.For(ctx, searchInterval)
-		if c.isRelaying(ctx, last) {
-			return last, true
+		if near, relaying := c.askRelay(ctx, last.addr); relaying {
+			return foundRelay{last.addr, near}, true
 		}
 	}
 	return c.nearestRelay(ctx)
 }
 
-// nearestRelay returns the seed that follows the store and responds first.
-func (c *RelayClient) nearestRelay(ctx context.Context) (addr string, found bool) {
+// nearestRelay returns the seed that follows the store and responds first, one in the own
+// region if any of them responds within searchTimeout.
+func (c *RelayClient) nearestRelay(ctx context.Context) (nearest foundRelay, found bool) {
 	if own := c.Replica.Versions(); own.AsOf == 0 || own.Routes == 0 {
-		return "", false
+		return foundRelay{}, false
 	}
-	relays := make(chan string, len(c.Seeds))
+	relays := make(chan foundRelay, len(c.Seeds))
 	var calls sync.WaitGroup
 	for _, addr := range c.Seeds {
 		calls.Go(func() {
-			if c.isRelaying(ctx, addr) {
-				relays <- addr
+			if near, relaying := c.askRelay(ctx, addr); relaying {
+				relays <- foundRelay{addr, near}
 			}
 		})
 	}
 	go func() { calls.Wait(); close(relays) }()
 	// The slower calls go on, so that their connections stay open for a later search.
-	addr, found = <-relays
-	return addr, found
+	for r := range relays {
+		if r.near {
+			return r, true
+		}
+		if !found {
+			nearest, found = r, true
+		}
+	}
+	return nearest, found
 }
 
-// isRelaying reports whether a seed responds and follows the store.
-func (c *RelayClient) isRelaying(ctx context.Context, addr string) bool {
+// askRelay reports whether a seed responds and follows the store, and whether it runs in the
+// own region.
+func (c *RelayClient) askRelay(ctx context.Context, addr string) (near, relaying bool) {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
 	var remote replica.Delta
-	_, err := c.Transport.CallAddr(ctx, addr, peer.OpAwaitChange, awaitRequest{Versions: c.Replica.Versions()}, &remote)
-	return err == nil && remote.Versions.Current
+	_, err := c.Transport.CallAddr(ctx, addr, peer.OpAwaitChange, awaitRequest{Versions: c.Replica.Versions(), Search: true}, &remote)
+	if err != nil || !remote.Versions.Current {
+		return false, false
+	}
+	return remote.Location != nil && remote.Location.Region == c.Region, true
+}
+
+// searchNear searches for a relay in the own region at random intervals and passes the first
+// one that it finds to found.
+func (c *RelayClient) searchNear(ctx context.Context, found chan<- foundRelay) {
+	for ctx.Err() == nil {
+		wait.For(ctx, returnInterval*3/4+rand.N(returnInterval/2))
+		if relay, _ := c.nearestRelay(ctx); relay.near {
+			found <- relay
+			return
+		}
+	}
 }
 
-// follow receives the changes of a relay until it no longer follows the store or doesn't
-// respond. It reports whether the relay responds.
-func (c *RelayClient) follow(ctx context.Context, relay string) (responds bool) {
-	c.Log.Info("changes come from a relay", zap.String("address", relay))
+// follow receives the changes of a relay and returns why that ended.
+func (c *RelayClient) follow(ctx context.Context, relay foundRelay) followEnd {
+	c.Log.Info("changes come from a relay", zap.String("address", relay.addr), zap.Bool("own_region", relay.near))
+	nearer := make(chan foundRelay, 1)
+	if !relay.near {
+		searchCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go c.searchNear(searchCtx, nearer)
+	}
 	for {
-		remote, err := c.awaitChange(ctx, relay)
+		remote, err := c.awaitChange(ctx, relay.addr)
 		switch {
 		case err != nil:
-			c.Log.Info("relay doesn't respond", zap.String("address", relay), zap.Error(err))
-			return false
+			c.Log.Info("relay doesn't respond", zap.String("address", relay.addr), zap.Error(err))
+			return relaySilent
 		case !remote.Versions.Current:
-			c.Log.Info("relay has lost the store", zap.String("address", relay), zap.Uint64("as_of", remote.Versions.AsOf))
-			return true
+			c.Log.Info("relay has lost the store", zap.String("address", relay.addr), zap.Uint64("as_of", remote.Versions.AsOf))
+			return relayLostStore
 		}
 		c.accept(remote)
+		if len(nearer) > 0 {
+			return relayReplaced
+		}
 	}
 }
 
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -146,13 +146,19 @@
 
 // relayNode is an instance that follows the store, as a relay or by means of relays.
 type relayNode struct {
-	replica *replica.Replica
-	breaker replica.Breaker
-	floor   replica.Floor
-	server  *RelayServer
-	client  *RelayClient
-	// silent is set while the node doesn't respond to peers.
+	replica  *replica.Replica
+	breaker  replica.Breaker
+	floor    replica.Floor
+	server   *RelayServer
+	client   *RelayClient
+	location model.Location
+	// sent counts the bytes of the node's responses.
+	sent int
+	// silent is set while the node doesn't respond to peers, delay is how late it responds.
 	silent bool
+	delay  time.Duration
+	// linkFreeAt is when the node's link has sent all responses.
+	linkFreeAt time.Time
 	// applied and left are the times at which routes came in force and targets left.
 	applied map[model.Revision]time.Time
 	left    map[model.TargetID]time.Time
@@ -162,10 +168,58 @@
 type relayNetwork struct {
 	mu    sync.Mutex
 	nodes map[string]*relayNode
+	// linkBytes is what a node's link sends in a second; zero means any number.
+	linkBytes int
+	// sent counts the bytes of requests and responses by distance, with those of packets.
+	sent [model.OtherRegion + 1]int
+}
+
+const (
+	// packetPayload is what a packet carries, packetOverhead what it costs beside that with its
+	// acknowledgement, in bytes (TestWireCosts).
+	packetPayload  = 1200
+	packetOverhead = 52 + 57
+)
+
+// latency returns the time that a message takes over a distance.
+func latency(d model.Distance) time.Duration {
+	return [...]time.Duration{model.SameDomain: 0, model.SameRegion: 500 * time.Microsecond, model.OtherRegion: 12 * time.Millisecond}[d]
+}
+
+// carry counts a message and blocks until it has arrived. The link of a node that responds
+// sends one response after the other.
+func (n *relayNetwork) carry(responder *relayNode, size int, d model.Distance) {
+	n.mu.Lock()
+	size += (size/packetPayload + 1) * packetOverhead
+	n.sent[d] += size
+	if responder != nil {
+		responder.sent += size
+	}
+	arrivesAt := time.Now().Add(latency(d))
+	if responder != nil && n.linkBytes > 0 {
+		if now := time.Now(); responder.linkFreeAt.Before(now) {
+			responder.linkFreeAt = now
+		}
+		responder.linkFreeAt = responder.linkFreeAt.Add(time.Duration(size) * time.Second / time.Duration(n.linkBytes))
+		arrivesAt = responder.linkFreeAt.Add(latency(d))
+	}
+	if responder != nil {
+		arrivesAt = arrivesAt.Add(responder.delay)
+	}
+	n.mu.Unlock()
+	if wait := time.Until(arrivesAt); wait > 0 {
+		time.Sleep(wait)
+	}
+}
+
+// nodeTransport is the network as one node sees it.
+type nodeTransport struct {
+	*relayNetwork
+	from *relayNode
 }
 
 // CallAddr implements Transport.
-func (n *relayNetwork) CallAddr(ctx context.Context, addr string, _ peer.Op, body, response any) (model.InstanceID, error) {
+func (n nodeTransport) CallAddr(ctx context.Context, addr string, _ peer.Op, body, response any) (model.InstanceID, error) {
 	n.mu.Lock()
 	to := n.nodes[addr]
 	silent := to == nil || to.silent
@@ -179,10 +233,17 @@
 		return "", err
 	}
 	result := make(chan any, 1)
+	distance := n.from.location.DistanceTo(to.location)
 	go func() {
+		n.carry(nil, len(raw), distance)
 		out, err := to.server.HandleAwaitChange("asker", raw)
+		if err == nil {
+			out, err = peer.Encode(out)
+		}
 		if err != nil {
 			out = err
+		} else {
+			n.carry(to, len(out.([]byte)), distance)
 		}
 		result <- out
 	}()
@@ -198,10 +259,7 @@
 		if err, failed := out.(error); failed {
 			return "", err
 		}
-		if raw, err = peer.Encode(out); err != nil {
-			return "", err
-		}
-		return model.InstanceID(addr), peer.Decode(raw, response)
+		return model.InstanceID(addr), peer.Decode(out.([]byte), response)
 	case <-ctx.Done():
 		return "", ctx.Err()
 	}
@@ -213,6 +271,12 @@
 	n.nodes[addr].silent = silent
 }
 
+func (n *relayNetwork) setDelay(addr string, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[addr].delay = delay
+}
+
 // nodeObserver records when routes and targets changed.
 type nodeObserver struct {
 	nopObserver
@@ -245,7 +309,12 @@
 
 // start adds a node and runs it until ctx ends. Nodes named "seed-..." are relays.
 func (n *relayNetwork) start(ctx context.Context, store *relayStore, name string, seeds ...string) *relayNode {
-	node := &relayNode{applied: make(map[model.Revision]time.Time), left: make(map[model.TargetID]time.Time)}
+	return n.startAt(ctx, store, name, model.Location{}, seeds...)
+}
+
+// startAt is like start for a node at a location.
+func (n *relayNetwork) startAt(ctx context.Context, store *relayStore, name string, at model.Location, seeds ...string) *relayNode {
+	node := &relayNode{location: at, applied: make(map[model.Revision]time.Time), left: make(map[model.TargetID]time.Time)}
 	o := nodeObserver{node: node, mu: &n.mu}
 	decodeRoutes := func(object replica.Object) (route.Config, bool, error) {
 		revision, err := strconv.ParseUint(string(object.Value), 10, 64)
@@ -254,7 +323,7 @@
 	node.replica = &replica.Replica{
 		Routes: &replica.Routes{Decode: decodeRoutes, Holder: route.NewHolder(), Observer: o},
 		Targets: &replica.Targets{Table: nopObserver{}, Observer: o, Decode: func(object replica.Object) (model.Target, error) {
-			return model.Target{ID: model.TargetID(object.Name), Service: "a"}, nil
+			return model.Target{ID: model.TargetID(object.Name), Service: model.ServiceName(object.Name[len(object.Name)-1:])}, nil
 		}},
 	}
 	follower := func(kind string, view replica.View) *replica.Follower {
@@ -264,13 +333,13 @@
 	routes, targets := follower("routes", node.replica.Routes), follower("targets", node.replica.Targets)
 	routes.Consistency = replica.Strong
 	if len(seeds) == 0 {
-		node.server = &RelayServer{Replica: node.replica}
+		node.server = &RelayServer{Replica: node.replica, Location: at}
 		node.replica.Current = func() bool { return node.replica.Routes.Holder.Current() != nil && !node.breaker.Open() }
 		node.replica.Routes.OnChange, node.replica.Targets.OnChange = node.replica.NotifyChanged, node.replica.NotifyChanged
 		node.breaker.OnOpen = node.replica.NotifyChanged
 		routes.WatchWait, targets.WatchWait = RelayWatchWait, RelayWatchWait
 	} else {
-		node.client = &RelayClient{Replica: node.replica, OnMerge: func() {}, Transport: n, Seeds: seeds, Log: zap.NewNop()}
+		node.client = &RelayClient{Replica: node.replica, OnMerge: func() {}, Transport: nodeTransport{n, node}, Seeds: seeds, Region: at.Region, Log: zap.NewNop()}
 		routes.Relay, targets.Relay = node.client.RoutesRelay(), node.client.TargetsRelay()
 		go node.client.Run(ctx)
 	}
@@ -541,3 +610,63 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestRelayOfTheOwnRegionIsPreferred guards against relays of other regions that respond first,
+// such as when a fleet starts: the one in the region is followed, also after its return.
+func TestRelayOfTheOwnRegionIsPreferred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newRelayStore(660)
+		n := &relayNetwork{nodes: make(map[string]*relayNode)}
+		here, there := model.Location{Region: "here", FailureDomain: "here-a"}, model.Location{Region: "there", FailureDomain: "there-a"}
+		n.startAt(ctx, store, "seed-near", here)
+		n.startAt(ctx, store, "seed-far", there)
+		// The answers of the near relay arrive last.
+		n.setDelay("seed-near", 100*time.Millisecond)
+		node := n.startAt(ctx, store, "node", model.Location{Region: "here", FailureDomain: "here-b"}, "seed-far", "seed-near")
+		time.Sleep(10 * time.Second)
+		n.setDelay("seed-near", 0)
+		check := func(what string, far bool) {
+			t.Helper()
+			n.mu.Lock()
+			before := n.sent[model.OtherRegion]
+			n.mu.Unlock()
+			time.Sleep(10 * time.Second)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if followed := n.sent[model.OtherRegion]-before > 2000; followed != far {
+				t.Errorf("%s: %d B between regions in 10 s", what, n.sent[model.OtherRegion]-before)
+			}
+		}
+		check("both relays respond", false)
+		n.silence("seed-near", true)
+		time.Sleep(10 * time.Second)
+		check("the near relay is silent", true)
+		n.silence("seed-near", false)
+		time.Sleep(2 * returnInterval)
+		check("the near relay has returned", false)
+		if !node.client.Relayed() {
+			t.Error("no relay is followed")
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// TestSearchesCarryNoChanges guards against searches for a relay, each of which brought all
+// changes from each of the seeds.
+func TestSearchesCarryNoChanges(t *testing.T) {
+	relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, node *relayNode) {
+		body, err := peer.Encode(awaitRequest{Versions: replica.Versions{AsOf: 1, Routes: 1}, Search: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		found, err := n.nodes["seed-1"].server.HandleAwaitChange("asker", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if raw, err := peer.Encode(found); err != nil || len(raw) > 200 {
+			t.Errorf("a search brings %d B, %v", len(raw), err)
+		}
+	})
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -49,6 +49,8 @@
 	Since uint64 `cbor:"5,keyasint,omitempty"`
 	// Removed holds the name hashes of the entries removed after Since.
 	Removed []byte `cbor:"6,keyasint,omitempty"`
+	// Location is where the sender runs, in responses to the search for a relay.
+	Location *model.Location `cbor:"10,keyasint,omitempty"`
 }
 
 // HasTargets reports whether the delta changes the other's list of targets.
