Relays send registrations packed and in parts

Cause: a relay sent each entry with all names in full, 133 B, and all changes in one response. The start of 294 gateways with 3,024 targets moved 131 MB, and responses to a hundred peers at once outlasted the time for a response: 46 times a relay was given up, and the same was asked of another. Each response was collected and encoded anew.

Change: entries travel with a table of the names that repeat (33 B in the same list), at most 256 of them in a response, in the order of their revisions; the next request continues from there, so nothing is sent twice. All removals and all leaving targets come with the first part. A relay that needs longer than 2 s for all parts gives way to the store. A part is encoded once and sent to all peers at that revision. Versions tell who understands this; older builds get what they got.

Weighed: leaving out entries whose deciding fields are unchanged (none of 889,056 was one: an entry changes only with more than its sequence), general compression (not measured; the identities, a third of an entry, are random), one gateway of each region as its source (the seeds are that already).

--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -26,6 +26,9 @@
 	// searchTimeout bounds the search for a relay. A handshake and a call across regions
 	// take about 75 ms.
 	searchTimeout = 250 * time.Millisecond
+	// catchUpTimeout bounds the time in which a relay sends all parts of its changes. The first
+	// part has what must not be used any longer.
+	catchUpTimeout = 2 * time.Second
 	// returnInterval is the mean time between two searches for a relay in the own region while
 	// one in another region is followed.
 	returnInterval = 5 * time.Second
@@ -60,7 +63,8 @@
 	Location model.Location
 }
 
-// HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets and the versions held as soon as the targets differ from the requester's, newer routes
+// HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets, or a part of
+// them, and the versions held as soon as the targets differ from the requester's, newer routes
 // are in force or the instance can no longer relay; without a change it does after the wait
 // asked for. A search gets the versions alone. It never sends routes: every peer reads them from
 // the store, because the same large document sent to all peers would fill the instance's link.
@@ -76,8 +80,10 @@
 	defer timer.Stop()
 	for {
 		changed := s.Replica.Changed()
-		delta := s.Replica.DeltaFor(req.Versions)
-		delta.Routes = nil
+		delta, err := s.Replica.PartFor(req.Versions)
+		if err != nil {
+			return nil, err
+		}
 		if delta.HasTargets() || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
 			return delta, nil
 		}
@@ -137,6 +143,8 @@
 	relaySilent followEnd = iota
 	// relayLostStore: it responds, but no longer follows the store.
 	relayLostStore
+	// relaySlow: it doesn't send its changes within catchUpTimeout. The store is read instead.
+	relaySlow
 	// relayReplaced: a nearer one was found.
 	relayReplaced
 )
@@ -156,6 +164,9 @@
 // replaceRelay returns the relay that follows one. The silent one may have been without the
 // store before, so its return is not waited for.
 func (c *RelayClient) replaceRelay(ctx context.Context, last foundRelay, end followEnd) (next foundRelay, found bool) {
+	if end == relaySlow {
+		return foundRelay{}, false
+	}
 	next, found = c.nearestRelay(ctx)
 	if found || end != relayLostStore {
 		return next, found
@@ -231,6 +242,7 @@
 		defer cancel()
 		go c.searchNear(searchCtx, nearer)
 	}
+	var behindSince time.Time
 	for {
 		remote, err := c.awaitChange(ctx, relay.addr)
 		switch {
@@ -240,6 +252,13 @@
 		case !remote.Versions.Current:
 			c.Log.Info("relay has lost the store", zap.String("address", relay.addr), zap.Uint64("as_of", remote.Versions.AsOf))
 			return relayLostStore
+		case !remote.More:
+			behindSince = time.Time{}
+		case behindSince.IsZero():
+			behindSince = time.Now()
+		case time.Since(behindSince) > catchUpTimeout:
+			c.Log.Warn("relay is too slow", zap.String("address", relay.addr), zap.Uint64("as_of", remote.Versions.AsOf))
+			return relaySlow
 		}
 		c.accept(remote)
 		if len(nearer) > 0 {
@@ -260,7 +279,9 @@
 		return replica.Delta{}, err
 	}
 	c.Replica.Merge(remote)
-	c.names.compare(c.Replica, remote.Versions)
+	if !remote.More {
+		c.names.compare(c.Replica, remote.Versions)
+	}
 	if remote.HasTargets() {
 		c.OnMerge()
 	}
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -168,6 +168,8 @@
 type relayNetwork struct {
 	mu    sync.Mutex
 	nodes map[string]*relayNode
+	// batchDelay is that of the nodes' followers of the store.
+	batchDelay time.Duration
 	// linkBytes is what a node's link sends in a second; zero means any number.
 	linkBytes int
 	// sent counts the bytes of requests and responses by distance, with those of packets.
@@ -328,7 +330,7 @@
 	}
 	follower := func(kind string, view replica.View) *replica.Follower {
 		return &replica.Follower{Source: relaySource{store, name, kind}, View: view, Observer: o, WatchWait: ownWatchWait,
-			MaxBackoff: ownMaxBackoff, Breaker: &node.breaker, Floor: &node.floor, Consistency: replica.Eventual}
+			MaxBackoff: ownMaxBackoff, BatchDelay: n.batchDelay, Breaker: &node.breaker, Floor: &node.floor, Consistency: replica.Eventual}
 	}
 	routes, targets := follower("routes", node.replica.Routes), follower("targets", node.replica.Targets)
 	routes.Consistency = replica.Strong
@@ -670,3 +672,20 @@
 		}
 	})
 }
+
+// TestSlowRelayGivesWayToTheStore guards against a list that arrives in parts over a link that
+// is too slow for it: the store is read, and no part is sent twice.
+func TestSlowRelayGivesWayToTheStore(t *testing.T) {
+	relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, node *relayNode) {
+		n.mu.Lock()
+		n.linkBytes = 12_000
+		n.mu.Unlock()
+		for i := range 3700 {
+			store.put("targets", fmt.Sprintf("i-%08x", i), "ready")
+		}
+		time.Sleep(catchUpTimeout + awaitWait + 2*exchangeTimeout)
+		if own, relay := node.replica.Versions(), n.nodes["seed-1"].replica.Versions(); own.AsOf != relay.AsOf || own.Digest != relay.Digest {
+			t.Errorf("the instance holds %+v, the relay %+v", own, relay)
+		}
+	})
+}
--- a/internal/peersync/sync.go
+++ b/internal/peersync/sync.go
@@ -67,7 +67,9 @@
 	if err := peer.Decode(body, &requester); err != nil {
 		return nil, err
 	}
-	return s.Replica.DeltaFor(requester), nil
+	delta := s.Replica.DeltaFor(requester)
+	delta.PackFor(requester)
+	return delta, nil
 }
 
 // HandlePushState handles peer.OpPushState: it merges the pushed state, unless this
@@ -119,6 +121,7 @@
 	if delta.Routes == nil && !delta.HasTargets() {
 		return
 	}
+	delta.PackFor(remote.Versions)
 	var after replica.Versions
 	if _, err := s.Transport.CallAddr(ctx, seed, peer.OpPushState, delta, &after); err != nil {
 		s.Log.Info("peer did not accept the offered state", zap.String("peer", string(from)), zap.Error(err))
@@ -132,6 +135,6 @@
 	}
 	s.Replica.Merge(state)
 	s.Log.Info("learnt from peer", zap.String("peer", string(from)), zap.Uint64("routes", uint64(state.Versions.Routes)),
-		zap.Uint64("as_of", state.Versions.AsOf), zap.Int("targets", len(state.Targets)))
+		zap.Uint64("as_of", state.Versions.AsOf), zap.Int("targets", len(state.Entries())))
 	s.OnMerge()
 }
--- a/internal/replica/convergence_test.go
+++ b/internal/replica/convergence_test.go
@@ -7,12 +7,22 @@
 	"pgregory.net/rapid"
 )
 
+// partFor returns the next part of the sender's changes for the receiver.
+func partFor(t rapid.TB, sender, receiver *Replica) Delta {
+	d, err := sender.PartFor(receiver.Versions())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
 // TestInstancesConvergeOnThePeersList plays random registrations, removals, lists and
 // exchanges, of which some are lost or come late. After a last exchange that compares all
 // names, the receiver holds the sender's list; no entry is added that the sender lacks.
 func TestInstancesConvergeOnThePeersList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sender, _ := newReplica()
+		sender.Targets.partEntries = 3
 		receiver, out := newReplica()
 		stored := make(map[string]Object)
 		revision := uint64(1)
@@ -43,6 +53,8 @@
 			"exchange is slow": func(*rapid.T) {
 				late = append(late, sender.DeltaFor(receiver.Versions()))
 			},
+			"part":         func(t *rapid.T) { receiver.Merge(partFor(t, sender, receiver)) },
+			"part is slow": func(t *rapid.T) { late = append(late, partFor(t, sender, receiver)) },
 			"slow exchange ends": func(t *rapid.T) {
 				if len(late) == 0 {
 					t.Skip()
--- a/internal/replica/removals.go
+++ b/internal/replica/removals.go
@@ -22,7 +22,9 @@
 	if t.asOf == 0 {
 		t.removalsSince = asOf
 	}
-	t.asOf = max(t.asOf, asOf)
+	if asOf > t.asOf {
+		t.asOf, t.parts = asOf, nil
+	}
 }
 
 // recordRemoval keeps a removal for peers. The caller must hold t.mu.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -32,6 +32,9 @@
 	// Current is set while the instance follows the store closely enough to relay its
 	// changes to others.
 	Current bool `cbor:"7,keyasint,omitempty"`
+	// AcceptsParts is set if Delta.Packed may replace Delta.Targets and a list may come in
+	// parts. It is not set by older builds.
+	AcceptsParts bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Delta is what one instance sends to another: its versions, and the routes and
@@ -49,10 +52,24 @@
 	Since uint64 `cbor:"5,keyasint,omitempty"`
 	// Removed holds the name hashes of the entries removed after Since.
 	Removed []byte `cbor:"6,keyasint,omitempty"`
+	// Packed, if set, holds the changed entries in place of Targets.
+	Packed *PackedEntries `cbor:"8,keyasint,omitempty"`
+	// More is set if this is a part of the changes: those up to Versions.AsOf, and of the
+	// later ones all removals and all entries that are leaving. The rest follows on the next
+	// request.
+	More bool `cbor:"9,keyasint,omitempty"`
 	// Location is where the sender runs, in responses to the search for a relay.
 	Location *model.Location `cbor:"10,keyasint,omitempty"`
 }
 
+// Entries returns the changed entries in either encoding.
+func (d *Delta) Entries() []TargetEntry {
+	if d.Packed != nil {
+		return d.Packed.Entries
+	}
+	return d.Targets
+}
+
 // HasTargets reports whether the delta changes the other's list of targets.
 func (d *Delta) HasTargets() bool { return d.Since > 0 || len(d.NameHashes) > 0 }
 
@@ -111,7 +128,7 @@
 	if t := r.Routes.Holder.Current(); t != nil {
 		v.Routes = t.Revision
 	}
-	v.AcceptsRemovals = true
+	v.AcceptsRemovals, v.AcceptsParts = true, true
 	v.Current = r.Current != nil && r.Current()
 	return v
 }
@@ -130,6 +147,28 @@
 	return d
 }
 
+// PackFor packs the changed entries if the instance with the given versions accepts that.
+func (d *Delta) PackFor(other Versions) {
+	if other.AcceptsParts && len(d.Targets) > 0 {
+		d.Packed, d.Targets = &PackedEntries{Entries: d.Targets}, nil
+	}
+}
+
+// PartFor is like DeltaFor for the targets alone, at most a part of them if the other instance
+// accepts that.
+func (r *Replica) PartFor(other Versions) (Delta, error) {
+	own := r.Versions()
+	d := Delta{Versions: own}
+	if own.AsOf <= other.AsOf || own.Digest == other.Digest {
+		return d, nil
+	}
+	if other.AcceptsParts && other.AcceptsRemovals {
+		return d, r.Targets.addPart(&d, other)
+	}
+	r.Targets.addChanges(&d, other)
+	return d, nil
+}
+
 // Merge merges what another instance sent, as far as it is newer.
 func (r *Replica) Merge(d Delta) {
 	if d.Routes != nil {
@@ -201,7 +240,7 @@
 	} else {
 		t.deleteUnlisted(d, affected)
 	}
-	for _, e := range d.Targets {
+	for _, e := range d.Entries() {
 		t.upsert(e, affected)
 	}
 	t.publish(affected)
--- a/internal/replica/targets.go
+++ b/internal/replica/targets.go
@@ -40,6 +40,9 @@
 	// held.
 	OnChange func()
 
+	// partEntries, if set, replaces maxPartEntries in tests.
+	partEntries int
+
 	mu      sync.Mutex
 	entries map[string]*entry
 	// asOf is the store's revision that the entries reflect.
@@ -54,6 +57,8 @@
 	// removalsSince.
 	removals      []removal
 	removalsSince uint64
+	// parts holds the parts sent since the last change, by the revision that they follow.
+	parts map[uint64]*part
 }
 
 type entry struct {
@@ -133,6 +138,7 @@
 	if t.entries == nil {
 		t.entries = make(map[string]*entry)
 	}
+	t.parts = nil
 	added := &entry{target: e.Target, revision: e.Revision, hash: entryHash(e.Name, e.Revision)}
 	t.entries[e.Name] = added
 	t.digest += added.hash
@@ -187,6 +193,7 @@
 	}
 	t.cancelRemoval(e)
 	delete(t.entries, name)
+	t.parts = nil
 	t.digest -= e.hash
 	t.recordRemoval(name, revision)
 	affected[e.target.Service] = true
