Let cold targets have only the requests that the seeds permit

Need: a service may state how many requests a second its targets take from all gateways while they are cold; a target ends well above that, and may turn cold at any moment. The gateways used cold targets like others, only by a longer expected time.

Weighed: fixed shares by the count of machines (a bound of 13.6 over 126 leaves none a whole request), one owner for each target (machines that disagree about the members both own it), the permits of stated limits (a message for each target), and no request at all (a service that restarts serves nobody for 3 s).

Change: the response to a health check and the target's entry, the later of both, tell whether it is cold; entries carry the time that is left from gateway to gateway. Without a permit a request goes only to a target that said within the last second, and since its failure domain returned, that it is warm. For others the seeds grant equal shares, one of up to eight targets in one message, only when no warm target is in time. Permits expire after 0.25 s by the monotonic clock and the time of day, checked before the first byte is written. Negative and huge figures are bounded and logged once.

Tests: fleets of 17 and 126 against one cold target, with a third cut off, lost regions, lost and restarting seeds and permits held back; a burst beside a domain that turns cold; a service without warm targets; silent targets; a return from an evacuation.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -17,7 +17,6 @@
 
 	"redwingpoint.org/redwingpoint/internal/dispatch"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
-	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/peersync"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/replica"
@@ -85,7 +84,7 @@
 			metrics.NewSet,
 			route.NewHolder,
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
-			func() *peersync.Permits { return &peersync.Permits{Own: limit.NewGrantor(1), Log: log} },
+			func(set *metrics.Set) *peersync.Permits { return newPermits(s, log, set) },
 			func(set *metrics.Set, permits *peersync.Permits) *upstream.Client {
 				return newUpstreamClient(p, log, set, permits)
 			},
@@ -134,6 +133,8 @@
 	floor replica.Floor
 	// unknownHomes holds the homes, by region, that were checked and logged if unknown.
 	unknownHomes sync.Map
+	// routeWarnings holds the warnings about routes that were logged.
+	routeWarnings sync.Map
 	// shuttingDown is set when the shutdown starts.
 	shuttingDown atomic.Bool
 	// onShutdown, if set, is called when the shutdown has started.
--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -67,6 +67,11 @@
 		}
 	}
 	g.logUnknownHomes(t)
+	for _, problem := range t.Warnings {
+		if _, logged := g.routeWarnings.LoadOrStore(problem, true); !logged {
+			g.log.Warn("routes bounded", zap.String("problem", problem), zap.Uint64("revision", uint64(t.Revision)))
+		}
+	}
 }
 
 // logUnknownHomes logs homes that are no region of the deployment, once each.
@@ -111,6 +116,11 @@
 // themselves and reports withdrawn limits.
 func newUpstreamClient(p Provider, log *zap.Logger, set *metrics.Set, permits *peersync.Permits) *upstream.Client {
 	client := upstream.NewClientWithProtocol(p.Protocol)
+	client.OnCold = func(e *routing.Endpoint, coldFor time.Duration) {
+		set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_targets_cold_total{service=%q}", string(e.Target.Service))).Inc()
+		log.Info("target is cold", zap.String("target", string(e.Target.ID)), zap.String("service", string(e.Target.Service)),
+			zap.String("domain", string(e.Target.Location.FailureDomain)), zap.Duration("for", coldFor))
+	}
 	client.OnStatement = func(e *routing.Endpoint, before, now routing.Statement) {
 		if before.Limited && !now.Limited {
 			permits.ReportWithdrawal(e)
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -91,12 +91,15 @@
 	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay(), evacuations: client.EvacuationsRelay()}
 }
 
-// sharePermits divides the limits that targets state among the seeds.
+// sharePermits divides the limits that targets state, and those of cold targets, among the
+// seeds.
 func (g *gateway) sharePermits(transport *peer.Transport, isSeed bool, otherSeeds []string) {
-	g.permits.Own, g.permits.Transport, g.permits.Seeds = nil, transport, otherSeeds
+	g.permits.Own, g.permits.OwnCold, g.permits.Transport, g.permits.Seeds = nil, nil, transport, otherSeeds
 	if isSeed || len(otherSeeds) == 0 {
 		g.permits.Own = limit.NewGrantor(len(otherSeeds) + 1)
 		transport.Handle(peer.OpAcquirePermit, (&peersync.PermitServer{Grantor: g.permits.Own}).HandleAcquire)
+		g.permits.OwnCold = newColdGrantor(len(otherSeeds)+1, g.settings)
+		transport.Handle(peer.OpAcquireColdPermit, (&peersync.ColdPermitServer{Grantor: g.permits.OwnCold}).HandleAcquire)
 	}
 }
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -89,6 +89,9 @@
 		MaxIdle:   maxReuseIdle,
 		KeepAlive: true,
 	}
+	if c.ColdPermit != nil {
+		call.Commit = c.ColdPermit.Valid
+	}
 	if f.stream != nil {
 		call.Body, call.ContentLength = f.stream.newReader(), f.inbound.HTTP.ContentLength
 		call.MaxIdle, call.KeepAlive = 0, false
@@ -159,7 +162,7 @@
 	if failed.Sent && failed.Reason == upstream.ConnectionLost && f.d.Upstream.HasEnded(ctx, c.Endpoint) {
 		f.recordTargetEnd(c)
 	}
-	if failed.Reason != upstream.Cancelled {
+	if failed.Reason != upstream.Cancelled && failed.Reason != upstream.NotCommitted {
 		c.Endpoint.Load.Reliability.Observe(false, routing.Monotonic())
 	}
 	return failed
--- a/internal/dispatch/fields.go
+++ b/internal/dispatch/fields.go
@@ -39,6 +39,9 @@
 		o.AddBool("healthy", c.Report.Healthy)
 	}
 	o.AddFloat64("risk", c.Risk)
+	if c.ColdPermit != nil {
+		o.AddBool("cold_permitted", true)
+	}
 	o.AddDuration("expected", c.Estimate.Duration)
 	o.AddDuration("cost", c.Estimate.Cost)
 	return nil
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -92,6 +92,7 @@
 		HealthPath: f.service.HealthPath,
 		Exclude:    f.triedTargets,
 		Homes:      f.homes(),
+		Cold:       routing.ColdLimit{PerSecond: f.service.ColdPerSecond, Start: f.service.ColdStart},
 		Work: routing.Work{
 			ServiceTime: f.state.expectedDuration(f.rule.Objective),
 			TimeLeft:    time.Until(f.objectiveDeadline),
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -92,6 +92,9 @@
 	StartMillis int64 `json:"startMillis,omitempty"`
 	// WarmupEndsAt is when the target has warmed up after its start; zero if unknown.
 	WarmupEndsAt time.Time `json:"-"`
+	// ColdEndsAt is when the target stops being cold by its entry, zero if unknown, and
+	// ColdKnownAt when this instance read or received that.
+	ColdEndsAt, ColdKnownAt time.Time `json:"-"`
 }
 
 // ProcessID identifies one run of a target's process; it differs after a restart under the
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -35,6 +35,8 @@
 	OpExchangeMarks
 	// OpAcquirePermit asks a gateway that grants requests to targets with a limit for one.
 	OpAcquirePermit
+	// OpAcquireColdPermit asks a gateway that grants requests to cold targets for one of them.
+	OpAcquireColdPermit
 )
 
 // opNames are the names of the operations in metrics.
--- a/internal/peersync/permits.go
+++ b/internal/peersync/permits.go
@@ -66,6 +66,10 @@
 	// Own grants a share if this instance is a seed, or everything without peers; otherwise
 	// it is nil.
 	Own *limit.Grantor
+	// OwnCold is the same for requests to cold targets.
+	OwnCold *limit.ColdGrantor
+	// OnCold, if set, is called with the result of each request for a permit for cold targets.
+	OnCold func(ColdResult)
 	// Transport and Seeds are those of the other seeds.
 	Transport Transport
 	Seeds     []string
@@ -129,15 +133,9 @@
 func (p *Permits) askable(target model.ProcessID, extent routing.PermitExtent) []*permitSource {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.sources == nil {
-		for _, addr := range p.Seeds {
-			p.sources = append(p.sources, &permitSource{addr: addr, deniedUntil: make(map[model.ProcessID]time.Time)})
-		}
-	}
-	slices.SortStableFunc(p.sources, func(a, b *permitSource) int { return cmp.Compare(a.took, b.took) })
 	now := time.Now()
 	var askable []*permitSource
-	for _, s := range p.sources {
+	for _, s := range p.sortedSources() {
 		if now.Before(s.silentUntil) {
 			continue
 		}
@@ -152,6 +150,17 @@
 	return askable
 }
 
+// sortedSources returns the other seeds, the nearest first. The caller must hold p.mu.
+func (p *Permits) sortedSources() []*permitSource {
+	if p.sources == nil {
+		for _, addr := range p.Seeds {
+			p.sources = append(p.sources, &permitSource{addr: addr, deniedUntil: make(map[model.ProcessID]time.Time)})
+		}
+	}
+	slices.SortStableFunc(p.sources, func(a, b *permitSource) int { return cmp.Compare(a.took, b.took) })
+	return p.sources
+}
+
 // ask asks a seed for one request to a target.
 func (p *Permits) ask(ctx context.Context, s *permitSource, e *routing.Endpoint, stated routing.Statement, at time.Duration) (g limit.Grant, responded bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), permitTimeout)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -70,6 +71,21 @@
 	Name     string       `cbor:"1,keyasint"`
 	Revision uint64       `cbor:"2,keyasint"`
 	Target   model.Target `cbor:"3,keyasint"`
+	// ColdMillis is how long the target is still cold by its entry, at the time of sending.
+	ColdMillis int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// newTargetEntry returns an entry to send now.
+func newTargetEntry(name string, e *entry) TargetEntry {
+	coldLeft := max(time.Until(e.target.ColdEndsAt), 0)
+	return TargetEntry{Name: name, Revision: e.revision, Target: e.target, ColdMillis: coldLeft.Milliseconds()}
+}
+
+// received returns the entry with its times by this instance's clock.
+func (e TargetEntry) received() TargetEntry {
+	now := time.Now()
+	e.Target.ColdEndsAt, e.Target.ColdKnownAt = now.Add(time.Duration(e.ColdMillis)*time.Millisecond), now
+	return e
 }
 
 // Replica is an instance's local copy of the store's routes and targets. It is safe
@@ -179,7 +195,7 @@
 	d.Versions.AsOf, d.Versions.Digest = t.asOf, t.digest
 	for name, e := range t.entries {
 		if e.revision > other.AsOf {
-			d.Targets = append(d.Targets, TargetEntry{Name: name, Revision: e.revision, Target: e.target})
+			d.Targets = append(d.Targets, newTargetEntry(name, e))
 		}
 	}
 	slices.SortFunc(d.Targets, func(a, b TargetEntry) int { return cmp.Compare(a.Name, b.Name) })
@@ -214,7 +230,7 @@
 		t.deleteUnlisted(d, affected)
 	}
 	for _, e := range d.Targets {
-		t.upsert(e, affected)
+		t.upsert(e.received(), affected)
 	}
 	t.publish(affected)
 	t.mergedAsOf = d.Versions.AsOf
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -41,6 +41,8 @@
 	// LearntFrom is from whom this instance has the table.
 	LearntFrom Source
 	Limits     Limits
+	// Warnings tell what was bounded or ignored in the configuration.
+	Warnings []string
 	// KeysRequired is set if requests to rules that aren't public need a key.
 	KeysRequired bool
 	// organisations are sorted as in the configuration.
@@ -63,6 +65,9 @@
 	}
 	t.keys = newKeyIndex(t.organisations)
 	for _, s := range c.Services {
+		if problem := s.boundCold(); problem != "" {
+			t.Warnings = append(t.Warnings, problem)
+		}
 		t.services[s.Name] = s
 	}
 	for _, r := range c.Rules {
--- a/internal/routing/estimate.go
+++ b/internal/routing/estimate.go
@@ -78,7 +78,7 @@
 	if float64(busy+1) > highLoadThreshold*float64(slots) {
 		service = scale(service, highLoadSlowdown)
 	}
-	if now.Before(e.Target.WarmupEndsAt) {
+	if now.Before(e.Target.WarmupEndsAt) || e.Load.saidColdAt(now) {
 		service = scale(service, coldStartSlowdown)
 	}
 	// A request runs at the pace at which it started, so the current pace applies to
--- a/internal/routing/evacuation.go
+++ b/internal/routing/evacuation.go
@@ -8,12 +8,25 @@
 
 // domainState is what a table knows of a failure domain. Endpoints point to it, so that
 // picks that hold an older snapshot follow changes too.
-type domainState struct{ evacuated atomic.Bool }
+type domainState struct {
+	evacuated atomic.Bool
+	// returns counts the ends of evacuations.
+	returns atomic.Uint32
+}
 
 // isEvacuated reports whether the targets of the failure domain get no requests. d may be
 // nil.
 func (d *domainState) isEvacuated() bool { return d != nil && d.evacuated.Load() }
 
+// returnCount returns how often the failure domain has returned from an evacuation. d may be
+// nil.
+func (d *domainState) returnCount() uint32 {
+	if d == nil {
+		return 0
+	}
+	return d.returns.Load()
+}
+
 // SetEvacuated sets the failure domains whose targets get no further requests. It implements
 // replica.EvacuationTable and takes effect for picks that run already.
 func (t *Table) SetEvacuated(domains map[model.FailureDomain]bool) {
@@ -23,7 +36,9 @@
 		t.domain(name)
 	}
 	for name, d := range t.domains {
-		d.evacuated.Store(domains[name])
+		if d.evacuated.Swap(domains[name]) && !domains[name] {
+			d.returns.Add(1)
+		}
 	}
 }
 
--- a/internal/routing/limited.go
+++ b/internal/routing/limited.go
@@ -32,6 +32,9 @@
 	// Acquire reports whether one request may be sent to a target now. If not, it returns
 	// when to ask again.
 	Acquire(ctx context.Context, e *Endpoint, extent PermitExtent) (granted bool, retryAfter time.Duration)
+	// AcquireCold returns a permit for one request to one of some cold targets, each of which
+	// takes perSecond requests a second. Without a grant it returns nil and when to ask again.
+	AcquireCold(ctx context.Context, targets []*Endpoint, perSecond float64) (permit *ColdPermit, retryAfter time.Duration)
 }
 
 // UnavailableError reports that all targets left have asked for a pause or have stated a
@@ -66,9 +69,11 @@
 }
 
 // TakesRequest reports whether the target still takes the request for which it was ranked: it
-// may have stated meanwhile that it leaves, wants a pause or has a limit.
+// may have stated meanwhile that it leaves, wants a pause, has a limit or is cold.
 func (c *Candidate) TakesRequest() bool {
-	return c.Endpoint.takesRequests(Monotonic()) && (c.Permitted || !c.Endpoint.Load.isLimited())
+	now := Monotonic()
+	return c.Endpoint.takesRequests(now) && (c.Permitted || !c.Endpoint.Load.isLimited()) &&
+		(c.ColdPermit != nil || c.Endpoint.IsKnownWarm(c.cold, now))
 }
 
 // limitedEndpoints returns the endpoints that stated a limit and may be used for a request
@@ -78,7 +83,7 @@
 	var local, remote []*Endpoint
 	for _, e := range pool.Endpoints {
 		switch {
-		case !e.takesRequests(now) || !e.Load.isLimited() || !req.admits(e):
+		case !e.takesRequests(now) || !e.Load.isLimited() || e.coldLeft(req.Cold, now) > 0 || !req.admits(e):
 		case e.Distance == model.OtherRegion:
 			remote = append(remote, e)
 		default:
@@ -130,7 +135,7 @@
 	}
 	sentAt := p.now()
 	results := p.probeAll(ctx, req.HealthPath, []*Endpoint{e}, wait)
-	c := p.evaluate(results[0], req.Work, sentAt)
+	c := p.evaluate(results[0], req, sentAt)
 	c.Permitted = true
 	return c
 }
--- a/internal/routing/limited_test.go
+++ b/internal/routing/limited_test.go
@@ -15,6 +15,21 @@
 type fakePermits struct {
 	granted []model.TargetID
 	asked   []model.TargetID
+	// cold are the cold targets that are granted, once each, and askedCold those asked for.
+	cold, askedCold []model.TargetID
+}
+
+func (p *fakePermits) AcquireCold(_ context.Context, targets []*Endpoint, _ float64) (*ColdPermit, time.Duration) {
+	for _, e := range targets {
+		p.askedCold = append(p.askedCold, e.Target.ID)
+	}
+	for _, e := range targets {
+		if i := slices.Index(p.cold, e.Target.ID); i >= 0 {
+			p.cold = slices.Delete(p.cold, i, i+1)
+			return &ColdPermit{Target: e.Target.ID, GrantedAt: time.Now()}, 0
+		}
+	}
+	return nil, time.Second
 }
 
 func (p *fakePermits) Acquire(_ context.Context, e *Endpoint, _ PermitExtent) (bool, time.Duration) {
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -38,6 +38,8 @@
 	Reliability Reliability
 	// statements is what the target stated about itself, or nil.
 	statements atomic.Pointer[statements]
+	// cold is what the target said of its start.
+	cold coldState
 }
 
 // beginRingSize is the number of own exchanges whose begin times are kept. No more
--- a/internal/routing/probe_round.go
+++ b/internal/routing/probe_round.go
@@ -39,7 +39,7 @@
 		<-r.done
 		return r, nil
 	}
-	preferred, _, _ := p.splitByPreference(pool, req.Homes)
+	preferred, _, _ := p.splitByPreference(pool, req.Homes, req.Cold)
 	if req.Repeated && !p.budget.AllowN(time.Now(), len(preferred)) {
 		p.mu.Unlock()
 		return nil, &ProbeBudgetError{Service: req.Service}
@@ -79,11 +79,11 @@
 // permit at a reading of a Clock: the preferred ones of the region, which are the first in
 // the instance's stable order, the other ones of the region, and those of other regions. For
 // requests that aren't at home in the region, the homes take its place.
-func (p *ProbingPicker) splitByPreference(pool *Pool, homes model.Homes) (preferred, otherLocal, remote []*Endpoint) {
+func (p *ProbingPicker) splitByPreference(pool *Pool, homes model.Homes, cold ColdLimit) (preferred, otherLocal, remote []*Endpoint) {
 	now, atHome := p.now(), p.isHome(homes)
 	for _, e := range pool.Endpoints {
 		switch {
-		case !homes.Allows(e.Target.Location.Region) || !e.takesRequests(now) || e.Load.isLimited():
+		case !homes.Allows(e.Target.Location.Region) || !e.takesRequests(now) || e.Load.isLimited() || e.saidCold(cold, now):
 		case e.Distance == model.OtherRegion && atHome:
 			remote = append(remote, e)
 		default:
--- a/internal/routing/probing_picker.go
+++ b/internal/routing/probing_picker.go
@@ -60,6 +60,8 @@
 	// Homes are the regions in which the request may be served. Targets elsewhere are not
 	// even probed for it.
 	Homes model.Homes
+	// Cold limits the requests to cold targets.
+	Cold ColdLimit
 	// Repeated is set if this request has picked before. New probe rounds for it are
 	// made only if the budget covers them in full.
 	Repeated bool
@@ -84,6 +86,10 @@
 	Estimate Estimate
 	// Permitted is set if one request to the target, which stated a limit, is permitted.
 	Permitted bool
+	// ColdPermit permits one request if the target is cold; else it is nil.
+	ColdPermit *ColdPermit
+	// cold is that of the request.
+	cold ColdLimit
 }
 
 // ProbingPicker ranks targets by load reports that it probes for when a request
@@ -136,14 +142,22 @@
 		return nil, err
 	}
 	candidates := p.evaluateAll(r.results, req, r.sentAt)
-	for _, probeMore := range p.fallbacks(pool, req.Homes) {
+	for _, probeMore := range p.fallbacks(pool, req.Homes, req.Cold) {
 		if slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
 			break
 		}
 		candidates = append(candidates, probeMore(ctx, req)...)
 	}
 	retryAfter := shortestPause(pool, req, p.now())
-	if len(limited) > 0 && !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
+	inTime := func() bool {
+		return slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) })
+	}
+	if !inTime() {
+		permitted, permitAfter := p.useCold(ctx, req, pool)
+		candidates = append(candidates, permitted...)
+		retryAfter = earlier(retryAfter, permitAfter)
+	}
+	if len(limited) > 0 && !inTime() {
 		permitted, permitAfter := p.useLimited(ctx, req, limited)
 		candidates = append(candidates, permitted...)
 		retryAfter = earlier(retryAfter, permitAfter)
@@ -159,8 +173,8 @@
 }
 
 // fallbacks returns functions that probe more targets, the cheapest way first.
-func (p *ProbingPicker) fallbacks(pool *Pool, homes model.Homes) []func(context.Context, ProbingRequest) []Candidate {
-	_, otherLocal, remote := p.splitByPreference(pool, homes)
+func (p *ProbingPicker) fallbacks(pool *Pool, homes model.Homes, cold ColdLimit) []func(context.Context, ProbingRequest) []Candidate {
+	_, otherLocal, remote := p.splitByPreference(pool, homes, cold)
 	return []func(context.Context, ProbingRequest) []Candidate{
 		func(ctx context.Context, req ProbingRequest) []Candidate {
 			return p.probeFirst(ctx, req, otherLocal, maxOtherLocalProbes, p.preferredWait(req.Homes))
@@ -205,8 +219,8 @@
 	out := make([]Candidate, 0, len(results))
 	for _, r := range results {
 		e := r.endpoint
-		if req.admits(e) && !e.Load.isLimited() && e.takesRequests(p.now()) {
-			out = append(out, p.evaluate(r, req.Work, sentAt))
+		if req.admits(e) && !e.Load.isLimited() && e.takesRequests(p.now()) && e.IsKnownWarm(req.Cold, p.now()) {
+			out = append(out, p.evaluate(r, req, sentAt))
 		}
 	}
 	return out
@@ -222,8 +236,9 @@
 
 // evaluate returns the candidate for one probe result. A target without a load report
 // gets the work's service time and noResponsePenalty.
-func (p *ProbingPicker) evaluate(r probeResult, w Work, sentAt time.Duration) Candidate {
-	c := Candidate{Endpoint: r.endpoint, Report: r.report, Err: r.err}
+func (p *ProbingPicker) evaluate(r probeResult, req ProbingRequest, sentAt time.Duration) Candidate {
+	w := req.Work
+	c := Candidate{Endpoint: r.endpoint, Report: r.report, Err: r.err, cold: req.Cold}
 	c.Risk = r.endpoint.Load.Reliability.Risk(p.now())
 	if r.err != nil {
 		c.Estimate = Estimate{Duration: w.ServiceTime, Cost: w.ServiceTime + noResponsePenalty}
--- a/internal/routing/probing_picker_test.go
+++ b/internal/routing/probing_picker_test.go
@@ -20,6 +20,9 @@
 	reports      map[model.TargetID]LoadReport
 	unresponsive map[model.TargetID]bool
 	probed       map[model.TargetID]int
+	// coldFor is how long targets say that they are cold, by the clock now.
+	coldFor map[model.TargetID]time.Duration
+	now     Clock
 }
 
 var errBroken = errors.New("broken")
@@ -29,6 +32,7 @@
 	p.probed[e.Target.ID]++
 	report, ok := p.reports[e.Target.ID]
 	unresponsive := p.unresponsive[e.Target.ID]
+	coldFor, askedAt := p.coldFor[e.Target.ID], p.now()
 	p.mu.Unlock()
 	if unresponsive {
 		<-ctx.Done()
@@ -38,6 +42,7 @@
 	if !ok {
 		return LoadReport{}, errBroken
 	}
+	e.RecordHealth(coldFor, askedAt, p.now())
 	return report, nil
 }
 
@@ -59,7 +64,7 @@
 }
 
 func newTestPicker(targets ...testTarget) (*ProbingPicker, *fakeProber, *Table) {
-	prober := &fakeProber{reports: map[model.TargetID]LoadReport{}, unresponsive: map[model.TargetID]bool{}, probed: map[model.TargetID]int{}}
+	prober := &fakeProber{reports: map[model.TargetID]LoadReport{}, unresponsive: map[model.TargetID]bool{}, probed: map[model.TargetID]int{}, coldFor: map[model.TargetID]time.Duration{}}
 	table := NewInstanceTable("i", prahaA)
 	var list []model.Target
 	for _, t := range targets {
@@ -68,7 +73,8 @@
 	}
 	table.SetTargets("s", list)
 	base := time.Now()
-	return NewProbingPicker(table, prober, func() time.Duration { return time.Hour + time.Since(base) }, rate.NewLimiter(100, 100), new(fakePermits)), prober, table
+	prober.now = func() time.Duration { return time.Hour + time.Since(base) }
+	return NewProbingPicker(table, prober, prober.now, rate.NewLimiter(100, 100), new(fakePermits)), prober, table
 }
 
 var previewRequest = ProbingRequest{Service: "s", Work: Work{ServiceTime: 120 * time.Millisecond, TimeLeft: 300 * time.Millisecond, Bytes: 2200}}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -69,6 +69,9 @@
 	// OnStatement, if set before the first call, is called when a target's statement about
 	// itself differs from the one before.
 	OnStatement func(e *routing.Endpoint, before, now routing.Statement)
+	// OnCold, if set before the first call, is called when a target says that it is cold and
+	// wasn't before.
+	OnCold func(e *routing.Endpoint, coldFor time.Duration)
 }
 
 // NewClient returns a client without connections that uses redwingpoint's own protocol.
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -44,6 +44,7 @@
 // *NoLoadError.
 func (c *Client) Probe(ctx context.Context, e *routing.Endpoint, path string) (routing.LoadReport, error) {
 	call := Call{Endpoint: e, Method: http.MethodGet, Path: path, Header: noUserAgent.Clone(), MaxIdle: maxProbeIdle, KeepAlive: true}
+	askedAt := routing.Monotonic()
 	response, err := c.Do(ctx, call)
 	if err != nil {
 		return routing.LoadReport{}, err
@@ -55,6 +56,7 @@
 	if name := response.Header.Get(c.protocol.TargetID); name != "" && name != string(e.Target.ID) {
 		return routing.LoadReport{}, &WrongTargetError{Want: e.Target.ID, Got: name}
 	}
+	c.recordHealth(e, response.Header, askedAt)
 	report, ok := c.protocol.ParseLoad(response.Header)
 	if !ok {
 		return routing.LoadReport{}, &NoLoadError{Target: e.Target.ID, Status: response.Status}
@@ -63,5 +65,16 @@
 	return report, nil
 }
 
+// recordHealth records whether a target is cold by its response to a probe sent at askedAt.
+func (c *Client) recordHealth(e *routing.Endpoint, h http.Header, askedAt time.Duration) {
+	if c.protocol.ParseColdTime == nil {
+		return
+	}
+	coldFor := c.protocol.ParseColdTime(h)
+	if e.RecordHealth(coldFor, askedAt, routing.Monotonic()) && c.OnCold != nil {
+		c.OnCold(e, coldFor)
+	}
+}
+
 // noUserAgent keeps net/http from adding a User-Agent field.
 var noUserAgent = http.Header{"User-Agent": {""}}
--- a/internal/upstream/protocol.go
+++ b/internal/upstream/protocol.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
@@ -32,6 +33,9 @@
 	ParseLoad func(h http.Header) (routing.LoadReport, bool)
 	// ParseStatement, if set, returns what the target states about itself in a response.
 	ParseStatement func(status int, h http.Header) routing.Statement
+	// ParseColdTime, if set, returns how long the target is still cold by a response to a
+	// probe, or zero.
+	ParseColdTime func(h http.Header) time.Duration
 }
 
 // defaultProtocol is redwingpoint's own protocol. It has no load reports, and its responses
