--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -35,6 +35,22 @@
 	Current bool `cbor:"7,keyasint,omitempty"`
 	// Evacuations identifies the evacuations of failure domains; zero if none are followed.
 	Evacuations EvacuationsVersion `cbor:"8,keyasint,omitzero"`
+	// ConfirmedMillis is the age of the confirmation of the routes in milliseconds, plus 1; 0
+	// without one. Only relays send it.
+	ConfirmedMillis int64 `cbor:"9,keyasint,omitempty"`
+}
+
+// SetConfirmation sets ConfirmedMillis. The confirmation must have been loaded before the
+// versions.
+func (v *Versions) SetConfirmation(c route.Confirmation) {
+	if age := c.Age(); age >= 0 {
+		v.ConfirmedMillis = (age + time.Millisecond).Milliseconds() + 1
+	}
+}
+
+// ConfirmedAge returns the age of the confirmation of the routes, and whether there is one.
+func (v *Versions) ConfirmedAge() (age time.Duration, confirmed bool) {
+	return time.Duration(v.ConfirmedMillis-1) * time.Millisecond, v.ConfirmedMillis > 0
 }
 
 // Delta is what one instance sends to another: its versions, and the routes and
@@ -55,6 +71,9 @@
 	// Evacuations are all failure domains to evacuate, or nil if the other holds the same or
 	// newer ones.
 	Evacuations *EvacuationList `cbor:"7,keyasint,omitempty"`
+	// HeldMillis is for how many milliseconds the sender held the request that the delta
+	// answers, rounded down.
+	HeldMillis int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // HasTargets reports whether the delta changes the other's list of targets.
