--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -1,5 +1,5 @@
 // Package explain searches the logs of gateways for the lines about one request, one
-// target or one revision of the routes, and prints them in the order of their timestamps.
+// target, one failure domain or one revision of the routes, and prints them in the order of their timestamps.
 // Logs may be incomplete and contain truncated lines, and the clocks of the gateways may
 // differ.
 package explain
@@ -22,15 +22,17 @@
 
 // Query selects log lines. Exactly one field must be set.
 type Query struct {
-	Request  string
-	Target   string
+	Request string
+	Target  string
+	// Domain is a failure domain: its evacuations, and what became of its targets.
+	Domain   string
 	Revision uint64
 }
 
 // Valid reports whether exactly one field is set.
 func (q Query) Valid() bool {
 	n := 0
-	for _, set := range []bool{q.Request != "", q.Target != "", q.Revision != 0} {
+	for _, set := range []bool{q.Request != "", q.Target != "", q.Domain != "", q.Revision != 0} {
 		if set {
 			n++
 		}
@@ -136,15 +138,17 @@
 }
 
 // matches reports whether a line with the given fields matches the query. Lines about
-// requests don't match a revision, although they contain one.
+// requests match neither a revision nor a failure domain, although they contain them.
 func (q Query) matches(fields map[string]any) bool {
+	_, hasRequest := fields["request"]
 	switch {
 	case q.Request != "":
 		return fields["request"] == q.Request
 	case q.Target != "":
 		return fields["target"] == q.Target || fields["by"] == q.Target || objectID(fields["target"]) == q.Target || objectID(fields["best"]) == q.Target
+	case q.Domain != "":
+		return !hasRequest && fields["domain"] == q.Domain
 	default:
-		_, hasRequest := fields["request"]
 		return !hasRequest && fields["revision"] == float64(q.Revision)
 	}
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -11,7 +11,9 @@
 {"level":"info","ts":"2026-12-04T10:00:00.100Z","msg":"routes in force","instance":"a","revision":4,"rules":18}
 {"level":"info","ts":"2026-12-04T10:00:00.6`
 
-const logB = `  12.5 b {"level":"info","ts":"2026-12-04T10:00:00.200Z","msg":"target learnt","instance":"b","target":"t1","revision":9}
+const logB = `  12.5 b {"level":"info","ts":"2026-12-04T10:00:00.200Z","msg":"target learnt","instance":"b","target":"t1","domain":"praha-a","revision":9}
+{"level":"warn","ts":"2026-12-04T10:00:00.250Z","msg":"evacuation in force","instance":"b","domain":"praha-a","revision":12,"learnt_from":"relay"}
+{"level":"info","ts":"2026-12-04T10:00:00.260Z","msg":"request quarantined","instance":"b","request":"r3","domain":"praha-a"}
 
 not a line of a log
 {"level":"info","ts":"2026-12-04T10:00:00.400Z","msg":"request refused","instance":"b","request":"r2","cause":"targets-full"}
@@ -25,6 +27,7 @@
 		{Query{Request: "r1"}, []string{`a: target picked revision=4 target={"id":"t1","running":1}`, `a: request answered by="t1" status=200`}},
 		{Query{Request: "r2"}, []string{`b: request refused cause="targets-full"`}},
 		{Query{Target: "t1"}, []string{"b: target learnt", "a: target picked", "a: request answered"}},
+		{Query{Domain: "praha-a"}, []string{"b: target learnt", `b: evacuation in force domain="praha-a" learnt_from="relay"`}},
 		{Query{Revision: 4}, []string{"a: routes in force"}},
 	} {
 		collector := NewCollector(c.query)
--- a/internal/soak/gateway_process_test.go
+++ b/internal/soak/gateway_process_test.go
@@ -50,11 +50,11 @@
 callers: "%[2]s:8080"
 ready: "%[2]s:8081"
 store: %[3]q
-regions: {praha-a: praha}
+regions: {praha-a: praha, praha-b: praha, brno-a: brno}
 peers: {listen: "%[2]s:8082", seeds: [%[4]s]}
 probes: {perSecond: %[5]d}
 grace: %[6]s
-`, g.index, g.ip, g.store.addr(), strings.Join(seeds, ","), probes, shutdownGrace)
+%[7]s`, g.index, g.ip, g.store.addr(), strings.Join(seeds, ","), probes, shutdownGrace, g.r.extraSettings)
 }
 
 // path returns the path of the settings file.
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -65,6 +65,8 @@
 	store    *platformtest.Store
 	gateways []*gatewayProcess
 	targets  []*proxiedTarget
+	// extraSettings are further lines of the gateways' settings.
+	extraSettings string
 	// routeVersion is the version of the routes in the store.
 	routeVersion int
 	nextID       atomic.Int64
