--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -80,7 +80,8 @@
 		g.serveRelay(transport, local)
 		return peerRelay{isRelay: true}
 	}
-	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds, Log: g.log}
+	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds,
+		Region: g.settings.Location.Region, Log: g.log}
 	if within := g.settings.Keys.WithdrawWithin; within > 0 {
 		client.HoldRequests = min(peersync.AwaitWait, time.Duration(relayHoldShare*float64(within)))
 		client.MaxConfirmationAge = time.Duration(confirmSelfShare * float64(within))
@@ -117,7 +118,7 @@
 	}
 	g.breaker.OnOpen = local.NotifyChanged
 	g.onShutdown = local.NotifyChanged
-	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local}).HandleAwaitChange)
+	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local, Location: g.settings.Location}).HandleAwaitChange)
 }
 
 // listenForPeers returns a transport that listens for peers with a self-signed
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,6 +38,9 @@
 	// ConfirmedMillis is the age of the confirmation of the routes in milliseconds, plus 1; 0
 	// without one. Only relays send it.
 	ConfirmedMillis int64 `cbor:"9,keyasint,omitempty"`
+	// AcceptsParts is set if Delta.Packed may replace Delta.Targets and a list may come in
+	// parts. It is not set by older builds.
+	AcceptsParts bool `cbor:"10,keyasint,omitempty"`
 }
 
 // SetConfirmation sets ConfirmedMillis. The confirmation must have been loaded before the
@@ -68,6 +71,14 @@
 	Since uint64 `cbor:"5,keyasint,omitempty"`
 	// Removed holds the name hashes of the entries removed after Since.
 	Removed []byte `cbor:"6,keyasint,omitempty"`
+	// Packed, if set, holds the changed entries in place of Targets.
+	Packed *PackedEntries `cbor:"8,keyasint,omitempty"`
+	// More is set if this is a part of the changes: those up to Versions.AsOf, and of the
+	// later ones all removals and all entries that are leaving. The rest follows on the next
+	// request.
+	More bool `cbor:"9,keyasint,omitempty"`
+	// Location is where the sender runs, in responses to the search for a relay.
+	Location *model.Location `cbor:"10,keyasint,omitempty"`
 	// Evacuations are all failure domains to evacuate, or nil if the other holds the same or
 	// newer ones.
 	Evacuations *EvacuationList `cbor:"7,keyasint,omitempty"`
@@ -76,6 +87,14 @@
 	HeldMillis int64 `cbor:"11,keyasint,omitempty"`
 }
 
+// Entries returns the changed entries in either encoding.
+func (d *Delta) Entries() []TargetEntry {
+	if d.Packed != nil {
+		return d.Packed.Entries
+	}
+	return d.Targets
+}
+
 // HasTargets reports whether the delta changes the other's list of targets.
 func (d *Delta) HasTargets() bool { return d.Since > 0 || len(d.NameHashes) > 0 }
 
@@ -90,7 +109,8 @@
 	Name     string       `cbor:"1,keyasint"`
 	Revision uint64       `cbor:"2,keyasint"`
 	Target   model.Target `cbor:"3,keyasint"`
-	// ColdMillis is how long the target is still cold by its entry, at the time of sending.
+	// ColdMillis is how long the target is still cold by its entry, at the time of sending or
+	// earlier.
 	ColdMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
@@ -151,7 +171,7 @@
 	if t := r.Routes.Holder.Current(); t != nil {
 		v.Routes = t.Revision
 	}
-	v.AcceptsRemovals = true
+	v.AcceptsRemovals, v.AcceptsParts = true, true
 	v.Evacuations = r.Evacuations.version()
 	v.Current = r.Current != nil && r.Current()
 	return v
@@ -172,6 +192,29 @@
 	return d
 }
 
+// PackFor packs the changed entries if the instance with the given versions accepts that.
+func (d *Delta) PackFor(other Versions) {
+	if other.AcceptsParts && len(d.Targets) > 0 {
+		d.Packed, d.Targets = &PackedEntries{Entries: d.Targets}, nil
+	}
+}
+
+// PartFor is like DeltaFor for targets and evacuations, of the targets at most a part of them if the other instance
+// accepts that.
+func (r *Replica) PartFor(other Versions) (Delta, error) {
+	own := r.Versions()
+	d := Delta{Versions: own}
+	r.Evacuations.addTo(&d, other.Evacuations)
+	if own.AsOf <= other.AsOf || own.Digest == other.Digest {
+		return d, nil
+	}
+	if other.AcceptsParts && other.AcceptsRemovals {
+		return d, r.Targets.addPart(&d, other)
+	}
+	r.Targets.addChanges(&d, other)
+	return d, nil
+}
+
 // HasState reports whether the delta changes anything that the other holds.
 func (d *Delta) HasState() bool { return d.Routes != nil || d.HasTargets() || d.Evacuations != nil }
 
@@ -248,7 +291,7 @@
 	} else {
 		t.deleteUnlisted(d, affected)
 	}
-	for _, e := range d.Targets {
+	for _, e := range d.Entries() {
 		t.upsert(e.received(), affected)
 	}
 	t.publish(affected)
