Let the soak's homes lie outside the gateways' region

Cause: on a copy without homes the soak failed by the evacuation and the cold targets but not by the homes: the gateways' own region always had room, so no request left it.

Change: the requests with homes are at home in the other region.

--- a/internal/soak/places_test.go
+++ b/internal/soak/places_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// homedHost is the host whose requests are at home in praha only.
+	// homedHost is the host whose requests are at home in brno only. The gateways are in praha.
 	homedHost = "homed.example"
 	// evacuationBound is the time within which an evacuation must be in force, evacuationTime
 	// how long one lasts, and placesContact the time after a fault from which it binds.
@@ -64,7 +64,7 @@
 	for n, domain := range []string{"praha-a", "praha-a", "praha-b", "praha-b", "brno-a", "brno-a"} {
 		r.addPlaced(fmt.Sprint("v1/", n), domain)
 	}
-	rule := platformtest.Rule{Name: "homed", Host: homedHost, Prefix: "/p/", Idempotent: true, Service: serviceOf(1), Objective: 500 * time.Millisecond, Timeout: time.Second, MaxAttempts: 2, Homes: []string{"praha"}}
+	rule := platformtest.Rule{Name: "homed", Host: homedHost, Prefix: "/p/", Idempotent: true, Service: serviceOf(1), Objective: 500 * time.Millisecond, Timeout: time.Second, MaxAttempts: 2, Homes: []string{"brno"}}
 	free := rule
 	free.Name, free.Host, free.Homes = "safe", idempotentHost, nil
 	r.store.Put(platform.RoutesKind, "main", platformtest.RoutesWithCold(1, []string{serviceOf(1)}, platformtest.Cold{PerSecond: coldPerSecond, Start: coldTime}, rule, free))
@@ -97,8 +97,8 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if req.Host == homedHost && target.FailureDomain == "brno-a" {
-		r.t.Errorf("%s in brno got a request that is at home in praha", target.ID)
+	if req.Host == homedHost && target.FailureDomain != "brno-a" {
+		r.t.Errorf("%s in praha got a request that is at home in brno", target.ID)
 	}
 	if since := now.Sub(r.evacuatedAt); target.FailureDomain == evacuatedDomain && !r.evacuatedAt.IsZero() && since > evacuationBound && now.Sub(r.faultAt) > placesContact {
 		r.t.Errorf("%s got a request %v after its failure domain was to be evacuated", target.ID, since)
