--- a/internal/replica/packed.go
+++ b/internal/replica/packed.go
@@ -40,6 +40,7 @@
 	MaxConns int
 	Leaving  bool
 	Start    int64
+	Cold     int64
 }
 
 // PackedFormError reports packed entries that refer to a name that their table lacks.
@@ -72,6 +73,7 @@
 			MaxConns: e.Target.MaxConns,
 			Leaving:  e.Target.Leaving,
 			Start:    e.Target.StartMillis - form.FirstStart,
+			Cold:     e.ColdMillis,
 		}
 		if string(e.Target.ID) != e.Name {
 			packed.ID = e.Target.ID
@@ -110,8 +112,9 @@
 			e.ID = model.TargetID(e.Name)
 		}
 		p.Entries = append(p.Entries, TargetEntry{
-			Name:     e.Name,
-			Revision: form.FirstRevision + uint64(e.Revision),
+			Name:       e.Name,
+			ColdMillis: e.Cold,
+			Revision:   form.FirstRevision + uint64(e.Revision),
 			Target: model.Target{
 				ID:          e.ID,
 				Service:     form.Services[e.Service],
