Starting gateways list the targets from a relay

Cause: every gateway lists all targets from the store when it starts: 1 MB for 3,000 targets, to two of three regions across the links between them.

Change: a gateway that isn't a seed waits up to 0.8 s for the list of a relay, in parts as other changes, and lists from the store only after that. Routes are listed from the store as before. The gateway is ready once all parts have arrived. A relay answers an instance without a list at once, also if there are no targets.

Weighed: waiting longer for a relay that is slow (a gateway that isn't ready costs more than a list), asking the relay beside the store (both bring the bytes).

TestStartingInstanceListsTargetsFromARelay, with relays that respond, are silent or slow; TestStoreWithoutTargetsIsKnown.

--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -32,6 +32,11 @@
 	// returnInterval is the mean time between two searches for a relay in the own region while
 	// one in another region is followed.
 	returnInterval = 5 * time.Second
+	// startWait is how long a gateway that starts waits for the list of a relay. Without one it
+	// lists the targets from the store, which takes about as long.
+	startWait = 800 * time.Millisecond
+	// startPollInterval is the time between two looks at whether that list is complete.
+	startPollInterval = 10 * time.Millisecond
 	// lossTolerance is how long the changes may be missing after all relays said that they
 	// have lost the store. A relay regains it about half a second after a lost history;
 	// then it has listed the targets for all its peers.
@@ -84,7 +89,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if delta.HasTargets() || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
+		firstList := req.Versions.AsOf == 0 && delta.Versions.AsOf > 0
+		if firstList || delta.HasTargets() || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
 			return delta, nil
 		}
 		select {
@@ -99,7 +105,7 @@
 // called once; the other methods are safe for concurrent use.
 type RelayClient struct {
 	Replica *replica.Replica
-	// OnMerge is called after targets of a relay were merged.
+	// OnMerge is called after all targets of a relay were merged.
 	OnMerge   func()
 	Transport Transport
 	// Seeds are the peer addresses of the instances that may relay.
@@ -111,6 +117,8 @@
 	names nameComparison
 
 	mu sync.Mutex
+	// listed is set once all targets of a relay were received.
+	listed bool
 	// current is set while a relay that follows the store answers, and also while its
 	// replacement is looked for.
 	current bool
@@ -151,13 +159,18 @@
 
 // Run receives changes until ctx ends.
 func (c *RelayClient) Run(ctx context.Context) {
+	startedAt := time.Now()
 	for ctx.Err() == nil {
 		relay, found := c.nearestRelay(ctx)
 		for found && ctx.Err() == nil {
 			relay, found = c.replaceRelay(ctx, relay, c.follow(ctx, relay))
 		}
 		c.setLost()
-		wait.For(ctx, idleSearchInterval)
+		pause := idleSearchInterval
+		if time.Since(startedAt) < startWait {
+			pause = searchInterval
+		}
+		wait.For(ctx, pause)
 	}
 }
 
@@ -183,9 +196,6 @@
 // nearestRelay returns the seed that follows the store and responds first, one in the own
 // region if any of them responds within searchTimeout.
 func (c *RelayClient) nearestRelay(ctx context.Context) (nearest foundRelay, found bool) {
-	if own := c.Replica.Versions(); own.AsOf == 0 || own.Routes == 0 {
-		return foundRelay{}, false
-	}
 	relays := make(chan foundRelay, len(c.Seeds))
 	var calls sync.WaitGroup
 	for _, addr := range c.Seeds {
@@ -282,7 +292,7 @@
 	if !remote.More {
 		c.names.compare(c.Replica, remote.Versions)
 	}
-	if remote.HasTargets() {
+	if !remote.More && (remote.HasTargets() || !c.hasListed()) {
 		c.OnMerge()
 	}
 	return remote, nil
@@ -294,6 +304,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current, c.latest = true, remote.Versions
+	c.listed = c.listed || !remote.More
 	if remote.Versions.Routes == own.Routes {
 		c.routesAsOf = max(c.routesAsOf, remote.Versions.RoutesAsOf)
 		c.Replica.Routes.Holder.Confirm(route.FromRelay)
@@ -339,6 +350,13 @@
 	return c.current
 }
 
+// hasListed reports whether all targets of a relay were received.
+func (c *RelayClient) hasListed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listed
+}
+
 // TargetsRelay returns the replica.Relay of the follower of the targets.
 func (c *RelayClient) TargetsRelay() replica.Relay { return &relayWaiter{client: c} }
 
@@ -352,6 +370,22 @@
 	routes bool
 }
 
+// AwaitStart implements replica.Relay. The routes are always listed from the store.
+func (w *relayWaiter) AwaitStart(ctx context.Context) (asOf uint64) {
+	if w.routes {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		if w.client.hasListed() {
+			return w.client.Replica.Versions().AsOf
+		}
+		wait.For(ctx, startPollInterval)
+	}
+	return 0
+}
+
 // AwaitReturn implements replica.Relay.
 func (w *relayWaiter) AwaitReturn(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, lossTolerance)
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -159,6 +159,8 @@
 	delay  time.Duration
 	// linkFreeAt is when the node's link has sent all responses.
 	linkFreeAt time.Time
+	// merged counts the calls of OnMerge.
+	merged int
 	// applied and left are the times at which routes came in force and targets left.
 	applied map[model.Revision]time.Time
 	left    map[model.TargetID]time.Time
@@ -273,6 +275,12 @@
 	n.nodes[addr].silent = silent
 }
 
+func (n *relayNetwork) countMerge(node *relayNode) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	node.merged++
+}
+
 func (n *relayNetwork) setDelay(addr string, delay time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -341,7 +349,7 @@
 		node.breaker.OnOpen = node.replica.NotifyChanged
 		routes.WatchWait, targets.WatchWait = RelayWatchWait, RelayWatchWait
 	} else {
-		node.client = &RelayClient{Replica: node.replica, OnMerge: func() {}, Transport: nodeTransport{n, node}, Seeds: seeds, Region: at.Region, Log: zap.NewNop()}
+		node.client = &RelayClient{Replica: node.replica, OnMerge: func() { n.countMerge(node) }, Transport: nodeTransport{n, node}, Seeds: seeds, Region: at.Region, Log: zap.NewNop()}
 		routes.Relay, targets.Relay = node.client.RoutesRelay(), node.client.TargetsRelay()
 		go node.client.Run(ctx)
 	}
@@ -689,3 +697,61 @@
 		}
 	})
 }
+
+// TestStartingInstanceListsTargetsFromARelay guards against a fleet that starts and whose
+// instances each list all targets from the store, across regions. Without a relay that is fast
+// enough they still do.
+func TestStartingInstanceListsTargetsFromARelay(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		linkBytes int
+		silent    bool
+		lists     int
+		within    time.Duration
+	}{
+		{"relays respond", 0, false, 1, searchInterval},
+		{"relays are silent", 0, true, 2, startWait + searchInterval},
+		{"relays are slow", 12_000, false, 2, startWait + searchInterval},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, _ *relayNode) {
+				n.mu.Lock()
+				n.linkBytes = c.linkBytes
+				n.mu.Unlock()
+				n.silence("seed-1", c.silent)
+				n.silence("seed-2", c.silent)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				node := n.start(ctx, store, "starting", "seed-1", "seed-2")
+				time.Sleep(c.within)
+				if own, relay := node.replica.Versions(), n.nodes["seed-1"].replica.Versions(); own.Digest != relay.Digest {
+					t.Errorf("the instance holds %+v, the relay %+v", own, relay)
+				}
+				if lists, _ := store.takeCalls("starting"); lists != c.lists {
+					t.Errorf("%d lists from the store, want %d", lists, c.lists)
+				}
+			})
+		})
+	}
+}
+
+// TestStoreWithoutTargetsIsKnown checks that an instance that starts behind a relay learns that
+// there are no targets: until then it isn't ready.
+func TestStoreWithoutTargetsIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newRelayStore(0)
+		n := &relayNetwork{nodes: make(map[string]*relayNode)}
+		n.start(ctx, store, "seed-1")
+		time.Sleep(time.Second)
+		node := n.start(ctx, store, "node", "seed-1")
+		time.Sleep(searchInterval)
+		n.mu.Lock()
+		if node.merged == 0 || node.replica.Versions().AsOf == 0 {
+			t.Errorf("merged %d times, holds %+v", node.merged, node.replica.Versions())
+		}
+		n.mu.Unlock()
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -34,6 +34,10 @@
 	// Await blocks while a peer relays the changes and the view holds them. It returns at
 	// once if no peer does.
 	Await(ctx context.Context) RelayState
+	// AwaitStart waits a short time until the view holds what a peer relays and returns the
+	// store's revision that it reflects, or 0 if the objects must be listed. It is called once,
+	// before the first list.
+	AwaitStart(ctx context.Context) (asOf uint64)
 	// AwaitReturn waits a short time for a peer that relays changes and reports whether
 	// there is one. It is called before all objects are listed after a loss of history.
 	AwaitReturn(ctx context.Context) bool
@@ -122,11 +126,19 @@
 
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	var after uint64
+	if f.Relay != nil {
+		after = f.Relay.AwaitStart(ctx)
+	}
 	for ctx.Err() == nil {
-		after, err := f.list(ctx)
+		var err error
+		if after == 0 {
+			after, err = f.list(ctx)
+		}
 		for (err == nil || f.relayReturns(ctx, err)) && ctx.Err() == nil {
 			after, err = f.watch(ctx, after)
 		}
+		after = 0
 	}
 }
 
--- a/internal/replica/parts.go
+++ b/internal/replica/parts.go
@@ -17,11 +17,11 @@
 	more    bool
 }
 
-// addPart adds to d the changes since the list of an instance, or the first part of them. A
-// list older than the removals that are known is replaced as a whole.
+// addPart adds to d the changes since the list of an instance, which may be none, or the first
+// part of them. A list older than the removals that are known is replaced as a whole.
 func (t *Targets) addPart(d *Delta, other Versions) error {
 	t.mu.Lock()
-	known := other.AsOf > 0 && other.AsOf >= t.removalsSince
+	known := other.AsOf == 0 || other.AsOf >= t.removalsSince
 	if !known {
 		t.mu.Unlock()
 		t.addChanges(d, other)
@@ -53,7 +53,10 @@
 	slices.SortFunc(changed, func(a, b TargetEntry) int {
 		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Name, b.Name))
 	})
-	p := &part{removed: t.removedSince(revision)}
+	p := new(part)
+	if revision > 0 {
+		p.removed = t.removedSince(revision)
+	}
 	changed, p.asOf, p.more = firstPart(changed, cmp.Or(t.partEntries, maxPartEntries), t.asOf)
 	p.entries = &PackedEntries{Entries: changed}
 	if _, err := p.entries.MarshalCBOR(); err != nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -71,7 +71,7 @@
 }
 
 // HasTargets reports whether the delta changes the other's list of targets.
-func (d *Delta) HasTargets() bool { return d.Since > 0 || len(d.NameHashes) > 0 }
+func (d *Delta) HasTargets() bool { return d.Since > 0 || len(d.NameHashes) > 0 || d.Packed != nil }
 
 // nameHashBytes is the size of a name's hash. With 4 bytes, 1 in 600 lists of 3,700
 // entries contains two names with the same hash.
@@ -230,7 +230,9 @@
 		t.advance(d.Versions.AsOf)
 		return
 	}
-	if !d.HasTargets() || d.Since > t.asOf {
+	// Changes since no list are for an instance that has none.
+	sinceNone := d.Since == 0 && len(d.NameHashes) == 0
+	if !d.HasTargets() || d.Since > t.asOf || sinceNone && t.asOf > 0 {
 		return
 	}
 	t.advance(d.Versions.AsOf)
