--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -33,8 +33,8 @@
 // peerRelay is how a gateway learns the store's changes from its peers. The zero value is
 // that of a gateway without peers.
 type peerRelay struct {
-	// routes and targets are Follower.Relay of the two followers, or nil.
-	routes, targets replica.Relay
+	// routes, targets and evacuations are Follower.Relay of the followers, or nil.
+	routes, targets, evacuations replica.Relay
 	// isRelay is set if this gateway relays changes to others.
 	isRelay bool
 }
@@ -82,6 +82,10 @@
 	}
 	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds,
 		Region: g.settings.Location.Region, Log: g.log}
+	if within := g.settings.Keys.WithdrawWithin; within > 0 {
+		client.HoldRequests = min(peersync.AwaitWait, time.Duration(relayHoldShare*float64(within)))
+		client.MaxConfirmationAge = time.Duration(confirmSelfShare * float64(within))
+	}
 	g.set.NewGauge("redwingpoint_store_changes_relayed", func() float64 {
 		if client.Relayed() {
 			return 1
@@ -89,7 +93,7 @@
 		return 0
 	})
 	runLoop(lc, client.Run)
-	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay()}
+	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay(), evacuations: client.EvacuationsRelay()}
 }
 
 // sharePermits divides the limits that targets state among the seeds.
@@ -106,6 +110,9 @@
 	local.Current = func() bool { return g.isReady() && !g.breaker.Open() }
 	local.Routes.OnChange = local.NotifyChanged
 	local.Targets.OnChange = local.NotifyChanged
+	if local.Evacuations != nil {
+		local.Evacuations.OnChange = local.NotifyChanged
+	}
 	g.breaker.OnOpen = local.NotifyChanged
 	g.onShutdown = local.NotifyChanged
 	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local, Location: g.settings.Location}).HandleAwaitChange)
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -1,6 +1,7 @@
 package peersync
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -19,8 +20,8 @@
 	// RelayWatchWait is how long the store may hold a watch of a relay. A relay notices a
 	// watch that the store dropped after this and the timeout of the response.
 	RelayWatchWait = 700 * time.Millisecond
-	// awaitWait is how long a relay holds a request without a change.
-	awaitWait = 600 * time.Millisecond
+	// AwaitWait is how long a relay holds a request without a change.
+	AwaitWait = 600 * time.Millisecond
 	// maxAwaitWait bounds the wait that a request may ask for.
 	maxAwaitWait = 2 * time.Second
 	// searchTimeout bounds the search for a relay. A handshake and a call across regions
@@ -41,6 +42,9 @@
 	// have lost the store. A relay regains it about half a second after a lost history;
 	// then it has listed the targets for all its peers.
 	lossTolerance = time.Second
+	// startTolerance is how long the evacuations may be missing after a start, until they are
+	// listed: a relay that has started too is ready after about a second.
+	startTolerance = 1500 * time.Millisecond
 	// searchInterval is the time between two searches during lossTolerance, and
 	// idleSearchInterval that without a relay.
 	searchInterval     = 100 * time.Millisecond
@@ -48,7 +52,7 @@
 	// MaxRelayLag is the longest time for which a relay that lost the store first, and its
 	// peer right after, delays a change: the watch and the request with their timeouts, and
 	// the search for another relay.
-	MaxRelayLag = RelayWatchWait + awaitWait + 2*exchangeTimeout + searchTimeout
+	MaxRelayLag = RelayWatchWait + AwaitWait + 2*exchangeTimeout + searchTimeout
 )
 
 // awaitRequest is the request of peer.OpAwaitChange.
@@ -69,10 +73,11 @@
 }
 
 // HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets, or a part of
-// them, and the versions held as soon as the targets differ from the requester's, newer routes
-// are in force or the instance can no longer relay; without a change it does after the wait
-// asked for. A search gets the versions alone. It never sends routes: every peer reads them from
-// the store, because the same large document sent to all peers would fill the instance's link.
+// them, the changed evacuations and the versions held as soon as these differ from the
+// requester's, newer routes are in force or the instance can no longer relay; without a change it
+// does after the wait asked for. A search gets the versions alone. It never sends routes: every
+// peer reads them from the store, because the same large document sent to all peers would fill
+// the instance's link.
 func (s *RelayServer) HandleAwaitChange(_ model.InstanceID, body []byte) (any, error) {
 	var req awaitRequest
 	if err := peer.Decode(body, &req); err != nil {
@@ -81,22 +86,28 @@
 	if req.Search {
 		return replica.Delta{Versions: s.Replica.Versions(), Location: &s.Location}, nil
 	}
+	arrivedAt := time.Now()
 	timer := time.NewTimer(min(time.Duration(req.WaitMillis)*time.Millisecond, maxAwaitWait))
 	defer timer.Stop()
-	for {
+	for expired := false; ; {
 		changed := s.Replica.Changed()
+		confirmed := s.Replica.Routes.Holder.Confirmed()
 		delta, err := s.Replica.PartFor(req.Versions)
 		if err != nil {
 			return nil, err
 		}
+		// In this order, a pause of the process between the two makes the confirmation seem
+		// older, not younger.
+		delta.HeldMillis = time.Since(arrivedAt).Milliseconds()
+		delta.Versions.SetConfirmation(confirmed)
 		firstList := req.Versions.AsOf == 0 && delta.Versions.AsOf > 0
-		if firstList || delta.HasTargets() || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
+		if expired || firstList || delta.HasTargets() || delta.Evacuations != nil || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
 			return delta, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return delta, nil
+			expired = true
 		}
 	}
 }
@@ -113,6 +124,12 @@
 	// Region is that of this instance; a relay in it is preferred.
 	Region model.Region
 	Log    *zap.Logger
+	// HoldRequests is how long a relay may hold a request without a change; zero means
+	// AwaitWait.
+	HoldRequests time.Duration
+	// MaxConfirmationAge is the age of the confirmation of the routes from which the store is
+	// read although a relay answers; zero means never.
+	MaxConfirmationAge time.Duration
 
 	names nameComparison
 
@@ -166,7 +183,7 @@
 			relay, found = c.replaceRelay(ctx, relay, c.follow(ctx, relay))
 		}
 		c.setLost()
-		pause := idleSearchInterval
+		pause := c.idleInterval()
 		if time.Since(startedAt) < startWait {
 			pause = searchInterval
 		}
@@ -174,6 +191,15 @@
 	}
 }
 
+// idleInterval returns the time until the next search for a relay. An instance that waits for
+// the evacuations searches as soon as its own state is known.
+func (c *RelayClient) idleInterval() time.Duration {
+	if own := c.Replica.Versions(); own.Evacuations.Followed && own.Evacuations.AsOf == 0 {
+		return searchInterval
+	}
+	return idleSearchInterval
+}
+
 // replaceRelay returns the relay that follows one. The silent one may have been without the
 // store before, so its return is not waited for.
 func (c *RelayClient) replaceRelay(ctx context.Context, last foundRelay, end followEnd) (next foundRelay, found bool) {
@@ -279,15 +305,18 @@
 
 // awaitChange asks a relay for the next change and merges its targets.
 func (c *RelayClient) awaitChange(ctx context.Context, relay string) (replica.Delta, error) {
-	ctx, cancel := context.WithTimeout(ctx, awaitWait+exchangeTimeout)
+	hold := cmp.Or(c.HoldRequests, AwaitWait)
+	ctx, cancel := context.WithTimeout(ctx, hold+exchangeTimeout)
 	defer cancel()
 	var remote replica.Delta
-	request := awaitRequest{Versions: c.names.ownVersions(c.Replica), WaitMillis: uint32(awaitWait.Milliseconds())}
+	request := awaitRequest{Versions: c.names.ownVersions(c.Replica), WaitMillis: uint32(hold.Milliseconds())}
 	// The relay need not tell again of routes that are being read from the store.
 	request.Versions.Routes = max(request.Versions.Routes, c.toldRoutes())
+	sentAt := time.Now()
 	if _, err := c.Transport.CallAddr(ctx, relay, peer.OpAwaitChange, request, &remote); err != nil {
 		return replica.Delta{}, err
 	}
+	c.confirm(remote, sentAt)
 	c.Replica.Merge(remote)
 	if !remote.More {
 		c.names.compare(c.Replica, remote.Versions)
@@ -298,6 +327,18 @@
 	return remote, nil
 }
 
+// confirm passes on the relay's confirmation of routes that are in force here or were before.
+// The relay got the request after it was sent and held it, so that the confirmation is as old as
+// it says at the end of that time; what the response needed is added to the age.
+func (c *RelayClient) confirm(remote replica.Delta, sentAt time.Time) {
+	age, confirmed := remote.Versions.ConfirmedAge()
+	if !confirmed || !remote.Versions.Current || remote.Versions.Routes > c.Replica.Versions().Routes {
+		return
+	}
+	held := time.Duration(remote.HeldMillis) * time.Millisecond
+	c.Replica.Routes.Holder.Confirm(route.FromRelay, sentAt.Add(held-age))
+}
+
 // accept records a response of a relay that follows the store.
 func (c *RelayClient) accept(remote replica.Delta) {
 	own := c.Replica.Versions()
@@ -307,13 +348,21 @@
 	c.listed = c.listed || !remote.More
 	if remote.Versions.Routes == own.Routes {
 		c.routesAsOf = max(c.routesAsOf, remote.Versions.RoutesAsOf)
-		c.Replica.Routes.Holder.Confirm(route.FromRelay)
 	}
-	if c.isBehind(own) {
+	if c.Replica.Evacuations != nil && remote.Versions.Evacuations.Digest == own.Evacuations.Digest && remote.Versions.Evacuations.AsOf > 0 {
+		c.Replica.Evacuations.Confirm()
+	}
+	if c.isBehind(own) || !c.relaysEvacuations() {
 		c.end()
 	}
 }
 
+// relaysEvacuations reports whether the relay knows the evacuations, if this instance follows
+// them. c.mu must be held.
+func (c *RelayClient) relaysEvacuations() bool {
+	return c.Replica.Evacuations == nil || c.latest.Evacuations.AsOf > 0
+}
+
 // setLost records that no relay follows the store for this instance.
 func (c *RelayClient) setLost() {
 	c.mu.Lock()
@@ -360,6 +409,11 @@
 // TargetsRelay returns the replica.Relay of the follower of the targets.
 func (c *RelayClient) TargetsRelay() replica.Relay { return &relayWaiter{client: c} }
 
+// EvacuationsRelay returns the replica.Relay of the follower of the evacuations.
+func (c *RelayClient) EvacuationsRelay() replica.Relay {
+	return &relayWaiter{client: c, evacuations: true}
+}
+
 // RoutesRelay returns the replica.Relay of the follower of the routes, which are behind if
 // the relay has newer ones.
 func (c *RelayClient) RoutesRelay() replica.Relay { return &relayWaiter{client: c, routes: true} }
@@ -367,31 +421,36 @@
 // relayWaiter implements replica.Relay for one follower.
 type relayWaiter struct {
 	client *RelayClient
-	routes bool
+	// routes or evacuations is set if the follower is not that of the targets.
+	routes, evacuations bool
 }
 
-// AwaitStart implements replica.Relay. The routes are always listed from the store.
-func (w *relayWaiter) AwaitStart(ctx context.Context) (asOf uint64) {
-	if w.routes {
-		return 0
+// AwaitStart implements replica.Relay.
+func (w *relayWaiter) AwaitStart(ctx context.Context) bool {
+	if w.evacuations {
+		return w.AwaitReturn(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, startWait)
 	defer cancel()
 	for ctx.Err() == nil {
 		if w.client.hasListed() {
-			return w.client.Replica.Versions().AsOf
+			return true
 		}
 		wait.For(ctx, startPollInterval)
 	}
-	return 0
+	return false
 }
 
 // AwaitReturn implements replica.Relay.
 func (w *relayWaiter) AwaitReturn(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, lossTolerance)
+	tolerance := lossTolerance
+	if w.evacuations {
+		tolerance = startTolerance
+	}
+	ctx, cancel := context.WithTimeout(ctx, tolerance)
 	defer cancel()
 	for ctx.Err() == nil {
-		if w.client.Relayed() {
+		if w.isRelayed() {
 			return true
 		}
 		wait.For(ctx, searchInterval)
@@ -399,6 +458,14 @@
 	return false
 }
 
+// isRelayed reports whether a relay answers that knows what the follower is for.
+func (w *relayWaiter) isRelayed() bool {
+	c := w.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current && (!w.evacuations || c.relaysEvacuations())
+}
+
 // StrongReadFinished implements replica.Relay.
 func (w *relayWaiter) StrongReadFinished() {
 	w.client.mu.Lock()
@@ -418,12 +485,29 @@
 		}
 		select {
 		case <-ended:
+		case <-w.untilUnconfirmed():
 		case <-ctx.Done():
 			return state
 		}
 	}
 }
 
+// untilUnconfirmed returns a channel that receives when the confirmation of the routes is too
+// old, or nil if its age doesn't matter.
+func (w *relayWaiter) untilUnconfirmed() <-chan time.Time {
+	if !w.routes || w.client.MaxConfirmationAge == 0 {
+		return nil
+	}
+	return time.After(w.client.MaxConfirmationAge - w.client.Replica.Routes.Holder.Confirmed().Age())
+}
+
+// isUnconfirmed reports whether the store must be read because the confirmation of the routes
+// is too old.
+func (w *relayWaiter) isUnconfirmed() bool {
+	limit := w.client.MaxConfirmationAge
+	return w.routes && limit > 0 && w.client.Replica.Routes.Holder.Confirmed().Age() >= limit
+}
+
 // check updates the state and returns the channel to wait for, or nil if the follower must
 // go to the store.
 func (w *relayWaiter) check(state *replica.RelayState) <-chan struct{} {
@@ -435,7 +519,10 @@
 	if w.routes {
 		state.AsOf = c.routesAsOf
 	}
-	if !c.current {
+	if w.evacuations {
+		state.AsOf = own.Evacuations.AsOf
+	}
+	if !c.current || (w.evacuations && !c.relaysEvacuations()) {
 		return nil
 	}
 	state.Relayed = true
@@ -444,6 +531,9 @@
 		c.soughtRoutes = c.latest.Routes
 		return nil
 	}
+	if w.isUnconfirmed() {
+		return nil
+	}
 	if c.ended == nil {
 		c.ended = make(chan struct{})
 	}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -34,10 +34,9 @@
 	// Await blocks while a peer relays the changes and the view holds them. It returns at
 	// once if no peer does.
 	Await(ctx context.Context) RelayState
-	// AwaitStart waits a short time until the view holds what a peer relays and returns the
-	// store's revision that it reflects, or 0 if the objects must be listed. It is called once,
-	// before the first list.
-	AwaitStart(ctx context.Context) (asOf uint64)
+	// AwaitStart waits a short time until the view holds what a peer relays and reports whether
+	// it does. It is called once, before the first list.
+	AwaitStart(ctx context.Context) bool
 	// AwaitReturn waits a short time for a peer that relays changes and reports whether
 	// there is one. It is called before all objects are listed after a loss of history.
 	AwaitReturn(ctx context.Context) bool
@@ -109,6 +108,9 @@
 	Floor *Floor
 	// Relay, if set, replaces watches of the store while peers relay its changes.
 	Relay Relay
+	// StartFromRelay makes Run list the objects only if no relay brings them soon after the
+	// start.
+	StartFromRelay bool
 
 	outageStarted       time.Time
 	callStarted         time.Time
@@ -127,14 +129,13 @@
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var after uint64
-	if f.Relay != nil {
-		after = f.Relay.AwaitStart(ctx)
-	}
+	var err error
+	started := f.StartFromRelay && f.Relay != nil && f.Relay.AwaitStart(ctx)
 	for ctx.Err() == nil {
-		var err error
-		if after == 0 {
+		if !started {
 			after, err = f.list(ctx)
 		}
+		started = false
 		for (err == nil || f.relayReturns(ctx, err)) && ctx.Err() == nil {
 			after, err = f.watch(ctx, after)
 		}
@@ -167,7 +168,7 @@
 	}
 	f.handleSuccess()
 	f.goneRevision, f.listNext = 0, false
-	batch.Strong = true
+	batch.Strong, batch.BeganAt = true, startedAt
 	f.Floor.raise(0, Batch{AsOf: batch.AsOf})
 	f.View.Replace(batch, f.removeAfter)
 	f.notifyRelay(batch)
@@ -225,6 +226,7 @@
 		f.handleFailure(ctx, err)
 		return after, nil
 	}
+	batch.BeganAt = startedAt
 	if consistency == Strong {
 		batch.Strong = true
 		f.raiseFloor(after, batch)
