An instance with a part of a list doesn't pass it on

Cause: while parts of a relay's list are missing, the entries held are those up to a revision, without the ones that changed later. Such an instance that lost relay and store offered them to a seed as the list of that revision, and a seed without the store would have dropped the targets that are missing from it. It also counted as knowing the targets, and could be ready.

Change: targets know whether they are complete. Incomplete ones are not offered and don't make a gateway ready. A list or newer changes of the store, or the last part, complete them.

TestIncompleteListIsNotOffered fails without the check.

--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -55,7 +55,7 @@
 	s := &peersync.Syncer{
 		Replica:    local,
 		NeedsPeers: g.breaker.Open,
-		OnMerge:    func() { g.targetsKnown.Store(local.Versions().AsOf > 0) },
+		OnMerge:    func() { g.targetsKnown.Store(local.Targets.Known()) },
 		Transport:  transport,
 		Seeds:      otherSeeds,
 		Log:        g.log,
--- a/internal/replica/packed_test.go
+++ b/internal/replica/packed_test.go
@@ -90,3 +90,31 @@
 		t.Errorf("%d parts lead to %+v, want %+v", parts, receiver.Versions(), sender.Versions())
 	}
 }
+
+// TestIncompleteListIsNotOffered guards against an instance that has got a part of a list and
+// passes it on as a whole: another one, without the store, would drop the other targets.
+func TestIncompleteListIsNotOffered(t *testing.T) {
+	sender, _ := newReplica()
+	sender.Targets.partEntries = 2
+	sender.Targets.Replace(Batch{AsOf: 50, Objects: []Object{object("1", 5, "a"), object("2", 6, "a"), object("3", 7, "a")}}, removeAtOnce)
+	starting, _ := newReplica()
+	part, err := sender.PartFor(starting.Versions())
+	if err != nil {
+		t.Fatal(err)
+	}
+	starting.Merge(roundTrip(t, part))
+	other, out := newReplica()
+	other.Targets.Replace(Batch{AsOf: 3, Objects: []Object{object("3", 2, "a")}}, removeAtOnce)
+	other.Merge(roundTrip(t, starting.DeltaFor(other.Versions())))
+	if !out.has("3") || starting.Targets.Known() {
+		t.Errorf("lists %v after an offer of %+v, known: %v", out.lists, starting.Versions(), starting.Targets.Known())
+	}
+	if part, err = sender.PartFor(starting.Versions()); err != nil {
+		t.Fatal(err)
+	}
+	starting.Merge(roundTrip(t, part))
+	other.Merge(roundTrip(t, starting.DeltaFor(other.Versions())))
+	if other.Versions() != sender.Versions() || !starting.Targets.Known() {
+		t.Errorf("holds %+v, want %+v", other.Versions(), sender.Versions())
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -234,10 +234,14 @@
 }
 
 // addChanges adds to d what an instance with the given versions lacks: the entries that
-// changed after its list and, as far as they are still known, the removals since then.
+// changed after its list and, as far as they are still known, the removals since then. Entries
+// that are incomplete are not offered: others would take those missing for removed.
 func (t *Targets) addChanges(d *Delta, other Versions) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.incomplete {
+		return
+	}
 	d.Versions.AsOf, d.Versions.Digest = t.asOf, t.digest
 	for name, e := range t.entries {
 		if e.revision > other.AsOf {
@@ -263,6 +267,7 @@
 	}
 	if d.Versions.Digest == t.digest {
 		t.advance(d.Versions.AsOf)
+		t.incomplete = false
 		return
 	}
 	// Changes since no list are for an instance that has none.
@@ -281,7 +286,7 @@
 		t.upsert(e, affected)
 	}
 	t.publish(affected)
-	t.mergedAsOf = d.Versions.AsOf
+	t.mergedAsOf, t.incomplete = d.Versions.AsOf, d.More
 }
 
 // mergeRemovals deletes the entries with the given name hashes. The caller must hold t.mu.
--- a/internal/replica/targets.go
+++ b/internal/replica/targets.go
@@ -47,6 +47,9 @@
 	entries map[string]*entry
 	// asOf is the store's revision that the entries reflect.
 	asOf uint64
+	// incomplete is set while the entries are those up to asOf alone, of a list that a relay
+	// sends in parts.
+	incomplete bool
 	// mergedAsOf is the revision of the list last merged from a peer, or 0 after a
 	// full list from the store. New entries up to this revision are ignored: a watch
 	// that lags behind the peer's list would add entries that are deleted by now.
@@ -75,7 +78,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.advance(snapshot.AsOf)
-	t.mergedAsOf = 0
+	t.mergedAsOf, t.incomplete = 0, false
 	listed := make(map[string]bool, len(snapshot.Objects))
 	affected := make(serviceSet)
 	for _, o := range snapshot.Objects {
@@ -90,10 +93,20 @@
 	t.publish(affected)
 }
 
+// Known reports whether all targets of the store are held, as of some revision.
+func (t *Targets) Known() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.asOf > 0 && !t.incomplete
+}
+
 // Update implements View.
 func (t *Targets) Update(changes Batch, removeAfter time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if changes.AsOf > t.asOf {
+		t.incomplete = false
+	}
 	t.advance(changes.AsOf)
 	affected := make(serviceSet)
 	for _, o := range changes.Objects {
