--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -187,6 +187,7 @@
 	// Targets change often: their watches are the cheaper ones, bounded by those of the routes.
 	targets.Consistency = replica.Eventual
 	targets.BatchDelay, targets.Relay = time.Duration(targetsBatchShare*float64(g.settings.DrainTimeout)), relay.targets
+	targets.StartFromRelay = true
 	runLoop(lc, targets.Run)
 	if local.Evacuations != nil {
 		g.followEvacuations(lc, local.Evacuations, relay)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -96,7 +96,7 @@
 }
 
 // HasTargets reports whether the delta changes the other's list of targets.
-func (d *Delta) HasTargets() bool { return d.Since > 0 || len(d.NameHashes) > 0 }
+func (d *Delta) HasTargets() bool { return d.Since > 0 || len(d.NameHashes) > 0 || d.Packed != nil }
 
 // nameHashBytes is the size of a name's hash. With 4 bytes, 1 in 600 lists of 3,700
 // entries contains two names with the same hash.
@@ -250,10 +250,14 @@
 }
 
 // addChanges adds to d what an instance with the given versions lacks: the entries that
-// changed after its list and, as far as they are still known, the removals since then.
+// changed after its list and, as far as they are still known, the removals since then. Entries
+// that are incomplete are not offered: others would take those missing for removed.
 func (t *Targets) addChanges(d *Delta, other Versions) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.incomplete {
+		return
+	}
 	d.Versions.AsOf, d.Versions.Digest = t.asOf, t.digest
 	for name, e := range t.entries {
 		if e.revision > other.AsOf {
@@ -279,9 +283,12 @@
 	}
 	if d.Versions.Digest == t.digest {
 		t.advance(d.Versions.AsOf)
+		t.incomplete = false
 		return
 	}
-	if !d.HasTargets() || d.Since > t.asOf {
+	// Changes since no list are for an instance that has none.
+	sinceNone := d.Since == 0 && len(d.NameHashes) == 0
+	if !d.HasTargets() || d.Since > t.asOf || sinceNone && t.asOf > 0 {
 		return
 	}
 	t.advance(d.Versions.AsOf)
@@ -295,7 +302,7 @@
 		t.upsert(e.received(), affected)
 	}
 	t.publish(affected)
-	t.mergedAsOf = d.Versions.AsOf
+	t.mergedAsOf, t.incomplete = d.Versions.AsOf, d.More
 }
 
 // mergeRemovals deletes the entries with the given name hashes. The caller must hold t.mu.
