Probe in two stages where the platform allows few probes

Need: a pick probes eight targets at once.

Weighed: a pool of reused probes (a report's pace lasts 300 ms, a gateway sends 8 requests a second to 189 targets), a fixed subset of three (targets and newcomers without any request).

Change: with the setting probes.perTarget below the usual 60, a pick asks three of its preferred targets, drawn at random, and the others only if none of the three is undisturbed.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -95,9 +95,11 @@
 }
 
 func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *dispatch.Dispatcher {
+	picker := routing.NewProbingPicker(table, client, routing.Monotonic, probes, permits)
+	picker.InStages = s.Probes.PerTarget < settings.UsualProbesPerTarget
 	return dispatch.New(dispatch.Options{
 		Routes:      routes,
-		Picker:      routing.NewProbingPicker(table, client, routing.Monotonic, probes, permits),
+		Picker:      picker,
 		Upstream:    client,
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
--- a/internal/routing/probe_round.go
+++ b/internal/routing/probe_round.go
@@ -39,6 +39,9 @@
 		return r, nil
 	}
 	preferred, _, _ := splitByPreference(pool, p.now())
+	if p.InStages {
+		preferred = sample(preferred, firstStageProbes)
+	}
 	if req.Repeated && !p.budget.AllowN(time.Now(), len(preferred)) {
 		p.mu.Unlock()
 		return nil, &ProbeBudgetError{Service: req.Service}
--- a/internal/routing/probing_picker.go
+++ b/internal/routing/probing_picker.go
@@ -45,6 +45,13 @@
 	// target there that would respond in time. Traffic between regions is paid for by
 	// volume.
 	remoteBackoff = 300 * time.Millisecond
+	// firstStageProbes is the number of targets that a pick in stages probes first. Of three
+	// targets one is nearly always at its normal pace with a free slot.
+	firstStageProbes = 3
+	// undisturbedFactor bounds the expected duration, as a multiple of that at an idle target
+	// at its normal pace, with which a pick in stages is content: above it the next stage
+	// costs less than the slower target does.
+	undisturbedFactor = 1.25
 	// noResponsePenalty ranks a target that did not respond to its probe behind all that
 	// did.
 	noResponsePenalty = 2 * time.Second
@@ -94,6 +101,9 @@
 	budget *rate.Limiter
 	// permits grants requests to targets that stated a limit.
 	permits Permits
+	// InStages makes picks probe the preferred targets in two stages, the second only if
+	// the first finds no target that is undisturbed. It must be set before the first pick.
+	InStages bool
 
 	mu sync.Mutex
 	// rounds holds the latest local probe round of each service.
@@ -133,6 +143,7 @@
 		return nil, err
 	}
 	candidates := p.evaluateAll(r.results, req, r.sentAt)
+	candidates = append(candidates, p.probeSecondStage(ctx, req, pool, candidates)...)
 	for _, probeMore := range p.fallbacks(pool) {
 		if slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
 			break
@@ -155,6 +166,25 @@
 	return candidates, nil
 }
 
+// probeSecondStage probes the preferred targets that the first stage left out, unless that
+// found a target which is undisturbed or there is only one stage.
+func (p *ProbingPicker) probeSecondStage(ctx context.Context, req ProbingRequest, pool *Pool, first []Candidate) []Candidate {
+	if !p.InStages || slices.ContainsFunc(first, func(c Candidate) bool { return c.isUndisturbed(req.Work) }) {
+		return nil
+	}
+	preferred, _, _ := splitByPreference(pool, p.now())
+	preferred = slices.DeleteFunc(preferred, func(e *Endpoint) bool {
+		return slices.ContainsFunc(first, func(c Candidate) bool { return c.Endpoint == e })
+	})
+	return p.probeFirst(ctx, req, preferred, len(preferred), localProbeWait)
+}
+
+// isUndisturbed reports whether the candidate is expected to take little longer than an
+// idle target at its normal pace.
+func (c *Candidate) isUndisturbed(w Work) bool {
+	return c.InTime(w) && c.Estimate.Duration <= scale(w.ServiceTime, undisturbedFactor)+roundTrip(c.Endpoint.Distance)
+}
+
 // fallbacks returns functions that probe more targets, the cheapest way first.
 func (p *ProbingPicker) fallbacks(pool *Pool) []func(context.Context, ProbingRequest) []Candidate {
 	_, otherLocal, remote := splitByPreference(pool, p.now())
--- a/internal/routing/probing_picker_test.go
+++ b/internal/routing/probing_picker_test.go
@@ -250,3 +250,50 @@
 		}
 	})
 }
+
+// TestStagesProbeFewTargetsWhileOneIsUndisturbed plays the load of a platform on which
+// probes are dear: most picks have to do with three of them.
+func TestStagesProbeFewTargetsWhileOneIsUndisturbed(t *testing.T) {
+	for name, c := range map[string]struct {
+		load       func(i int) LoadReport
+		wantProbes int
+	}{
+		"all idle":           {func(int) LoadReport { return idle(6) }, firstStageProbes},
+		"all slow":           {func(int) LoadReport { return paceOf(200, 6) }, maxPreferredProbes},
+		"all without a slot": {func(int) LoadReport { return busy(6, 6) }, maxPreferredProbes},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var targets []testTarget
+			for i := range maxPreferredProbes {
+				targets = append(targets, testTarget{model.TargetID(string(rune('a' + i))), prahaA, c.load(i)})
+			}
+			p, prober, _ := newTestPicker(targets...)
+			p.InStages = true
+			best(t, p, previewRequest)
+			total := 0
+			for _, n := range prober.probed {
+				total += n
+			}
+			if total != c.wantProbes {
+				t.Errorf("%s: %d probes, want %d", name, total, c.wantProbes)
+			}
+		})
+	}
+}
+
+func TestSecondStageFindsTheOnlyUndisturbedTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := []testTarget{{"quick", prahaA, idle(6)}}
+		for i := range maxPreferredProbes - 1 {
+			targets = append(targets, testTarget{model.TargetID(string(rune('a' + i))), prahaA, paceOf(400, 6)})
+		}
+		p, _, _ := newTestPicker(targets...)
+		p.InStages = true
+		for range 20 {
+			if got := best(t, p, previewRequest).Endpoint.Target.ID; got != "quick" {
+				t.Fatalf("picked %s, want the target at its normal pace", got)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -106,8 +106,15 @@
 	PerSecond int `yaml:"perSecond" range:"1..100000"`
 	// Burst is the number of probes that may be sent at once after a pause.
 	Burst int `yaml:"burst" range:"8..100000"`
+	// PerTarget is the number of probes per second and target that the platform allows all
+	// instances together. Below UsualProbesPerTarget, targets are probed in stages.
+	PerTarget float64 `yaml:"perTarget" range:"1..100000"`
 }
 
+// UsualProbesPerTarget is the Probes.PerTarget at which eight probes for each request are
+// affordable. It is what platforms usually allow.
+const UsualProbesPerTarget = 60
+
 const (
 	// defaultProbeRate results in 30 probes per target and second in a fleet with two
 	// targets per instance. The platform allows 60 on the average of a day.
@@ -140,7 +147,7 @@
 func DefaultGateway() *Gateway {
 	return &Gateway{
 		RetryBudget:   RetryBudget{Share: defaultRetryShare, Burst: defaultRetryBurst},
-		Probes:        Probes{PerSecond: defaultProbeRate, Burst: defaultProbeBurst},
+		Probes:        Probes{PerSecond: defaultProbeRate, Burst: defaultProbeBurst, PerTarget: UsualProbesPerTarget},
 		SettleTimeout: defaultSettleTimeout,
 		DrainTimeout:  defaultDrainTimeout,
 		ShutdownGrace: defaultShutdownGrace,
