Give slow runs of idempotent requests a second run

Work was also estimated over all kinds of a service, which took an archive read for a bulletin.

Change: where requests of different priority compete for a service, an idempotent request gets a second run at the last moment from which that is expected to be in time, within the retry budget and max_attempts, at a target with spare room; the first success answers. Work is estimated by kind of request there. Services with one priority are served as before.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -100,11 +100,11 @@
 // attempt sends the request to one target and returns the outcome. If that is a response,
 // cancel is called once its body has been read or closed.
 func (f *forwarder) attempt(ctx context.Context, cancel context.CancelFunc, c routing.Candidate) outcome {
+	f.triedTargets = append(f.triedTargets, c.Endpoint.Target.ID)
+	c.Endpoint.Load.Begin()
+	deciding := f.sendTo(ctx, c)
+	c, result, err := deciding.candidate, deciding.result, deciding.err
 	e := c.Endpoint
-	f.triedTargets = append(f.triedTargets, e.Target.ID)
-	e.Load.Begin()
-	startedAt := time.Now()
-	result, err := f.d.Upstream.Do(ctx, f.newCall(c))
 	if err != nil {
 		e.Load.End()
 		return f.classifyError(ctx, c, err)
@@ -118,7 +118,7 @@
 		return outcome{retryable: f.mayResendBody(), reply: localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsDeclined, retryAfter: busyRetryAfter}}
 	}
 	f.mayHaveRun = true
-	return f.receiveResponse(ctx, cancel, c, result, startedAt)
+	return f.receiveResponse(ctx, cancel, c, result, deciding.startedAt)
 }
 
 // classifyError returns the outcome of an attempt that failed before a response arrived.
@@ -212,7 +212,7 @@
 		response.ContentLength = result.ContentLength
 		response.Remainder = &trackedBody{ReadCloser: result.Body, onClose: func() { c.Endpoint.Load.End(); cancel() }}
 	}
-	f.state.observe(c, elapsed)
+	f.observe(c, elapsed)
 	f.logResponse(c, response, elapsed)
 	return outcome{response: response}
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -96,7 +96,7 @@
 	var out []routing.Candidate
 	for _, e := range p.endpoints {
 		if !slices.Contains(req.Exclude, e.Target.ID) {
-			out = append(out, routing.Candidate{Endpoint: e, Estimate: routing.Estimate{HasFreeSlot: !p.full}})
+			out = append(out, routing.Candidate{Endpoint: e, Report: routing.LoadReport{Slots: 6}, Estimate: routing.Estimate{HasFreeSlot: !p.full}})
 		}
 	}
 	if len(out) == 0 {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -201,6 +201,8 @@
 		rule:              rule,
 		service:           table.Service(name),
 		state:             d.serviceStates.get(name),
+		contended:         table.Contended(name),
+		durations:         d.serviceStates.get(name).durations(rule, table.Contended(name)),
 		limits:            table.Limits,
 		revision:          table.Revision,
 		objectiveDeadline: r.ReceivedAt.Add(rule.Objective),
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
@@ -30,6 +31,10 @@
 	state     *serviceState
 	limits    route.Limits
 	revision  model.Revision
+	// contended is set if requests of different priority compete for the service's targets.
+	contended bool
+	// durations are those from which the request's work is estimated.
+	durations *limit.LatencyWindow
 	// organisation is the one on whose behalf the request was sent, or nil.
 	organisation *route.Organisation
 	// objectiveDeadline is the time by which a response meets the rule's latency
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -28,6 +28,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_resent_total{service=%q,cause=%q}", string(service), string(cause))).Inc()
 }
 
+func (m *Metrics) countSecondRun(service model.ServiceName) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_second_runs_total{service=%q}", string(service))).Inc()
+}
+
 func (m *Metrics) countTargetEnded(service model.ServiceName) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_targets_ended_total{service=%q}", string(service))).Inc()
 }
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -76,7 +76,7 @@
 // adviseRetryAfter returns the delay after which a caller should retry: half of the time
 // that is left before the request would be late, within minRetryAfter and maxRetryAfter.
 func (f *forwarder) adviseRetryAfter() time.Duration {
-	spare := time.Until(f.objectiveDeadline) - f.state.expectedDuration(f.rule.Objective)
+	spare := time.Until(f.objectiveDeadline) - f.expectedDuration()
 	return min(max(spare/2, minRetryAfter), maxRetryAfter)
 }
 
@@ -87,7 +87,7 @@
 		HealthPath: f.service.HealthPath,
 		Exclude:    f.triedTargets,
 		Work: routing.Work{
-			ServiceTime: f.state.expectedDuration(f.rule.Objective),
+			ServiceTime: f.expectedDuration(),
 			TimeLeft:    time.Until(f.objectiveDeadline),
 			Bytes:       int64(len(f.body)) + typicalOverheadBytes,
 		},
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -8,6 +8,7 @@
 
 	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/route"
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
 
@@ -39,6 +40,31 @@
 	// idleLatency holds the durations of requests that ran on idle targets at about their
 	// normal pace.
 	idleLatency limit.LatencyWindow
+	// byKind holds the same of each kind of request by its workKind, as *limit.LatencyWindow,
+	// where kinds compete for the targets.
+	byKind sync.Map
+}
+
+// workKind tells kinds of request with different work apart. It doesn't name the rule, so
+// that many rules of one kind share what is known.
+type workKind struct {
+	class     model.Class
+	objective time.Duration
+	priority  int
+}
+
+// durations returns the durations from which the work of a request is estimated: those of its
+// kind where kinds compete for the service's targets, else those of all.
+func (s *serviceState) durations(rule *route.Rule, contended bool) *limit.LatencyWindow {
+	if !contended {
+		return &s.idleLatency
+	}
+	kind := workKind{class: rule.Class, objective: rule.Objective, priority: rule.Priority}
+	if known, ok := s.byKind.Load(kind); ok {
+		return known.(*limit.LatencyWindow)
+	}
+	known, _ := s.byKind.LoadOrStore(kind, new(limit.LatencyWindow))
+	return known.(*limit.LatencyWindow)
 }
 
 func (s *serviceStates) retryShare() float64 { return math.Float64frombits(s.share.Load()) }
@@ -59,6 +85,11 @@
 // spendRetry charges one retry to the budget and reports whether the budget allows it.
 func (s *serviceState) spendRetry() bool { return s.retryBudget.Withdraw(s.states.retryShare()) }
 
+// spendSecondRun charges a second run to the budget and reports whether the budget allows it.
+func (s *serviceState) spendSecondRun() bool {
+	return s.retryBudget.WithdrawKeeping(s.states.retryShare(), secondRunReserve)
+}
+
 const (
 	// defaultWorkShare is the expected duration of a request as a share of the latency
 	// objective while too few durations are known.
@@ -68,19 +99,19 @@
 	maxIdlePace = 115
 )
 
-// expectedDuration returns the expected duration of a request at an idle target. It is
+// expectedDuration returns the expected duration of the request at an idle target. It is
 // the median, which is little affected by requests that targets answer at once.
-func (s *serviceState) expectedDuration(objective time.Duration) time.Duration {
-	if known, ok := s.idleLatency.Quantile(0.5); ok {
+func (f *forwarder) expectedDuration() time.Duration {
+	if known, ok := f.durations.Quantile(0.5); ok {
 		return known
 	}
-	return time.Duration(defaultWorkShare * float64(objective))
+	return time.Duration(defaultWorkShare * float64(f.rule.Objective))
 }
 
 // observe records the duration of a request if it ran on an idle target at about its
 // normal pace.
-func (s *serviceState) observe(c routing.Candidate, elapsed time.Duration) {
+func (f *forwarder) observe(c routing.Candidate, elapsed time.Duration) {
 	if c.Err == nil && c.Report.Running+c.Report.Waiting == 0 && c.Report.Pace <= maxIdlePace {
-		s.idleLatency.Observe(elapsed)
+		f.durations.Observe(elapsed)
 	}
 }
--- a/internal/limit/ratio_budget.go
+++ b/internal/limit/ratio_budget.go
@@ -40,10 +40,13 @@
 
 // Withdraw takes one token and reports whether there was one. A share of zero allows no
 // action.
-func (r *RatioBudget) Withdraw(share float64) bool {
+func (r *RatioBudget) Withdraw(share float64) bool { return r.WithdrawKeeping(share, 0) }
+
+// WithdrawKeeping is Withdraw for actions that must leave some tokens to others.
+func (r *RatioBudget) WithdrawKeeping(share, keep float64) bool {
 	for share > 0 {
 		deficit := r.deficit.Load()
-		if deficit+tokenUnits > r.capacity() {
+		if deficit+tokenUnits+int64(keep*tokenUnits) > r.capacity() {
 			return false
 		}
 		if r.deficit.CompareAndSwap(deficit, deficit+tokenUnits) {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -43,6 +43,8 @@
 	organisations []Organisation
 	hosts         map[string][]*Rule
 	services      map[model.ServiceName]Service
+	// contended holds the services for which requests of different priority compete.
+	contended map[model.ServiceName]bool
 }
 
 // NewTable validates a configuration and builds its table. It takes ownership of the
@@ -69,9 +71,31 @@
 	for _, rules := range t.hosts {
 		slices.SortStableFunc(rules, compareByPrefixLength)
 	}
+	t.contended = contendedServices(c)
 	return t, nil
 }
 
+// contendedServices returns the services to which requests of different priority go: by
+// their rules, or because organisations set it.
+func contendedServices(c Config) map[model.ServiceName]bool {
+	byOrganisation := slices.ContainsFunc(c.Organisations, func(o Organisation) bool { return o.Priority != nil })
+	priorities := make(map[model.ServiceName]int)
+	contended := make(map[model.ServiceName]bool)
+	for _, r := range c.Rules {
+		for _, b := range r.Backends {
+			known, seen := priorities[b.Service]
+			priorities[b.Service] = r.Priority
+			if byOrganisation || seen && known != r.Priority {
+				contended[b.Service] = true
+			}
+		}
+	}
+	return contended
+}
+
+// Contended reports whether requests of different priority compete for a service's targets.
+func (t *Table) Contended(name model.ServiceName) bool { return t.contended[name] }
+
 func compareByPrefixLength(a, b *Rule) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) }
 
 // validate returns a description of what is wrong with a rule, or "" if it is valid.
--- a/internal/routing/probing_picker.go
+++ b/internal/routing/probing_picker.go
@@ -245,6 +245,13 @@
 	return c.Err == nil && c.Estimate.HasFreeSlot && c.Estimate.Duration <= scale(w.TimeLeft, inTimeFraction)
 }
 
+// HasSpareRoom reports whether the target stays below the load at which it slows down with
+// one request more.
+func (c *Candidate) HasSpareRoom() bool {
+	busy := c.Report.Running + c.Report.Waiting + 1
+	return c.Err == nil && c.Estimate.HasFreeSlot && float64(busy) <= highLoadThreshold*float64(max(1, c.Report.Slots))
+}
+
 func (noResponseError) Error() string { return "no response to the probe in time" }
 
 // evaluate returns the candidate for one probe result. A target without a load report
