--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,13 +27,17 @@
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
-// Provider connects a gateway to a platform: it supplies the sources of routes and
-// targets, their decoders, and the protocol with targets.
+// Provider connects a gateway to a platform: it supplies the sources of routes, targets
+// and evacuations, their decoders, and the protocol with targets.
 type Provider struct {
 	Routes, Targets replica.Source
 	DecodeRoutes    replica.RouteDecoder
 	DecodeTarget    replica.TargetDecoder
-	Protocol        *upstream.Protocol
+	// Evacuations are the requests to evacuate failure domains. They are read only if the
+	// settings say so.
+	Evacuations      replica.Source
+	DecodeEvacuation replica.EvacuationDecoder
+	Protocol         *upstream.Protocol
 	// SettingsUpdates delivers changed settings. If it is nil, settings are not reloaded.
 	SettingsUpdates <-chan *settings.Gateway
 	// DroppedLogLines, if set, returns the number of log lines dropped so far.
@@ -58,6 +63,16 @@
 	// delayed after targets changed: a release changes several per second. The rest is
 	// for the call and its latency.
 	targetsBatchShare = 0.25
+	// Shares of the setting "keys.withdrawWithin". Callers with keys may expect to be served for
+	// 0.6 of it without a way to the store, so a confirmation may be at most 0.4 of it old
+	// while there is one. It is as old as two watches, since it counts from the beginning of
+	// the one before; or two watches of a relay and the request that the relay holds.
+	confirmingWatchShare = 0.18
+	relayWatchShare      = 0.1
+	relayHoldShare       = 0.12
+	// confirmSelfShare is the age from which an instance reads the store itself although a
+	// relay answers.
+	confirmSelfShare = 0.5
 	// acceptPeriod is how long a gateway accepts new connections during shutdown: its
 	// readiness is checked every second, and two failed checks take it out of rotation.
 	acceptPeriod = 2300 * time.Millisecond
@@ -104,8 +119,12 @@
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
 		Quarantine:  marks,
-		Log:         log,
-		Metrics:     dispatch.NewMetrics(set),
+		Regions:     knownRegions(s.Regions),
+
+		WithdrawKeysWithin: s.Keys.WithdrawWithin,
+
+		Log:     log,
+		Metrics: dispatch.NewMetrics(set),
 	})
 }
 
@@ -128,6 +147,8 @@
 	breaker replica.Breaker
 	// floor is shared by the followers of routes and targets.
 	floor replica.Floor
+	// unknownHomes holds the homes, by region, that were checked and logged if unknown.
+	unknownHomes sync.Map
 	// shuttingDown is set when the shutdown starts.
 	shuttingDown atomic.Bool
 	// onShutdown, if set, is called when the shutdown has started.
@@ -155,23 +176,44 @@
 		Routes:  &replica.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
 		Targets: &replica.Targets{Decode: g.provider.DecodeTarget, Table: g.table, Observer: g},
 	}
+	if g.settings.EvacuationTimeout > 0 {
+		local.Evacuations = &replica.Evacuations{Decode: g.provider.DecodeEvacuation, Table: g.table, Observer: g}
+	}
 	relay := g.startPeerSync(lc, local)
 	routes := g.newFollower("routes", g.provider.Routes, local.Routes, relay)
 	routes.Consistency, routes.BatchDelay, routes.Relay = replica.Strong, routesBatchDelay, relay.routes
+	routes.WatchWait = g.confirmingWatchWait(routes.WatchWait, relay.isRelay)
 	runLoop(lc, routes.Run)
 	targets := g.newFollower("targets", g.provider.Targets, local.Targets, relay)
 	// Targets change often: their watches are the cheaper ones, bounded by those of the routes.
 	targets.Consistency = replica.Eventual
 	targets.BatchDelay, targets.Relay = time.Duration(targetsBatchShare*float64(g.settings.DrainTimeout)), relay.targets
 	runLoop(lc, targets.Run)
+	if local.Evacuations != nil {
+		g.followEvacuations(lc, local.Evacuations, relay)
+	}
 	if g.provider.SettingsUpdates != nil {
 		runLoop(lc, g.reload)
 	}
 	lc.Append(fx.Hook{OnStart: g.start, OnStop: g.shutDown})
 }
 
+// confirmingWatchWait returns how long the store may hold a watch of the routes so that their
+// confirmation stays recent enough where keys are withdrawn in a bounded time.
+func (g *gateway) confirmingWatchWait(watchWait time.Duration, isRelay bool) time.Duration {
+	within := g.settings.Keys.WithdrawWithin
+	if within == 0 {
+		return watchWait
+	}
+	share := confirmingWatchShare
+	if isRelay {
+		share = relayWatchShare
+	}
+	return min(watchWait, time.Duration(share*float64(within)))
+}
+
 // newFollower returns a follower that keeps a view up to date with the objects of a source.
-// The kind is "routes" or "targets".
+// The kind is "routes", "targets" or "evacuations".
 func (g *gateway) newFollower(kind string, source replica.Source, view replica.View, relay peerRelay) *replica.Follower {
 	watchWait := g.settings.SettleTimeout - watchReserve
 	if relay.isRelay {
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"time"
@@ -32,8 +33,8 @@
 // peerRelay is how a gateway learns the store's changes from its peers. The zero value is
 // that of a gateway without peers.
 type peerRelay struct {
-	// routes and targets are Follower.Relay of the two followers, or nil.
-	routes, targets replica.Relay
+	// routes, targets and evacuations are Follower.Relay of the followers, or nil.
+	routes, targets, evacuations replica.Relay
 	// isRelay is set if this gateway relays changes to others.
 	isRelay bool
 }
@@ -79,7 +80,12 @@
 		g.serveRelay(transport, local)
 		return peerRelay{isRelay: true}
 	}
-	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds, Log: g.log}
+	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds,
+		Region: g.settings.Location.Region, Log: g.log}
+	if within := g.settings.Keys.WithdrawWithin; within > 0 {
+		client.HoldRequests = min(peersync.AwaitWait, time.Duration(relayHoldShare*float64(within)))
+		client.MaxConfirmationAge = time.Duration(confirmSelfShare * float64(within))
+	}
 	g.set.NewGauge("redwingpoint_store_changes_relayed", func() float64 {
 		if client.Relayed() {
 			return 1
@@ -87,7 +93,7 @@
 		return 0
 	})
 	runLoop(lc, client.Run)
-	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay()}
+	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay(), evacuations: client.EvacuationsRelay()}
 }
 
 // sharePermits divides the limits that targets state among the seeds.
@@ -104,15 +110,18 @@
 	local.Current = func() bool { return g.isReady() && !g.breaker.Open() }
 	local.Routes.OnChange = local.NotifyChanged
 	local.Targets.OnChange = local.NotifyChanged
+	if local.Evacuations != nil {
+		local.Evacuations.OnChange = local.NotifyChanged
+	}
 	g.breaker.OnOpen = local.NotifyChanged
 	g.onShutdown = local.NotifyChanged
-	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local}).HandleAwaitChange)
+	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local, Location: g.settings.Location}).HandleAwaitChange)
 }
 
 // listenForPeers returns a transport that listens for peers with a self-signed
 // certificate.
 func (g *gateway) listenForPeers() (*peer.Transport, error) {
-	credentials, err := keys.NewSelfSigned(gatewayFleet, g.settings.Instance, time.Now)
+	credentials, err := keys.NewSelfSigned(keys.Identity{Fleet: gatewayFleet, Instance: g.settings.Instance, Location: g.settings.Location}, time.Now)
 	if err != nil {
 		return nil, err
 	}
@@ -123,9 +132,24 @@
 		Recorder:    events.Discard,
 		MaxLinks:    maxSyncLinks,
 		IdleTimeout: syncIdleTimeout,
+		OnExchange:  g.countExchange,
 	})
 }
 
+// countExchange counts the bytes of a request between gateways by its operation and the
+// distance to the peer. A location that isn't known counts as another region.
+func (g *gateway) countExchange(e peer.Exchange) {
+	distance := g.settings.Location.DistanceTo(e.Link.Location)
+	role := "asks"
+	if e.Served {
+		role = "serves"
+	}
+	labels := fmt.Sprintf("op=%q,role=%q,distance=%q", e.Op, role, distance)
+	g.set.GetOrCreateCounter("redwingpoint_peer_exchanges_total{" + labels + "}").Inc()
+	g.set.GetOrCreateCounter("redwingpoint_peer_sent_bytes_total{" + labels + "}").Add(e.Sent)
+	g.set.GetOrCreateCounter("redwingpoint_peer_received_bytes_total{" + labels + "}").Add(e.Received)
+}
+
 // syncLinkHandler is the peer.Handler of connections between gateways. It ignores all
 // events, because the connections are opened on demand.
 type syncLinkHandler struct{}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -57,8 +57,8 @@
 const maxTriedTargets = 4
 
 // targetHeader returns the request header for a target: the caller's fields without
-// hop-by-hop fields, the remaining time in milliseconds, and the ID of the only target
-// that may run the request.
+// hop-by-hop fields and key, the remaining time in milliseconds, the organisation, and the
+// ID of the only target that may run the request.
 func (f *forwarder) targetHeader(target model.TargetID) http.Header {
 	protocol := f.d.Protocol
 	h := make(http.Header, len(f.inbound.HTTP.Header)+3)
@@ -66,6 +66,7 @@
 		h[name] = values
 	}
 	upstream.DropHopByHop(h)
+	f.caller.mark(h, protocol.Organisation)
 	if _, present := h["User-Agent"]; !present {
 		h["User-Agent"] = []string{""}
 	}
@@ -89,7 +90,8 @@
 		KeepAlive: true,
 	}
 	if f.stream != nil {
-		call.Body, call.ContentLength = f.stream.newReader(), f.inbound.HTTP.ContentLength
+		reader := f.stream.newReader()
+		call.Body, call.ContentLength, call.OnClose = reader, f.inbound.HTTP.ContentLength, reader.stop
 		call.MaxIdle, call.KeepAlive = 0, false
 		return call
 	}
@@ -129,8 +131,13 @@
 		return outcome{retryable: f.mayResendBody(), budgetExempt: true, reply: reply}
 	}
 	f.deliveries++
-	if f.stream != nil && exceedsBodyLimit(f.stream.err()) {
-		return outcome{reply: localReply{status: http.StatusRequestEntityTooLarge, cause: CauseBodyTooLarge}}
+	if f.stream != nil {
+		switch bodyErr := f.stream.err(); {
+		case exceedsBodyLimit(bodyErr):
+			return outcome{reply: localReply{status: http.StatusRequestEntityTooLarge, cause: CauseBodyTooLarge}}
+		case isMalformedBody(bodyErr):
+			return outcome{reply: localReply{status: http.StatusBadRequest, cause: CauseMalformed}}
+		}
 	}
 	return f.classifyUnknownOutcome(failed)
 }
@@ -145,7 +152,7 @@
 }
 
 // recordFailure logs a failed attempt and counts it against the target's reliability,
-// unless the gateway cancelled it. It returns the error as *upstream.CallError; an error
+// unless the gateway cancelled it or the caller's body ended it. It returns the error as *upstream.CallError; an error
 // of another type counts as a connection that was lost after the request was sent. If the
 // connection was lost, it checks whether the target has ended.
 func (f *forwarder) recordFailure(ctx context.Context, c routing.Candidate, err error) *upstream.CallError {
@@ -155,6 +162,9 @@
 	}
 	f.d.Log.Info("attempt failed", f.logFields(zap.Object("target", candidateFields(c)),
 		zap.Stringer("reason", failed.Reason), zap.Bool("sent", failed.Sent), zap.Error(failed.Cause))...)
+	if f.stream != nil && f.stream.endedBy(failed.Reason) {
+		return failed
+	}
 	if failed.Sent && failed.Reason == upstream.ConnectionLost && f.d.Upstream.HasEnded(ctx, c.Endpoint) {
 		f.recordTargetEnd(c)
 	}
--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -8,9 +8,15 @@
 
 // Causes of refused and failed requests.
 const (
-	CauseNoRoutes           Cause = "no-routes-yet"
-	CauseNoRoute            Cause = "no-route"
-	CauseMalformed          Cause = "malformed"
+	CauseNoRoutes   Cause = "no-routes-yet"
+	CauseNoRoute    Cause = "no-route"
+	CauseMalformed  Cause = "malformed"
+	CauseKeyMissing Cause = "key-missing"
+	CauseKeyUnknown Cause = "key-unknown"
+	// CauseKeysUnconfirmed means that a newer configuration may decide otherwise on the key.
+	CauseKeysUnconfirmed Cause = "keys-unconfirmed"
+	// CauseNoHome means that no region may serve the request by its homes.
+	CauseNoHome             Cause = "no-home"
 	CauseNoTarget           Cause = "no-target"
 	CauseTargetsFull        Cause = "targets-full"
 	CauseTargetsDeclined    Cause = "targets-declined"
@@ -37,6 +43,17 @@
 	// noRoutesRetryAfter is advised until the first configuration is known. A start takes
 	// about a second.
 	noRoutesRetryAfter = 200 * time.Millisecond
+	// maxDenialAge is the age of the confirmation up to which an unknown key is denied, in a
+	// way that callers don't repeat: platforms allow 2 to 3 s until a change is in force. Later
+	// the key may be one that the configuration has meanwhile.
+	maxDenialAge = 3 * time.Second
+	// keySendMargin is kept between the last send of a request with a key and the time at
+	// which a withdrawal of the key must be in force: a new connection to a target of another
+	// region takes some 50 ms.
+	keySendMargin = 100 * time.Millisecond
+	// unconfirmedRetryAfter is advised while the keys in force aren't confirmed: another
+	// instance may know more, or this one after its next read.
+	unconfirmedRetryAfter = 100 * time.Millisecond
 	// busyRetryAfter is advised after all attempts were declined or failed to connect.
 	// The load of targets shifts within milliseconds, and another instance may have newer
 	// information.
@@ -47,6 +64,9 @@
 	maxRetryAfter = 250 * time.Millisecond
 	// shutdownRetryAfter is advised during a shutdown: another instance can serve at once.
 	shutdownRetryAfter = 30 * time.Millisecond
+	// noHomeRetryAfter is advised when no region may serve a request. Only a change of the
+	// routes changes that.
+	noHomeRetryAfter = time.Second
 	// noTargetRetryAfter is advised when no target is known.
 	noTargetRetryAfter = 150 * time.Millisecond
 )
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -35,6 +35,7 @@
 	contended bool
 	// durations are those from which the request's work is estimated.
 	durations *limit.LatencyWindow
+	caller    caller
 	// organisation is the one on whose behalf the request was sent, or nil.
 	organisation *route.Organisation
 	// objectiveDeadline is the time by which a response meets the rule's latency
@@ -66,10 +67,16 @@
 	var lastFailure localReply
 	for {
 		var candidate routing.Candidate
-		reply := f.checkQuarantine()
+		reply := f.checkKey()
+		if reply == nil {
+			reply = f.checkQuarantine()
+		}
 		if reply == nil {
 			candidate, reply = f.selectTarget(workCtx, lastFailure)
 		}
+		if reply == nil {
+			reply = f.checkKey()
+		}
 		if reply == nil {
 			reply = f.checkShutdown()
 		}
@@ -119,13 +126,15 @@
 	switch {
 	case err == nil:
 		f.bodyPrefix = buffered.Bytes()
-		f.stream = &streamedBody{src: io.MultiReader(bytes.NewReader(buffered.Bytes()), body)}
+		f.stream = &streamedBody{src: io.MultiReader(bytes.NewReader(buffered.Bytes()), body), inbound: req.Body}
 	case err == io.EOF:
 		f.body = buffered.Bytes()
 	case exceedsBodyLimit(err):
 		return localReply{status: http.StatusRequestEntityTooLarge, cause: CauseBodyTooLarge}, false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return localReply{status: http.StatusRequestTimeout, cause: CauseBodyLate}, false
+	case isMalformedBody(err):
+		return localReply{status: http.StatusBadRequest, cause: CauseMalformed}, false
 	default:
 		return localReply{cause: CauseBodyBroken}, false
 	}
@@ -176,6 +185,12 @@
 	return errors.As(err, &tooLarge)
 }
 
+// isMalformedBody reports whether the read of a body ended because it breaks the protocol.
+func isMalformedBody(err error) bool {
+	var malformed *httpserver.MalformedBodyError
+	return errors.As(err, &malformed)
+}
+
 // mayResendBody reports whether another attempt would send the whole body. If the body is
 // streamed, it ends the current attempt's use of it.
 func (f *forwarder) mayResendBody() bool { return f.stream == nil || f.stream.release() }
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -1,7 +1,9 @@
 package peersync
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,17 +20,26 @@
 	// RelayWatchWait is how long the store may hold a watch of a relay. A relay notices a
 	// watch that the store dropped after this and the timeout of the response.
 	RelayWatchWait = 700 * time.Millisecond
-	// awaitWait is how long a relay holds a request without a change.
-	awaitWait = 600 * time.Millisecond
+	// AwaitWait is how long a relay holds a request without a change.
+	AwaitWait = 600 * time.Millisecond
 	// maxAwaitWait bounds the wait that a request may ask for.
 	maxAwaitWait = 2 * time.Second
 	// searchTimeout bounds the search for a relay. A handshake and a call across regions
 	// take about 75 ms.
 	searchTimeout = 250 * time.Millisecond
+	// catchUpTimeout bounds the time in which a relay sends all parts of its changes. The first
+	// part has what must not be used any longer.
+	catchUpTimeout = 2 * time.Second
+	// returnInterval is the mean time between two searches for a relay in the own region while
+	// one in another region is followed.
+	returnInterval = 5 * time.Second
 	// lossTolerance is how long the changes may be missing after all relays said that they
 	// have lost the store. A relay regains it about half a second after a lost history;
 	// then it has listed the targets for all its peers.
 	lossTolerance = time.Second
+	// startTolerance is how long the evacuations may be missing after a start, until they are
+	// listed: a relay that has started too is ready after about a second.
+	startTolerance = 1500 * time.Millisecond
 	// searchInterval is the time between two searches during lossTolerance, and
 	// idleSearchInterval that without a relay.
 	searchInterval     = 100 * time.Millisecond
@@ -36,7 +47,7 @@
 	// MaxRelayLag is the longest time for which a relay that lost the store first, and its
 	// peer right after, delays a change: the watch and the request with their timeouts, and
 	// the search for another relay.
-	MaxRelayLag = RelayWatchWait + awaitWait + 2*exchangeTimeout + searchTimeout
+	MaxRelayLag = RelayWatchWait + AwaitWait + 2*exchangeTimeout + searchTimeout
 )
 
 // awaitRequest is the request of peer.OpAwaitChange.
@@ -44,35 +55,53 @@
 	Versions replica.Versions `cbor:"1,keyasint"`
 	// WaitMillis is how long the relay may hold the request without a change.
 	WaitMillis uint32 `cbor:"2,keyasint,omitempty"`
+	// Search is set if only the versions and the location of the relay are asked for.
+	Search bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RelayServer answers the requests of peers to which this instance relays the store's
 // changes. It is safe for concurrent use.
-type RelayServer struct{ Replica *replica.Replica }
+type RelayServer struct {
+	Replica *replica.Replica
+	// Location is where this instance runs.
+	Location model.Location
+}
 
-// HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets and the
-// versions held as soon as the targets differ from the requester's, newer routes are in
-// force or the instance can no longer relay; without a change it does after the wait asked
-// for. It never sends routes: every peer reads them from the store, because the same large
-// document sent to all peers would fill the instance's link.
+// HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets, or a part of
+// them, the evacuations and the versions held as soon as these differ from the requester's,
+// newer routes are in force or the instance can no longer relay; without a change it does after
+// the wait asked for. A search gets the versions alone. It never sends routes: every peer reads
+// them from the store, because the same large document sent to all peers would fill the
+// instance's link.
 func (s *RelayServer) HandleAwaitChange(_ model.InstanceID, body []byte) (any, error) {
 	var req awaitRequest
 	if err := peer.Decode(body, &req); err != nil {
 		return nil, err
 	}
+	if req.Search {
+		return replica.Delta{Versions: s.Replica.Versions(), Location: &s.Location}, nil
+	}
+	arrivedAt := time.Now()
 	timer := time.NewTimer(min(time.Duration(req.WaitMillis)*time.Millisecond, maxAwaitWait))
 	defer timer.Stop()
-	for {
+	for expired := false; ; {
 		changed := s.Replica.Changed()
-		delta := s.Replica.DeltaFor(req.Versions)
-		delta.Routes = nil
-		if delta.HasTargets() || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
+		confirmed := s.Replica.Routes.Holder.Confirmed()
+		delta, err := s.Replica.PartFor(req.Versions)
+		if err != nil {
+			return nil, err
+		}
+		// In this order, a pause of the process between the two makes the confirmation seem
+		// older, not younger.
+		delta.HeldMillis = time.Since(arrivedAt).Milliseconds()
+		delta.Versions.SetConfirmation(confirmed)
+		if expired || delta.HasTargets() || delta.Evacuations != nil || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
 			return delta, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return delta, nil
+			expired = true
 		}
 	}
 }
@@ -86,7 +115,15 @@
 	Transport Transport
 	// Seeds are the peer addresses of the instances that may relay.
 	Seeds []string
-	Log   *zap.Logger
+	// Region is that of this instance; a relay in it is preferred.
+	Region model.Region
+	Log    *zap.Logger
+	// HoldRequests is how long a relay may hold a request without a change; zero means
+	// AwaitWait.
+	HoldRequests time.Duration
+	// MaxConfirmationAge is the age of the confirmation of the routes from which the store is
+	// read although a relay answers; zero means never.
+	MaxConfirmationAge time.Duration
 
 	names nameComparison
 
@@ -108,102 +145,190 @@
 	soughtRoutes, absentRoutes model.Revision
 }
 
+// foundRelay is a seed that relays changes.
+type foundRelay struct {
+	addr string
+	// near is set if it runs in the own region.
+	near bool
+}
+
+// followEnd is why a relay is no longer followed.
+type followEnd uint8
+
+const (
+	// relaySilent: it doesn't respond.
+	relaySilent followEnd = iota
+	// relayLostStore: it responds, but no longer follows the store.
+	relayLostStore
+	// relaySlow: it doesn't send its changes within catchUpTimeout. The store is read instead.
+	relaySlow
+	// relayReplaced: a nearer one was found.
+	relayReplaced
+)
+
 // Run receives changes until ctx ends.
 func (c *RelayClient) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		relay, found := c.nearestRelay(ctx)
 		for found && ctx.Err() == nil {
-			responds := c.follow(ctx, relay)
-			relay, found = c.replaceRelay(ctx, relay, responds)
+			relay, found = c.replaceRelay(ctx, relay, c.follow(ctx, relay))
 		}
 		c.setLost()
-		wait.For(ctx, idleSearchInterval)
+		wait.For(ctx, c.idleInterval())
+	}
+}
+
+// idleInterval returns the time until the next search for a relay. An instance that waits for
+// the evacuations searches as soon as its own state is known.
+func (c *RelayClient) idleInterval() time.Duration {
+	if own := c.Replica.Versions(); own.Evacuations.Followed && own.Evacuations.AsOf == 0 {
+		return searchInterval
 	}
+	return idleSearchInterval
 }
 
-// replaceRelay returns the next relay after one that has lost the store or, if responds is
-// not set, is silent. The silent one may have been without the store before, so its return
-// is not waited for.
-func (c *RelayClient) replaceRelay(ctx context.Context, last string, responds bool) (addr string, found bool) {
-	addr, found = c.nearestRelay(ctx)
-	if found || !responds {
-		return addr, found
+// replaceRelay returns the relay that follows one. The silent one may have been without the
+// store before, so its return is not waited for.
+func (c *RelayClient) replaceRelay(ctx context.Context, last foundRelay, end followEnd) (next foundRelay, found bool) {
+	if end == relaySlow {
+		return foundRelay{}, false
+	}
+	next, found = c.nearestRelay(ctx)
+	if found || end != relayLostStore {
+		return next, found
 	}
 	for until := time.Now().Add(lossTolerance); time.Now().Before(until) && ctx.Err() == nil; {
 		wait.For(ctx, searchInterval)
-		if c.isRelaying(ctx, last) {
-			return last, true
+		if near, relaying := c.askRelay(ctx, last.addr); relaying {
+			return foundRelay{last.addr, near}, true
 		}
 	}
 	return c.nearestRelay(ctx)
 }
 
-// nearestRelay returns the seed that follows the store and responds first.
-func (c *RelayClient) nearestRelay(ctx context.Context) (addr string, found bool) {
+// nearestRelay returns the seed that follows the store and responds first, one in the own
+// region if any of them responds within searchTimeout.
+func (c *RelayClient) nearestRelay(ctx context.Context) (nearest foundRelay, found bool) {
 	if own := c.Replica.Versions(); own.AsOf == 0 || own.Routes == 0 {
-		return "", false
+		return foundRelay{}, false
 	}
-	relays := make(chan string, len(c.Seeds))
+	relays := make(chan foundRelay, len(c.Seeds))
 	var calls sync.WaitGroup
 	for _, addr := range c.Seeds {
 		calls.Go(func() {
-			if c.isRelaying(ctx, addr) {
-				relays <- addr
+			if near, relaying := c.askRelay(ctx, addr); relaying {
+				relays <- foundRelay{addr, near}
 			}
 		})
 	}
 	go func() { calls.Wait(); close(relays) }()
 	// The slower calls go on, so that their connections stay open for a later search.
-	addr, found = <-relays
-	return addr, found
+	for r := range relays {
+		if r.near {
+			return r, true
+		}
+		if !found {
+			nearest, found = r, true
+		}
+	}
+	return nearest, found
 }
 
-// isRelaying reports whether a seed responds and follows the store.
-func (c *RelayClient) isRelaying(ctx context.Context, addr string) bool {
+// askRelay reports whether a seed responds and follows the store, and whether it runs in the
+// own region.
+func (c *RelayClient) askRelay(ctx context.Context, addr string) (near, relaying bool) {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
 	var remote replica.Delta
-	_, err := c.Transport.CallAddr(ctx, addr, peer.OpAwaitChange, awaitRequest{Versions: c.Replica.Versions()}, &remote)
-	return err == nil && remote.Versions.Current
+	_, err := c.Transport.CallAddr(ctx, addr, peer.OpAwaitChange, awaitRequest{Versions: c.Replica.Versions(), Search: true}, &remote)
+	if err != nil || !remote.Versions.Current {
+		return false, false
+	}
+	return remote.Location != nil && remote.Location.Region == c.Region, true
 }
 
-// follow receives the changes of a relay until it no longer follows the store or doesn't
-// respond. It reports whether the relay responds.
-func (c *RelayClient) follow(ctx context.Context, relay string) (responds bool) {
-	c.Log.Info("changes come from a relay", zap.String("address", relay))
+// searchNear searches for a relay in the own region at random intervals and passes the first
+// one that it finds to found.
+func (c *RelayClient) searchNear(ctx context.Context, found chan<- foundRelay) {
+	for ctx.Err() == nil {
+		wait.For(ctx, returnInterval*3/4+rand.N(returnInterval/2))
+		if relay, _ := c.nearestRelay(ctx); relay.near {
+			found <- relay
+			return
+		}
+	}
+}
+
+// follow receives the changes of a relay and returns why that ended.
+func (c *RelayClient) follow(ctx context.Context, relay foundRelay) followEnd {
+	c.Log.Info("changes come from a relay", zap.String("address", relay.addr), zap.Bool("own_region", relay.near))
+	nearer := make(chan foundRelay, 1)
+	if !relay.near {
+		searchCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go c.searchNear(searchCtx, nearer)
+	}
+	var behindSince time.Time
 	for {
-		remote, err := c.awaitChange(ctx, relay)
+		remote, err := c.awaitChange(ctx, relay.addr)
 		switch {
 		case err != nil:
-			c.Log.Info("relay doesn't respond", zap.String("address", relay), zap.Error(err))
-			return false
+			c.Log.Info("relay doesn't respond", zap.String("address", relay.addr), zap.Error(err))
+			return relaySilent
 		case !remote.Versions.Current:
-			c.Log.Info("relay has lost the store", zap.String("address", relay), zap.Uint64("as_of", remote.Versions.AsOf))
-			return true
+			c.Log.Info("relay has lost the store", zap.String("address", relay.addr), zap.Uint64("as_of", remote.Versions.AsOf))
+			return relayLostStore
+		case !remote.More:
+			behindSince = time.Time{}
+		case behindSince.IsZero():
+			behindSince = time.Now()
+		case time.Since(behindSince) > catchUpTimeout:
+			c.Log.Warn("relay is too slow", zap.String("address", relay.addr), zap.Uint64("as_of", remote.Versions.AsOf))
+			return relaySlow
 		}
 		c.accept(remote)
+		if len(nearer) > 0 {
+			return relayReplaced
+		}
 	}
 }
 
 // awaitChange asks a relay for the next change and merges its targets.
 func (c *RelayClient) awaitChange(ctx context.Context, relay string) (replica.Delta, error) {
-	ctx, cancel := context.WithTimeout(ctx, awaitWait+exchangeTimeout)
+	hold := cmp.Or(c.HoldRequests, AwaitWait)
+	ctx, cancel := context.WithTimeout(ctx, hold+exchangeTimeout)
 	defer cancel()
 	var remote replica.Delta
-	request := awaitRequest{Versions: c.names.ownVersions(c.Replica), WaitMillis: uint32(awaitWait.Milliseconds())}
+	request := awaitRequest{Versions: c.names.ownVersions(c.Replica), WaitMillis: uint32(hold.Milliseconds())}
 	// The relay need not tell again of routes that are being read from the store.
 	request.Versions.Routes = max(request.Versions.Routes, c.toldRoutes())
+	sentAt := time.Now()
 	if _, err := c.Transport.CallAddr(ctx, relay, peer.OpAwaitChange, request, &remote); err != nil {
 		return replica.Delta{}, err
 	}
+	c.confirm(remote, sentAt)
 	c.Replica.Merge(remote)
-	c.names.compare(c.Replica, remote.Versions)
+	if !remote.More {
+		c.names.compare(c.Replica, remote.Versions)
+	}
 	if remote.HasTargets() {
 		c.OnMerge()
 	}
 	return remote, nil
 }
 
+// confirm passes on the relay's confirmation of routes that are in force here or were before.
+// The relay got the request after it was sent and held it, so that the confirmation is as old as
+// it says at the end of that time; what the response needed is added to the age.
+func (c *RelayClient) confirm(remote replica.Delta, sentAt time.Time) {
+	age, confirmed := remote.Versions.ConfirmedAge()
+	if !confirmed || !remote.Versions.Current || remote.Versions.Routes > c.Replica.Versions().Routes {
+		return
+	}
+	held := time.Duration(remote.HeldMillis) * time.Millisecond
+	c.Replica.Routes.Holder.Confirm(route.FromRelay, sentAt.Add(held-age))
+}
+
 // accept records a response of a relay that follows the store.
 func (c *RelayClient) accept(remote replica.Delta) {
 	own := c.Replica.Versions()
@@ -212,13 +337,21 @@
 	c.current, c.latest = true, remote.Versions
 	if remote.Versions.Routes == own.Routes {
 		c.routesAsOf = max(c.routesAsOf, remote.Versions.RoutesAsOf)
-		c.Replica.Routes.Holder.Confirm(route.FromRelay)
 	}
-	if c.isBehind(own) {
+	if c.Replica.Evacuations != nil && remote.Versions.Evacuations.Digest == own.Evacuations.Digest && remote.Versions.Evacuations.AsOf > 0 {
+		c.Replica.Evacuations.Confirm()
+	}
+	if c.isBehind(own) || !c.relaysEvacuations() {
 		c.end()
 	}
 }
 
+// relaysEvacuations reports whether the relay knows the evacuations, if this instance follows
+// them. c.mu must be held.
+func (c *RelayClient) relaysEvacuations() bool {
+	return c.Replica.Evacuations == nil || c.latest.Evacuations.AsOf > 0
+}
+
 // setLost records that no relay follows the store for this instance.
 func (c *RelayClient) setLost() {
 	c.mu.Lock()
@@ -258,6 +391,11 @@
 // TargetsRelay returns the replica.Relay of the follower of the targets.
 func (c *RelayClient) TargetsRelay() replica.Relay { return &relayWaiter{client: c} }
 
+// EvacuationsRelay returns the replica.Relay of the follower of the evacuations.
+func (c *RelayClient) EvacuationsRelay() replica.Relay {
+	return &relayWaiter{client: c, evacuations: true}
+}
+
 // RoutesRelay returns the replica.Relay of the follower of the routes, which are behind if
 // the relay has newer ones.
 func (c *RelayClient) RoutesRelay() replica.Relay { return &relayWaiter{client: c, routes: true} }
@@ -265,15 +403,20 @@
 // relayWaiter implements replica.Relay for one follower.
 type relayWaiter struct {
 	client *RelayClient
-	routes bool
+	// routes or evacuations is set if the follower is not that of the targets.
+	routes, evacuations bool
 }
 
 // AwaitReturn implements replica.Relay.
 func (w *relayWaiter) AwaitReturn(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, lossTolerance)
+	tolerance := lossTolerance
+	if w.evacuations {
+		tolerance = startTolerance
+	}
+	ctx, cancel := context.WithTimeout(ctx, tolerance)
 	defer cancel()
 	for ctx.Err() == nil {
-		if w.client.Relayed() {
+		if w.isRelayed() {
 			return true
 		}
 		wait.For(ctx, searchInterval)
@@ -281,6 +424,14 @@
 	return false
 }
 
+// isRelayed reports whether a relay answers that knows what the follower is for.
+func (w *relayWaiter) isRelayed() bool {
+	c := w.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current && (!w.evacuations || c.relaysEvacuations())
+}
+
 // StrongReadFinished implements replica.Relay.
 func (w *relayWaiter) StrongReadFinished() {
 	w.client.mu.Lock()
@@ -300,12 +451,29 @@
 		}
 		select {
 		case <-ended:
+		case <-w.untilUnconfirmed():
 		case <-ctx.Done():
 			return state
 		}
 	}
 }
 
+// untilUnconfirmed returns a channel that receives when the confirmation of the routes is too
+// old, or nil if its age doesn't matter.
+func (w *relayWaiter) untilUnconfirmed() <-chan time.Time {
+	if !w.routes || w.client.MaxConfirmationAge == 0 {
+		return nil
+	}
+	return time.After(w.client.MaxConfirmationAge - w.client.Replica.Routes.Holder.Confirmed().Age())
+}
+
+// isUnconfirmed reports whether the store must be read because the confirmation of the routes
+// is too old.
+func (w *relayWaiter) isUnconfirmed() bool {
+	limit := w.client.MaxConfirmationAge
+	return w.routes && limit > 0 && w.client.Replica.Routes.Holder.Confirmed().Age() >= limit
+}
+
 // check updates the state and returns the channel to wait for, or nil if the follower must
 // go to the store.
 func (w *relayWaiter) check(state *replica.RelayState) <-chan struct{} {
@@ -317,7 +485,10 @@
 	if w.routes {
 		state.AsOf = c.routesAsOf
 	}
-	if !c.current {
+	if w.evacuations {
+		state.AsOf = own.Evacuations.AsOf
+	}
+	if !c.current || (w.evacuations && !c.relaysEvacuations()) {
 		return nil
 	}
 	state.Relayed = true
@@ -326,6 +497,9 @@
 		c.soughtRoutes = c.latest.Routes
 		return nil
 	}
+	if w.isUnconfirmed() {
+		return nil
+	}
 	if c.ended == nil {
 		c.ended = make(chan struct{})
 	}
--- a/internal/peersync/sync.go
+++ b/internal/peersync/sync.go
@@ -67,7 +67,9 @@
 	if err := peer.Decode(body, &requester); err != nil {
 		return nil, err
 	}
-	return s.Replica.DeltaFor(requester), nil
+	delta := s.Replica.DeltaFor(requester)
+	delta.PackFor(requester)
+	return delta, nil
 }
 
 // HandlePushState handles peer.OpPushState: it merges the pushed state, unless this
@@ -116,9 +118,10 @@
 	s.merge(from, remote)
 	s.names.compare(s.Replica, remote.Versions)
 	delta := s.Replica.DeltaFor(remote.Versions)
-	if delta.Routes == nil && !delta.HasTargets() {
+	if !delta.HasState() {
 		return
 	}
+	delta.PackFor(remote.Versions)
 	var after replica.Versions
 	if _, err := s.Transport.CallAddr(ctx, seed, peer.OpPushState, delta, &after); err != nil {
 		s.Log.Info("peer did not accept the offered state", zap.String("peer", string(from)), zap.Error(err))
@@ -127,11 +130,11 @@
 
 // merge merges the state of a peer, if there is any.
 func (s *Syncer) merge(from model.InstanceID, state replica.Delta) {
-	if state.Routes == nil && !state.HasTargets() && state.Versions.AsOf <= s.Replica.Versions().AsOf {
+	if own := s.Replica.Versions(); !state.HasState() && state.Versions.AsOf <= own.AsOf && state.Versions.Evacuations.AsOf <= own.Evacuations.AsOf {
 		return
 	}
 	s.Replica.Merge(state)
 	s.Log.Info("learnt from peer", zap.String("peer", string(from)), zap.Uint64("routes", uint64(state.Versions.Routes)),
-		zap.Uint64("as_of", state.Versions.AsOf), zap.Int("targets", len(state.Targets)))
+		zap.Uint64("as_of", state.Versions.AsOf), zap.Int("targets", len(state.Entries())))
 	s.OnMerge()
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -18,7 +18,9 @@
 	Limits   Limits
 	Rules    []*Rule
 	Services []Service
-	// Organisations are those that may send requests. Without any, requests need no key.
+	// KeysRequired is set if the configuration lists organisations, be it none: requests need
+	// a key of one of them, unless their rule is public.
+	KeysRequired  bool
 	Organisations []Organisation
 }
 
@@ -39,8 +41,11 @@
 	// LearntFrom is from whom this instance has the table.
 	LearntFrom Source
 	Limits     Limits
+	// KeysRequired is set if requests to rules that aren't public need a key.
+	KeysRequired bool
 	// organisations are sorted as in the configuration.
 	organisations []Organisation
+	keys          keyIndex
 	hosts         map[string][]*Rule
 	services      map[model.ServiceName]Service
 	// contended holds the services for which requests of different priority compete.
@@ -53,10 +58,12 @@
 	t := &Table{
 		Revision:      c.Revision,
 		Limits:        c.Limits,
-		organisations: c.Organisations,
+		KeysRequired:  c.KeysRequired,
+		organisations: checkOrganisations(c.Organisations),
 		hosts:         make(map[string][]*Rule),
 		services:      make(map[model.ServiceName]Service, len(c.Services)),
 	}
+	t.keys = newKeyIndex(t.organisations)
 	for _, s := range c.Services {
 		t.services[s.Name] = s
 	}
@@ -143,7 +150,7 @@
 // Config returns the configuration of the table. Its rules are copies that can be
 // passed to NewTable.
 func (t *Table) Config() Config {
-	c := Config{Revision: t.Revision, Limits: t.Limits, Organisations: t.organisations}
+	c := Config{Revision: t.Revision, Limits: t.Limits, KeysRequired: t.KeysRequired, Organisations: t.organisations}
 	for _, rules := range t.hosts {
 		for _, r := range rules {
 			c.Rules = append(c.Rules, r.copy())
@@ -166,6 +173,13 @@
 	return nil
 }
 
+// OrganisationOf returns the organisation that holds a key, or nil if none does.
+func (t *Table) OrganisationOf(key KeyDigest) *Organisation { return t.keys.find(key) }
+
+// Organisations returns the organisations of the configuration, those with a Problem
+// included. The slice must not be changed.
+func (t *Table) Organisations() []Organisation { return t.organisations }
+
 // Service returns the configuration of a service, or a zero value if it isn't defined.
 func (t *Table) Service(name model.ServiceName) Service { return t.services[name] }
 
@@ -204,13 +218,21 @@
 // Current returns the table in force, or nil if there is none yet.
 func (h *Holder) Current() *Table { return h.current.Load() }
 
-// Confirm records that the table in force is the store's latest as of now, as far as
-// the store's latest can be applied.
-func (h *Holder) Confirm(by Source) {
-	h.confirmed.Store(&Confirmation{At: time.Now(), By: by})
+// Confirm records that the table in force, or one before it, was the store's latest when the
+// read began that showed it, as far as the store's latest can be applied. An older
+// confirmation than the one known changes nothing.
+func (h *Holder) Confirm(by Source, began time.Time) {
+	next := &Confirmation{At: began, By: by}
+	for {
+		known := h.confirmed.Load()
+		if known != nil && known.Age() <= next.Age() || h.confirmed.CompareAndSwap(known, next) {
+			return
+		}
+	}
 }
 
-// Confirmed returns the latest confirmation, or the zero value if there was none.
+// Confirmed returns the latest confirmation, or the zero value if there was none. A table that
+// is loaded after it is the confirmed one or a later one.
 func (h *Holder) Confirmed() Confirmation {
 	if c := h.confirmed.Load(); c != nil {
 		return *c
--- a/internal/routing/probing_picker.go
+++ b/internal/routing/probing_picker.go
@@ -64,6 +64,9 @@
 	Work       Work
 	// Exclude lists the targets that this request has already been sent to.
 	Exclude []model.TargetID
+	// Homes are the regions in which the request may be served. Targets elsewhere are not
+	// even probed for it.
+	Homes model.Homes
 	// Repeated is set if this request has picked before. New probe rounds for it are
 	// made only if the budget covers them in full.
 	Repeated bool
@@ -106,10 +109,10 @@
 	InStages bool
 
 	mu sync.Mutex
-	// rounds holds the latest local probe round of each service.
-	rounds map[model.ServiceName]*probeRound
-	// remoteBackoffUntil is until when the other regions are not probed for a service.
-	remoteBackoffUntil map[model.ServiceName]time.Duration
+	// rounds holds the latest probe round of preferred targets for each reach.
+	rounds map[reach]*probeRound
+	// remoteBackoffUntil is until when the other regions are not probed for a reach.
+	remoteBackoffUntil map[reach]time.Duration
 }
 
 // NewProbingPicker returns a picker that uses the snapshots of a table. The budget
@@ -121,8 +124,8 @@
 		table:              t,
 		prober:             prober,
 		now:                now,
-		rounds:             make(map[model.ServiceName]*probeRound),
-		remoteBackoffUntil: make(map[model.ServiceName]time.Duration),
+		rounds:             make(map[reach]*probeRound),
+		remoteBackoffUntil: make(map[reach]time.Duration),
 	}
 }
 
@@ -144,7 +147,7 @@
 	}
 	candidates := p.evaluateAll(r.results, req, r.sentAt)
 	candidates = append(candidates, p.probeSecondStage(ctx, req, pool, candidates)...)
-	for _, probeMore := range p.fallbacks(pool) {
+	for _, probeMore := range p.fallbacks(pool, req.Homes) {
 		if slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
 			break
 		}
@@ -172,11 +175,11 @@
 	if !p.InStages || slices.ContainsFunc(first, func(c Candidate) bool { return c.isUndisturbed(req.Work) }) {
 		return nil
 	}
-	preferred, _, _ := splitByPreference(pool, p.now())
+	preferred, _, _ := p.splitByPreference(pool, req.Homes)
 	preferred = slices.DeleteFunc(preferred, func(e *Endpoint) bool {
 		return slices.ContainsFunc(first, func(c Candidate) bool { return c.Endpoint == e })
 	})
-	return p.probeFirst(ctx, req, preferred, len(preferred), localProbeWait)
+	return p.probeFirst(ctx, req, preferred, len(preferred), p.preferredWait(req.Homes))
 }
 
 // isUndisturbed reports whether the candidate is expected to take little longer than an
@@ -186,11 +189,11 @@
 }
 
 // fallbacks returns functions that probe more targets, the cheapest way first.
-func (p *ProbingPicker) fallbacks(pool *Pool) []func(context.Context, ProbingRequest) []Candidate {
-	_, otherLocal, remote := splitByPreference(pool, p.now())
+func (p *ProbingPicker) fallbacks(pool *Pool, homes model.Homes) []func(context.Context, ProbingRequest) []Candidate {
+	_, otherLocal, remote := p.splitByPreference(pool, homes)
 	return []func(context.Context, ProbingRequest) []Candidate{
 		func(ctx context.Context, req ProbingRequest) []Candidate {
-			return p.probeFirst(ctx, req, otherLocal, maxOtherLocalProbes, localProbeWait)
+			return p.probeFirst(ctx, req, otherLocal, maxOtherLocalProbes, p.preferredWait(req.Homes))
 		},
 		func(ctx context.Context, req ProbingRequest) []Candidate { return p.probeRemote(ctx, req, remote) },
 	}
@@ -213,7 +216,7 @@
 // remoteBackoff.
 func (p *ProbingPicker) probeRemote(ctx context.Context, req ProbingRequest, remote []*Endpoint) []Candidate {
 	p.mu.Lock()
-	backingOff := p.now() < p.remoteBackoffUntil[req.Service]
+	backingOff := p.now() < p.remoteBackoffUntil[reachOf(req.Service, req.Homes)]
 	p.mu.Unlock()
 	if backingOff {
 		return nil
@@ -221,7 +224,7 @@
 	candidates := p.probeFirst(ctx, req, remote, maxRemoteProbes, remoteProbeWait)
 	if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.InTime(req.Work) }) {
 		p.mu.Lock()
-		p.remoteBackoffUntil[req.Service] = p.now() + remoteBackoff
+		p.remoteBackoffUntil[reachOf(req.Service, req.Homes)] = p.now() + remoteBackoff
 		p.mu.Unlock()
 	}
 	return candidates
@@ -232,7 +235,7 @@
 	out := make([]Candidate, 0, len(results))
 	for _, r := range results {
 		e := r.endpoint
-		if !slices.Contains(req.Exclude, e.Target.ID) && !e.Load.isLimited() && e.takesRequests(p.now()) {
+		if req.admits(e) && !e.Load.isLimited() && e.takesRequests(p.now()) {
 			out = append(out, p.evaluate(r, req.Work, sentAt))
 		}
 	}
