--- a/internal/replica/packed_test.go
+++ b/internal/replica/packed_test.go
@@ -29,7 +29,7 @@
 // TestPackedEntriesKeepEveryField guards against a field of targets that a relay drops.
 func TestPackedEntriesKeepEveryField(t *testing.T) {
 	plain := model.Target{ID: "2", Service: "odeslani", Addr: netip.MustParseAddrPort("[2001:db8::1]:80"), Slots: 1}
-	entries := []TargetEntry{{Name: "1", Revision: 9, Target: fullTarget(t, "1")}, {Name: "2", Revision: 7, Target: plain}}
+	entries := []TargetEntry{{Name: "1", Revision: 9, Target: fullTarget(t, "1"), ColdMillis: 1200}, {Name: "2", Revision: 7, Target: plain}}
 	received := roundTrip(t, Delta{Packed: &PackedEntries{Entries: entries}})
 	if !reflect.DeepEqual(received.Entries(), entries) {
 		t.Errorf("received %+v, want %+v", received.Entries(), entries)
--- a/internal/replica/parts.go
+++ b/internal/replica/parts.go
@@ -47,7 +47,7 @@
 	var changed []TargetEntry
 	for name, e := range t.entries {
 		if e.revision > revision {
-			changed = append(changed, TargetEntry{Name: name, Revision: e.revision, Target: e.target})
+			changed = append(changed, newTargetEntry(name, e))
 		}
 	}
 	slices.SortFunc(changed, func(a, b TargetEntry) int {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -71,12 +71,6 @@
 	Since uint64 `cbor:"5,keyasint,omitempty"`
 	// Removed holds the name hashes of the entries removed after Since.
 	Removed []byte `cbor:"6,keyasint,omitempty"`
-	// Evacuations are all failure domains to evacuate, or nil if the other holds the same or
-	// newer ones.
-	Evacuations *EvacuationList `cbor:"7,keyasint,omitempty"`
-	// HeldMillis is for how many milliseconds the sender held the request that the delta
-	// answers, rounded down.
-	HeldMillis int64 `cbor:"11,keyasint,omitempty"`
 	// Packed, if set, holds the changed entries in place of Targets.
 	Packed *PackedEntries `cbor:"8,keyasint,omitempty"`
 	// More is set if this is a part of the changes: those up to Versions.AsOf, and of the
@@ -85,6 +79,12 @@
 	More bool `cbor:"9,keyasint,omitempty"`
 	// Location is where the sender runs, in responses to the search for a relay.
 	Location *model.Location `cbor:"10,keyasint,omitempty"`
+	// Evacuations are all failure domains to evacuate, or nil if the other holds the same or
+	// newer ones.
+	Evacuations *EvacuationList `cbor:"7,keyasint,omitempty"`
+	// HeldMillis is for how many milliseconds the sender held the request that the delta
+	// answers, rounded down.
+	HeldMillis int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Entries returns the changed entries in either encoding.
@@ -109,6 +109,22 @@
 	Name     string       `cbor:"1,keyasint"`
 	Revision uint64       `cbor:"2,keyasint"`
 	Target   model.Target `cbor:"3,keyasint"`
+	// ColdMillis is how long the target is still cold by its entry, at the time of sending or
+	// earlier.
+	ColdMillis int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// newTargetEntry returns an entry to send now.
+func newTargetEntry(name string, e *entry) TargetEntry {
+	coldLeft := max(time.Until(e.target.ColdEndsAt), 0)
+	return TargetEntry{Name: name, Revision: e.revision, Target: e.target, ColdMillis: coldLeft.Milliseconds()}
+}
+
+// received returns the entry with its times by this instance's clock.
+func (e TargetEntry) received() TargetEntry {
+	now := time.Now()
+	e.Target.ColdEndsAt, e.Target.ColdKnownAt = now.Add(time.Duration(e.ColdMillis)*time.Millisecond), now
+	return e
 }
 
 // Replica is an instance's local copy of the store's routes and targets. It is safe
@@ -176,9 +192,6 @@
 	return d
 }
 
-// HasState reports whether the delta changes anything that the other holds.
-func (d *Delta) HasState() bool { return d.Routes != nil || d.HasTargets() || d.Evacuations != nil }
-
 // PackFor packs the changed entries if the instance with the given versions accepts that.
 func (d *Delta) PackFor(other Versions) {
 	if other.AcceptsParts && len(d.Targets) > 0 {
@@ -202,6 +215,9 @@
 	return d, nil
 }
 
+// HasState reports whether the delta changes anything that the other holds.
+func (d *Delta) HasState() bool { return d.Routes != nil || d.HasTargets() || d.Evacuations != nil }
+
 // Merge merges what another instance sent, as far as it is newer. Evacuations come first, so
 // that a target that is new with them gets nothing.
 func (r *Replica) Merge(d Delta) {
@@ -245,7 +261,7 @@
 	d.Versions.AsOf, d.Versions.Digest = t.asOf, t.digest
 	for name, e := range t.entries {
 		if e.revision > other.AsOf {
-			d.Targets = append(d.Targets, TargetEntry{Name: name, Revision: e.revision, Target: e.target})
+			d.Targets = append(d.Targets, newTargetEntry(name, e))
 		}
 	}
 	slices.SortFunc(d.Targets, func(a, b TargetEntry) int { return cmp.Compare(a.Name, b.Name) })
@@ -283,7 +299,7 @@
 		t.deleteUnlisted(d, affected)
 	}
 	for _, e := range d.Entries() {
-		t.upsert(e, affected)
+		t.upsert(e.received(), affected)
 	}
 	t.publish(affected)
 	t.mergedAsOf, t.incomplete = d.Versions.AsOf, d.More
