Starting gateways wait for the relay of their region; so do marks

Cause: after a restart of a whole fleet the relay of a region may answer some tenths of a second after those of others.

Change: in its first 0.4 s a gateway follows only a relay of its region.

TestStartingInstanceWaitsForTheRelayOfItsRegion, TestMarksComeFromTheSeedOfTheOwnRegion.

--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -68,6 +68,7 @@
 	})
 	runLoop(lc, s.Run)
 	marks := peersync.NewMarkExchange(g.quarantine, transport, otherSeeds, isSeed, g.log)
+	marks.Region = g.settings.Location.Region
 	g.quarantine.Isolated = marks.Isolated
 	g.quarantine.OnQuarantine = g.logQuarantine
 	transport.Handle(peer.OpExchangeMarks, marks.HandleExchange)
--- a/internal/peersync/marks.go
+++ b/internal/peersync/marks.go
@@ -1,6 +1,7 @@
 package peersync
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -50,6 +51,8 @@
 	// Alone is set if the responder is a seed that reaches no other seed, and so may lack
 	// reports.
 	Alone bool `cbor:"4,keyasint,omitempty"`
+	// Region is that of the responder, in responses to exchanges without a wait.
+	Region model.Region `cbor:"5,keyasint,omitempty"`
 }
 
 // MarkExchange keeps the marks of an instance and of the seeds equal. An instance holds an
@@ -63,6 +66,8 @@
 	Seeds []string
 	// IsSeed is set if this instance is a seed.
 	IsSeed bool
+	// Region is that of this instance; a seed in it is preferred.
+	Region model.Region
 	Log    *zap.Logger
 
 	run       uint64
@@ -104,6 +109,10 @@
 	}
 	e.recordContact(&e.lastContact)
 	e.Registry.Merge(req.Marks)
+	var region model.Region
+	if req.WaitMillis == 0 {
+		region = e.Region
+	}
 	if req.Run != e.run {
 		req.Change, req.WaitMillis = 0, 0
 	}
@@ -112,7 +121,7 @@
 		changed := e.Registry.Changed()
 		marks, change := e.Registry.ChangedSince(req.Change)
 		if len(marks) > 0 || req.WaitMillis == 0 {
-			return marksResponse{Run: e.run, Change: change, Marks: marks, Alone: e.isAlone()}, nil
+			return marksResponse{Run: e.run, Change: change, Marks: marks, Alone: e.isAlone(), Region: region}, nil
 		}
 		select {
 		case <-changed:
@@ -147,42 +156,53 @@
 // followNearest holds exchanges at the nearest of some seeds until ctx ends.
 func (e *MarkExchange) followNearest(ctx context.Context, seeds []*seedMarks) {
 	for pause := newBackoff(); ctx.Err() == nil; {
-		if s := e.nearest(ctx, seeds); s != nil && s.awaitNews(ctx, len(seeds) > 1) {
+		s, near := e.nearest(ctx, seeds)
+		if s != nil && s.awaitNews(ctx, len(seeds) > 1, near) {
 			pause = newBackoff()
 		}
 		pause.wait(ctx)
 	}
 }
 
-// nearest returns the seed that responds first, preferably one that isn't alone, or nil if
-// none responds.
-func (e *MarkExchange) nearest(ctx context.Context, seeds []*seedMarks) *seedMarks {
+// nearest returns the seed that responds first, preferably one that isn't alone and, if it
+// responds within searchTimeout, one in the own region; nil if none responds.
+func (e *MarkExchange) nearest(ctx context.Context, seeds []*seedMarks) (nearest *seedMarks, near bool) {
 	if len(seeds) == 1 {
-		return seeds[0]
+		return seeds[0], true
 	}
 	type answer struct {
-		seed  *seedMarks
-		alone bool
+		seed *seedMarks
+		resp marksResponse
 	}
 	answers := make(chan answer, len(seeds))
 	for _, s := range seeds {
 		go func() {
-			alone, err := s.call(ctx, 0)
+			resp, err := s.call(ctx, 0)
 			if err != nil {
 				answers <- answer{}
 				return
 			}
-			answers <- answer{seed: s, alone: alone}
+			answers <- answer{seed: s, resp: resp}
 		}()
 	}
-	var aloneSeed *seedMarks
-	for range seeds {
-		switch a := <-answers; {
-		case a.seed != nil && !a.alone:
-			return a.seed
-		case a.seed != nil && aloneSeed == nil:
-			aloneSeed = a.seed
+	var far, alone *seedMarks
+	deadline := time.After(searchTimeout)
+	for pending := len(seeds); pending > 0 && (far == nil || deadline != nil); {
+		select {
+		case a := <-answers:
+			pending--
+			switch {
+			case a.seed == nil:
+			case a.resp.Alone:
+				alone = cmp.Or(alone, a.seed)
+			case a.resp.Region == e.Region:
+				return a.seed, true
+			default:
+				far = cmp.Or(far, a.seed)
+			}
+		case <-deadline:
+			deadline = nil
 		}
 	}
-	return aloneSeed
+	return cmp.Or(far, alone), false
 }
--- a/internal/peersync/marks_test.go
+++ b/internal/peersync/marks_test.go
@@ -269,3 +269,57 @@
 		f.stop()
 	})
 }
+
+// slowTransport delays the calls of some addresses.
+type slowTransport struct {
+	Transport
+	delays map[string]time.Duration
+}
+
+// CallAddr implements Transport.
+func (s slowTransport) CallAddr(ctx context.Context, addr string, op peer.Op, body, response any) (model.InstanceID, error) {
+	time.Sleep(s.delays[addr])
+	return s.Transport.CallAddr(ctx, addr, op, body, response)
+}
+
+// seedTransport answers exchanges by the seed at each address.
+type seedTransport map[string]*MarkExchange
+
+// CallAddr implements Transport.
+func (s seedTransport) CallAddr(_ context.Context, addr string, _ peer.Op, body, response any) (model.InstanceID, error) {
+	raw, err := peer.Encode(body)
+	if err != nil {
+		return "", err
+	}
+	out, err := s[addr].HandleExchange("asker", raw)
+	if err != nil {
+		return "", err
+	}
+	if raw, err = peer.Encode(out); err != nil {
+		return "", err
+	}
+	return model.InstanceID(addr), peer.Decode(raw, response)
+}
+
+// TestMarksComeFromTheSeedOfTheOwnRegion guards against a fleet that starts and whose instances
+// hold their exchanges at whichever seed responded first, for good.
+func TestMarksComeFromTheSeedOfTheOwnRegion(t *testing.T) {
+	for nearDelay, want := range map[time.Duration]string{0: "seed-near", searchTimeout / 2: "seed-near", 2 * searchTimeout: "seed-far"} {
+		synctest.Test(t, func(t *testing.T) {
+			seeds := make(seedTransport)
+			for _, name := range []string{"seed-near", "seed-far"} {
+				seed := NewMarkExchange(new(quarantine.Registry), nil, nil, true, zap.NewNop())
+				seed.Region = model.Region(name)
+				seeds[name] = seed
+			}
+			transport := slowTransport{seeds, map[string]time.Duration{"seed-near": nearDelay}}
+			e := NewMarkExchange(new(quarantine.Registry), transport, []string{"seed-near", "seed-far"}, false, zap.NewNop())
+			e.Region = "seed-near"
+			s, near := e.nearest(t.Context(), []*seedMarks{{exchange: e, addr: "seed-near"}, {exchange: e, addr: "seed-far"}})
+			if s == nil || s.addr != want || near != (want == "seed-near") {
+				t.Errorf("near seed responds after %v: chosen %+v, near %v", nearDelay, s, near)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -36,6 +36,9 @@
 	// startWait is how long a gateway that starts waits for the list of a relay. Without one it
 	// lists the targets from the store, which takes about as long.
 	startWait = 800 * time.Millisecond
+	// nearStartWait is how long after its start a gateway follows only a relay of its region,
+	// which may have started at the same time and lists the targets first.
+	nearStartWait = 400 * time.Millisecond
 	// startPollInterval is the time between two looks at whether that list is complete.
 	startPollInterval = 10 * time.Millisecond
 	// lossTolerance is how long the changes may be missing after all relays said that they
@@ -179,6 +182,9 @@
 	startedAt := time.Now()
 	for ctx.Err() == nil {
 		relay, found := c.nearestRelay(ctx)
+		if time.Since(startedAt) < nearStartWait {
+			found = found && relay.near
+		}
 		for found && ctx.Err() == nil {
 			relay, found = c.replaceRelay(ctx, relay, c.follow(ctx, relay))
 		}
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -813,3 +813,27 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestStartingInstanceWaitsForTheRelayOfItsRegion guards against a fleet that restarts at once
+// and gets its lists from the region whose relay is back first.
+func TestStartingInstanceWaitsForTheRelayOfItsRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newRelayStore(660)
+		n := &relayNetwork{nodes: make(map[string]*relayNode)}
+		n.startAt(ctx, store, "seed-far", model.Location{Region: "there"})
+		time.Sleep(time.Second)
+		node := n.startAt(ctx, store, "node", model.Location{Region: "here"}, "seed-far", "seed-near")
+		time.Sleep(nearStartWait / 2)
+		n.startAt(ctx, store, "seed-near", model.Location{Region: "here"})
+		time.Sleep(startWait)
+		if own, relay := node.replica.Versions(), n.nodes["seed-near"].replica.Versions(); own.Digest != relay.Digest {
+			t.Errorf("the instance holds %+v, the relay %+v", own, relay)
+		}
+		if lists, _ := store.takeCalls("node"); lists != 1 || n.sent[model.OtherRegion] > 3000 {
+			t.Errorf("%d lists from the store, %d B between regions", lists, n.sent[model.OtherRegion])
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/peersync/seed_marks.go
+++ b/internal/peersync/seed_marks.go
@@ -27,18 +27,18 @@
 }
 
 // awaitNews holds exchanges at the seed until it doesn't respond. If there is a choice of
-// seeds, it also ends when the seed has been alone for maxMarksBackoff. It reports whether
-// the seed responded at all.
-func (s *seedMarks) awaitNews(ctx context.Context, hasChoice bool) (responded bool) {
+// seeds, it also ends after maxMarksBackoff when the seed is alone or not near, so that another
+// one is sought. It reports whether the seed responded at all.
+func (s *seedMarks) awaitNews(ctx context.Context, hasChoice, near bool) (responded bool) {
 	startedAt := time.Now()
 	for {
-		alone, err := s.call(ctx, marksWait)
+		resp, err := s.call(ctx, marksWait)
 		if err != nil {
 			s.exchange.Log.Info("peer not reached for marks", zap.String("address", s.addr), zap.Error(err))
 			return responded
 		}
 		responded = true
-		if alone && hasChoice && time.Since(startedAt) >= maxMarksBackoff {
+		if (resp.Alone || !near) && hasChoice && time.Since(startedAt) >= maxMarksBackoff {
 			return responded
 		}
 	}
@@ -75,26 +75,24 @@
 	return s.exchange.Registry.ReportedSince(sent)
 }
 
-// call makes one exchange, which the seed may hold for the given time. It reports whether
-// the seed is alone.
-func (s *seedMarks) call(ctx context.Context, hold time.Duration) (alone bool, err error) {
+// call makes one exchange, which the seed may hold for the given time.
+func (s *seedMarks) call(ctx context.Context, hold time.Duration) (resp marksResponse, err error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+exchangeTimeout)
 	defer cancel()
 	marks, latest := s.unsent()
 	s.mu.Lock()
 	req := marksRequest{Marks: marks, Run: s.run, Change: s.change, WaitMillis: uint32(hold.Milliseconds())}
 	s.mu.Unlock()
-	var resp marksResponse
 	if _, err := s.exchange.Transport.CallAddr(ctx, s.addr, peer.OpExchangeMarks, req, &resp); err != nil {
-		return false, err
+		return marksResponse{}, err
 	}
 	s.exchange.recordContact(&s.exchange.lastContact)
 	s.exchange.recordContact(&s.exchange.lastSeedContact)
 	s.exchange.Registry.Merge(resp.Marks)
 	if s.accept(req.Run, resp, latest) {
-		return resp.Alone, nil
+		return resp, nil
 	}
-	return resp.Alone, s.sendAll(ctx)
+	return resp, s.sendAll(ctx)
 }
 
 // accept records a response to an exchange that sent the reports up to the change latest.
