Tell where a request would go now, without sending it

Need: operators want to ask a running gateway where a given request would go and why. Logs tell it only of requests that were sent.

Weighed: a dry run of the request's own path (it spends retries, permits and quota, and its choice of a split service moves the split); a reading of the table alone (it can't tell what targets report at this moment). So the checks before the choice are shared with the request's path, and the choice shows what a pick would start from: the shared round of probes, within the budget, the estimates, and for each target that is left out the reason.

Keys aren't accepted; the organisation is named.

--- a/cmd/redwingpoint/explain.go
+++ b/cmd/redwingpoint/explain.go
@@ -19,12 +19,13 @@
 	flags.Uint64Var(&query.Revision, "revision", 0, "revision of the routes")
 	flags.String("options", "", "file with flags, one \"name value\" a line")
 	return &ffcli.Command{
-		Name:       "explain",
-		ShortUsage: "redwingpoint explain --request ID | --target ID | --domain NAME | --revision N [FILE ...]",
-		ShortHelp:  "show from logs what happened to a request, a target, a failure domain or a revision",
-		LongHelp:   "Reads the logs of any number of gateways, or standard input, and prints the lines\nabout the given request, target, failure domain or revision, ordered by time.\n\nExamples:\n\n  redwingpoint explain --request 9c41d07be2a35f68 gateway-*.log\n  redwingpoint explain --target i-7f3a91c2 < gateway.log",
-		FlagSet:    flags,
-		Options:    flagSources(),
+		Name:        "explain",
+		ShortUsage:  "redwingpoint explain --request ID | --target ID | --domain NAME | --revision N [FILE ...]",
+		ShortHelp:   "show from logs what happened to a request, a target, a failure domain or a revision",
+		LongHelp:    "Reads the logs of any number of gateways, or standard input, and prints the lines\nabout the given request, target, failure domain or revision, ordered by time.\n\nExamples:\n\n  redwingpoint explain --request 9c41d07be2a35f68 gateway-*.log\n  redwingpoint explain --target i-7f3a91c2 < gateway.log",
+		FlagSet:     flags,
+		Options:     flagSources(),
+		Subcommands: []*ffcli.Command{explainRouteCommand()},
 		Exec: func(_ context.Context, files []string) error {
 			if !query.Valid() {
 				return &usageError{Message: "name one of --request, --target, --domain and --revision"}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -171,7 +171,7 @@
 	g.registerGauges()
 	serveHTTP(lc, g.log, g.settings.ReadinessAddr, http.HandlerFunc(g.serveReadiness), nil)
 	if g.settings.MetricsAddr != "" {
-		serveHTTP(lc, g.log, g.settings.MetricsAddr, http.HandlerFunc(g.serveMetrics), nil)
+		serveHTTP(lc, g.log, g.settings.MetricsAddr, g.inspectionHandler(), nil)
 	}
 	local := &replica.Replica{
 		Routes:  &replica.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
--- a/internal/dispatch/caller.go
+++ b/internal/dispatch/caller.go
@@ -63,6 +63,17 @@
 			return &localReply{status: http.StatusServiceUnavailable, cause: CauseKeysUnconfirmed, retryAfter: minRetryAfter}
 		}
 	}
+	return f.checkConfirmationAge(confirmed)
+}
+
+// checkConfirmation returns the reply to a request with a key while the routes in force were
+// confirmed too long ago, or nil.
+func (f *forwarder) checkConfirmation() *localReply {
+	return f.checkConfirmationAge(f.d.Routes.Confirmed())
+}
+
+// checkConfirmationAge is checkConfirmation for a confirmation that was loaded before.
+func (f *forwarder) checkConfirmationAge(confirmed route.Confirmation) *localReply {
 	if within := f.d.WithdrawKeysWithin; within > 0 {
 		if age := confirmed.Age(); age < 0 || age > within-keySendMargin {
 			return &localReply{status: http.StatusServiceUnavailable, cause: CauseKeysUnconfirmed, retryAfter: unconfirmedRetryAfter}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -181,6 +181,16 @@
 // OrganisationOf returns the organisation that holds a key, or nil if none does.
 func (t *Table) OrganisationOf(key KeyDigest) *Organisation { return t.keys.find(key) }
 
+// OrganisationNamed returns the organisation with a name, or nil. It may have a Problem.
+func (t *Table) OrganisationNamed(name model.OrganisationName) *Organisation {
+	for i := range t.organisations {
+		if t.organisations[i].Name == name && name != "" {
+			return &t.organisations[i]
+		}
+	}
+	return nil
+}
+
 // Organisations returns the organisations of the configuration, those with a Problem
 // included. The slice must not be changed.
 func (t *Table) Organisations() []Organisation { return t.organisations }
