Keep the quotas of organisations by permits that the seeds grant

Need: an organisation's quota holds for all gateways together, in touch or not, and what is denied below it is lost.

Backlogs that count from the last grant made 137 gateways ask three seeds twice a second for one organisation.

Change: each seed grants an equal share of the requests in a window, counted in slots; gateways ask the nearest seed and then the others, per send, and hold permits for 150 ms. A seed that has just begun grants only from the tolerance. A permit whose request isn't sent goes back. dispatch answers 429 beyond the quota and 503 where seeds are silent.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -91,6 +91,7 @@
 			route.NewHolder,
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
 			func() *peersync.Permits { return &peersync.Permits{Own: limit.NewGrantor(1), Log: log} },
+			newQuotas,
 			func(set *metrics.Set, permits *peersync.Permits) *upstream.Client {
 				return newUpstreamClient(p, log, set, permits)
 			},
@@ -104,7 +105,7 @@
 	)
 }
 
-func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *dispatch.Dispatcher {
+func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits, quotas *peersync.Quotas) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Options{
 		Routes:      routes,
 		Picker:      routing.NewProbingPicker(table, client, routing.Monotonic, probes, permits),
@@ -112,6 +113,7 @@
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
 		Quarantine:  marks,
+		Quotas:      quotas,
 
 		WithdrawKeysWithin: s.Keys.WithdrawWithin,
 
@@ -133,6 +135,7 @@
 	listener   net.Listener
 	quarantine *quarantine.Registry
 	permits    *peersync.Permits
+	quotas     *peersync.Quotas
 	// probes limits the load probes of targets.
 	probes *rate.Limiter
 	// breaker is shared by the followers of routes and targets.
@@ -147,10 +150,10 @@
 	targetsKnown atomic.Bool
 }
 
-func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *gateway {
+func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits, quotas *peersync.Quotas) *gateway {
 	return &gateway{
 		settings: s, provider: p, log: log, set: set, routes: routes, table: table, dispatcher: d, probes: probes,
-		quarantine: marks, permits: permits,
+		quarantine: marks, permits: permits, quotas: quotas,
 		server: httpserver.NewServer(d, d.Limits),
 	}
 }
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -16,6 +18,7 @@
 	"redwingpoint.org/redwingpoint/internal/peer"
 	"redwingpoint.org/redwingpoint/internal/peersync"
 	"redwingpoint.org/redwingpoint/internal/replica"
+	"redwingpoint.org/redwingpoint/internal/settings"
 )
 
 const (
@@ -72,6 +75,7 @@
 	transport.Handle(peer.OpExchangeMarks, marks.HandleExchange)
 	runLoop(lc, marks.Run)
 	g.sharePermits(transport, isSeed, otherSeeds)
+	g.shareQuotas(transport, isSeed, otherSeeds)
 	if g.settings.SettleTimeout-watchReserve < peersync.MaxRelayLag {
 		return peerRelay{}
 	}
@@ -103,6 +107,28 @@
 	}
 }
 
+// newQuotas returns the quotas of a gateway without peers.
+func newQuotas(s *settings.Gateway, log *zap.Logger, set *metrics.Set) *peersync.Quotas {
+	tolerance := limit.Tolerance{Window: s.Quotas.Window, Overage: s.Quotas.Overage, Slack: s.Quotas.Slack}
+	return &peersync.Quotas{
+		Tolerance: tolerance,
+		Own:       limit.NewQuotaGrantor(1, tolerance),
+		Log:       log,
+		OnAsked: func(result peersync.QuotaResult) {
+			set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_quota_questions_total{result=%q}", string(result))).Inc()
+		},
+	}
+}
+
+// shareQuotas divides the quotas of organisations among the seeds.
+func (g *gateway) shareQuotas(transport *peer.Transport, isSeed bool, otherSeeds []string) {
+	g.quotas.Own, g.quotas.Transport, g.quotas.Seeds = nil, transport, otherSeeds
+	if isSeed || len(otherSeeds) == 0 {
+		g.quotas.Own = limit.NewQuotaGrantor(len(otherSeeds)+1, g.quotas.Tolerance)
+		transport.Handle(peer.OpAcquireQuota, (&peersync.QuotaServer{Grantor: g.quotas.Own}).HandleAcquire)
+	}
+}
+
 // serveRelay relays the store's changes to other gateways.
 func (g *gateway) serveRelay(transport *peer.Transport, local *replica.Replica) {
 	local.Current = func() bool { return g.isReady() && !g.breaker.Open() }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -118,7 +118,7 @@
 		f.d.Log.Info("target declined", f.logFields(zap.Object("target", candidateFields(c)), zap.Int("status", result.Status))...)
 		return outcome{retryable: f.mayResendBody(), reply: localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsDeclined, retryAfter: busyRetryAfter}}
 	}
-	f.mayHaveRun = true
+	f.mayHaveRun, f.permit = true, nil
 	return f.receiveResponse(ctx, cancel, c, result, startedAt)
 }
 
@@ -130,6 +130,7 @@
 		return outcome{retryable: f.mayResendBody(), budgetExempt: true, reply: reply}
 	}
 	f.deliveries++
+	f.permit = nil
 	if f.stream != nil && exceedsBodyLimit(f.stream.err()) {
 		return outcome{reply: localReply{status: http.StatusRequestEntityTooLarge, cause: CauseBodyTooLarge}}
 	}
--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -14,7 +14,10 @@
 	CauseKeyMissing Cause = "key-missing"
 	CauseKeyUnknown Cause = "key-unknown"
 	// CauseKeysUnconfirmed means that a newer configuration may decide otherwise on the key.
-	CauseKeysUnconfirmed    Cause = "keys-unconfirmed"
+	CauseKeysUnconfirmed Cause = "keys-unconfirmed"
+	CauseQuotaExceeded   Cause = "quota-exceeded"
+	// CauseQuotaUnknown means that what is left of a quota can't be found out.
+	CauseQuotaUnknown       Cause = "quota-unknown"
 	CauseNoTarget           Cause = "no-target"
 	CauseTargetsFull        Cause = "targets-full"
 	CauseTargetsDeclined    Cause = "targets-declined"
@@ -52,6 +55,9 @@
 	// unconfirmedRetryAfter is advised while the keys in force aren't confirmed: another
 	// instance may know more, or this one after its next read.
 	unconfirmedRetryAfter = 100 * time.Millisecond
+	// quotaUnknownRetryAfter is advised while grantors of a quota don't respond: another
+	// instance may reach them.
+	quotaUnknownRetryAfter = 100 * time.Millisecond
 	// busyRetryAfter is advised after all attempts were declined or failed to connect.
 	// The load of targets shifts within milliseconds, and another instance may have newer
 	// information.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
@@ -63,6 +64,14 @@
 	ReportResponse(f quarantine.Fingerprint)
 }
 
+// Quotas grants requests of organisations; *peersync.Quotas implements it. Implementations
+// must be safe for concurrent use.
+type Quotas interface {
+	// Acquire takes a permit for one request. The error is *limit.QuotaExceededError,
+	// *limit.QuotaUnknownError or that of ctx.
+	Acquire(ctx context.Context, organisation model.OrganisationName, quota limit.Quota) (limit.QuotaPermit, error)
+}
+
 // Options are the dependencies and settings of a Dispatcher.
 type Options struct {
 	Routes      *route.Holder
@@ -71,6 +80,8 @@
 	Protocol    *upstream.Protocol
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
+	// Quotas grants requests of organisations that have a quota; nil grants all.
+	Quotas Quotas
 	// WithdrawKeysWithin is the maximum time after the withdrawal of a key until no request
 	// with it is sent to a target. Zero means no bound of its own.
 	WithdrawKeysWithin time.Duration
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
@@ -33,6 +34,8 @@
 	caller    caller
 	// organisation is the one on whose behalf the request was sent, or nil.
 	organisation *route.Organisation
+	// permit is the part of the organisation's quota that the next attempt uses, or nil.
+	permit limit.QuotaPermit
 	// objectiveDeadline is the time by which a response meets the rule's latency
 	// objective, deadline the time after which the caller no longer waits.
 	objectiveDeadline, deadline time.Time
@@ -59,6 +62,7 @@
 		return f.sendLocalReply(reply)
 	}
 	workCtx, cancel := f.deadlineContext(ctx)
+	defer f.releasePermit()
 	var lastFailure localReply
 	for {
 		var candidate routing.Candidate
@@ -66,12 +70,18 @@
 		if reply == nil {
 			reply = f.checkQuarantine()
 		}
+		if reply == nil {
+			reply = f.acquirePermit(workCtx)
+		}
 		if reply == nil {
 			candidate, reply = f.selectTarget(workCtx, lastFailure)
 		}
 		if reply == nil {
 			reply = f.checkKey()
 		}
+		if reply == nil {
+			reply = f.acquirePermit(workCtx)
+		}
 		if reply == nil {
 			reply = f.checkShutdown()
 		}
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -33,6 +33,8 @@
 	OpExchangeMarks
 	// OpAcquirePermit asks a gateway that grants requests to targets with a limit for one.
 	OpAcquirePermit
+	// OpAcquireQuota asks a gateway that grants a share of organisations' quotas for requests.
+	OpAcquireQuota
 )
 
 // RequestHandler handles the requests of one Op. It is called concurrently. It returns the
--- /dev/null
+++ b/internal/peersync/quotas_test.go
@@ -0,0 +1,376 @@
+package peersync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"redwingpoint.org/redwingpoint/internal/limit"
+	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/peer"
+)
+
+// quotaTolerance is the one that platforms allow.
+var quotaTolerance = limit.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+// quotaFleet is a fleet of instances in three regions, over a network in memory, whose callers
+// send requests for organisations. The first three instances are seeds, one in each region.
+type quotaFleet struct {
+	t      *testing.T
+	random *rand.Rand
+
+	mu    sync.Mutex
+	nodes []*quotaNode
+	// sent are the times of the requests that were sent, by organisation.
+	sent map[model.OrganisationName][]time.Time
+	// exceeded and unknown count the denials, by organisation.
+	exceeded, unknown map[model.OrganisationName]int
+}
+
+type quotaNode struct {
+	quotas *Quotas
+	// cut is set while the instance reaches no other one, silent while it doesn't respond.
+	cut, silent bool
+}
+
+// quotaTransport is the Transport of an instance.
+type quotaTransport struct {
+	fleet *quotaFleet
+	from  int
+}
+
+// CallAddr implements Transport. Messages over a cut link, or to an instance that is silent or
+// was restarted meanwhile, are lost.
+func (p quotaTransport) CallAddr(ctx context.Context, addr string, _ peer.Op, body, response any) (model.InstanceID, error) {
+	var to int
+	if _, err := fmt.Sscan(addr, &to); err != nil {
+		return "", err
+	}
+	node := p.fleet.reach(p.from, to)
+	if node == nil {
+		<-ctx.Done()
+		return "", ctx.Err()
+	}
+	latency := time.Millisecond
+	if p.from%3 != to%3 {
+		latency = 12 * time.Millisecond
+	}
+	time.Sleep(latency)
+	raw, err := peer.Encode(body)
+	if err != nil {
+		return "", err
+	}
+	out, err := (&QuotaServer{Grantor: node.quotas.Own}).HandleAcquire("asker", raw)
+	if err != nil {
+		return "", err
+	}
+	time.Sleep(latency)
+	if p.fleet.reach(p.from, to) != node || ctx.Err() != nil {
+		<-ctx.Done()
+		return "", ctx.Err()
+	}
+	if raw, err = peer.Encode(out); err != nil {
+		return "", err
+	}
+	return model.InstanceID(addr), peer.Decode(raw, response)
+}
+
+// reach returns an instance if another one reaches it.
+func (f *quotaFleet) reach(from, to int) *quotaNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.nodes[from].cut || f.nodes[to].cut || f.nodes[to].silent {
+		return nil
+	}
+	return f.nodes[to]
+}
+
+// newQuotaFleet starts a fleet that has run for long enough for all shares to be full.
+func newQuotaFleet(t *testing.T, instances int, seed uint64) *quotaFleet {
+	f := &quotaFleet{t: t, random: rand.New(rand.NewPCG(seed, 3)), nodes: make([]*quotaNode, instances),
+		sent: make(map[model.OrganisationName][]time.Time), exceeded: make(map[model.OrganisationName]int), unknown: make(map[model.OrganisationName]int)}
+	for i := range f.nodes {
+		f.start(i)
+	}
+	time.Sleep(time.Minute)
+	return f
+}
+
+// start starts an instance, or restarts it without its memory.
+func (f *quotaFleet) start(i int) {
+	node := &quotaNode{quotas: &Quotas{Tolerance: quotaTolerance, Transport: quotaTransport{f, i}, Log: zap.NewNop()}}
+	for _, seed := range []int{0, 1, 2} {
+		if seed == i {
+			node.quotas.Own = limit.NewQuotaGrantor(3, quotaTolerance)
+		} else {
+			node.quotas.Seeds = append(node.quotas.Seeds, fmt.Sprint(seed))
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[i] = node
+}
+
+// demand is what the callers of one organisation ask.
+type demand struct {
+	name  model.OrganisationName
+	quota limit.Quota
+	// load is the rate of requests by the rate of the quota. Up to 1, the requests stay within
+	// the quota.
+	load float64
+	// batch is the number of requests that are sent at once; zero means 1.
+	batch int
+	// at are the instances that its callers reach; nil means all.
+	at []int
+}
+
+// play sends the requests of a demand for a time.
+func (f *quotaFleet) play(d demand, during time.Duration, done func()) {
+	defer done()
+	f.mu.Lock()
+	random := rand.New(rand.NewPCG(f.random.Uint64(), 1))
+	instances := len(f.nodes)
+	f.mu.Unlock()
+	var requests sync.WaitGroup
+	level, last := d.quota.Burst, time.Now()
+	for until := time.Now().Add(during); time.Now().Before(until); {
+		batch := max(d.batch, 1)
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(batch) / (d.load * d.quota.PerSecond) * float64(time.Second)))
+		now := time.Now()
+		level, last = min(level+now.Sub(last).Seconds()*d.quota.PerSecond, d.quota.Burst), now
+		if d.load <= 1 && level < float64(batch) {
+			continue
+		}
+		level -= float64(batch)
+		for range batch {
+			at := random.IntN(instances)
+			if d.at != nil {
+				at = d.at[random.IntN(len(d.at))]
+			}
+			wait := time.Duration(random.Int64N(int64(170 * time.Millisecond)))
+			requests.Go(func() { f.request(at, d, wait) })
+		}
+	}
+	requests.Wait()
+}
+
+// request acquires a permit at an instance and sends a request after a wait, if the permit
+// holds until then.
+func (f *quotaFleet) request(at int, d demand, wait time.Duration) {
+	f.mu.Lock()
+	node := f.nodes[at]
+	f.mu.Unlock()
+	permit, err := node.quotas.Acquire(context.Background(), d.name, d.quota)
+	var exceeded *limit.QuotaExceededError
+	switch {
+	case errors.As(err, &exceeded):
+		if exceeded.RetryAfter <= 0 || exceeded.RetryAfter > quotaTolerance.Window {
+			f.t.Errorf("%s: asked to come back after %v", d.name, exceeded.RetryAfter)
+		}
+		f.count(f.exceeded, d.name)
+		return
+	case err != nil:
+		f.count(f.unknown, d.name)
+		return
+	}
+	time.Sleep(wait)
+	if permit.Expired() {
+		permit.Release()
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent[d.name] = append(f.sent[d.name], time.Now())
+}
+
+func (f *quotaFleet) count(m map[model.OrganisationName]int, name model.OrganisationName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m[name]++
+}
+
+// checkWindows checks that no window of an organisation holds more than the tolerance allows.
+func (f *quotaFleet) checkWindows(d demand) {
+	f.t.Helper()
+	allowed := (d.quota.PerSecond*quotaTolerance.Window.Seconds()+d.quota.Burst)*(1+quotaTolerance.Overage) + quotaTolerance.Slack
+	if most := f.mostInWindow(d.name); float64(most) > allowed {
+		f.t.Errorf("%s: %d requests in a window, allowed %.0f", d.name, most, allowed)
+	}
+}
+
+// mostInWindow returns the most requests of an organisation that were sent in a window.
+func (f *quotaFleet) mostInWindow(name model.OrganisationName) (most int) {
+	times := f.sent[name]
+	slices.SortFunc(times, time.Time.Compare)
+	for first, last := 0, 0; last < len(times); last++ {
+		for times[last].Sub(times[first]) > quotaTolerance.Window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// demands are those of one hot organisation and of others of all sizes within their quotas,
+// with callers who reach one instance, a few or all.
+func demands(instances int) []demand {
+	few := []int{3 % instances, 4 % instances, 5 % instances}
+	return []demand{
+		{name: "hot", quota: limit.Quota{Revision: 1, PerSecond: 40, Burst: 40}, load: 7},
+		{name: "hot-and-small", quota: limit.Quota{Revision: 1, PerSecond: 3, Burst: 3}, load: 7},
+		{name: "large", quota: limit.Quota{Revision: 1, PerSecond: 289, Burst: 289}, load: 0.8},
+		{name: "full", quota: limit.Quota{Revision: 1, PerSecond: 40, Burst: 40}, load: 1},
+		{name: "in-batches", quota: limit.Quota{Revision: 1, PerSecond: 40, Burst: 100}, load: 0.9, batch: 100},
+		{name: "one-sided", quota: limit.Quota{Revision: 1, PerSecond: 40, Burst: 40}, load: 0.9, at: few},
+		{name: "at-one", quota: limit.Quota{Revision: 1, PerSecond: 20, Burst: 10}, load: 0.9, at: few[:1]},
+		{name: "small", quota: limit.Quota{Revision: 1, PerSecond: 2, Burst: 2}, load: 0.8},
+		{name: "rare", quota: limit.Quota{Revision: 1, PerSecond: 0.5, Burst: 1}, load: 0.8},
+	}
+}
+
+// fleetSizes are those of the deployments, and that of the sweep.
+var fleetSizes = []int{6, 17, 137, 300}
+
+// runQuotaFleet plays all demands for a time beside a course of events.
+func runQuotaFleet(t *testing.T, instances int, seed uint64, during time.Duration, course func(f *quotaFleet)) *quotaFleet {
+	f := newQuotaFleet(t, instances, seed)
+	var all sync.WaitGroup
+	for _, d := range demands(instances) {
+		all.Add(1)
+		go f.play(d, during, all.Done)
+	}
+	if course != nil {
+		course(f)
+	}
+	all.Wait()
+	for _, d := range demands(instances) {
+		f.checkWindows(d)
+	}
+	return f
+}
+
+// TestQuotasBindAndDenyNothingBelow checks fleets without faults: hot organisations get their
+// quota and no more, others everything.
+func TestQuotasBindAndDenyNothingBelow(t *testing.T) {
+	for _, instances := range fleetSizes {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const during = 20 * time.Second
+				f := runQuotaFleet(t, instances, uint64(instances), during, nil)
+				for _, d := range demands(instances) {
+					denied, sent := f.exceeded[d.name]+f.unknown[d.name], len(f.sent[d.name])
+					t.Logf("%s: %d sent, %d denied, at most %d in a window", d.name, sent, denied, f.mostInWindow(d.name))
+					if d.load <= 1 && denied > 0 {
+						t.Errorf("%s: %d of %d requests were denied within the quota", d.name, denied, denied+sent)
+					}
+					// Some permits expire before the requests are sent.
+					if least := 0.8 * d.quota.PerSecond * during.Seconds(); d.load > 1 && float64(sent) < least {
+						t.Errorf("%s: %d requests sent, want %.0f", d.name, sent, least)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestQuotasBindDuringFaults cuts instances off, restarts them and loses seeds, in random
+// order: whatever happens, no window holds more than the tolerance allows.
+func TestQuotasBindDuringFaults(t *testing.T) {
+	for _, instances := range fleetSizes {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(instances, " ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					runQuotaFleet(t, instances, seed, 30*time.Second, func(f *quotaFleet) {
+						random := rand.New(rand.NewPCG(seed, 9))
+						for range 40 {
+							time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+							i := random.IntN(instances)
+							if random.IntN(2) == 0 {
+								i = random.IntN(3)
+							}
+							if random.IntN(3) == 0 {
+								f.start(i)
+								continue
+							}
+							f.mu.Lock()
+							f.nodes[i].cut, f.nodes[i].silent = random.IntN(3) == 0, random.IntN(3) == 0
+							f.mu.Unlock()
+						}
+					})
+				})
+			})
+		}
+	}
+}
+
+// TestQuotasOutlastALostSeed checks that organisations that use up to 0.6 of their quota go on
+// without being denied while one of three seeds is lost.
+func TestQuotasOutlastALostSeed(t *testing.T) {
+	for _, instances := range fleetSizes {
+		synctest.Test(t, func(t *testing.T) {
+			f := newQuotaFleet(t, instances, 1)
+			f.mu.Lock()
+			f.nodes[1].silent = true
+			f.mu.Unlock()
+			d := demand{name: "usual", quota: limit.Quota{Revision: 1, PerSecond: 40, Burst: 40}, load: 0.6}
+			var done sync.WaitGroup
+			done.Add(1)
+			f.play(d, 20*time.Second, done.Done)
+			if denied := f.exceeded[d.name] + f.unknown[d.name]; denied > 0 {
+				t.Errorf("%d instances: %d requests denied, %d sent", instances, denied, len(f.sent[d.name]))
+			}
+		})
+	}
+}
+
+// TestLoweredQuotaBinds checks that a lower quota that only some instances know binds all: the
+// grantors keep the latest.
+func TestLoweredQuotaBinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newQuotaFleet(t, 17, 1)
+		before := demand{name: "a", quota: limit.Quota{Revision: 1, PerSecond: 100, Burst: 100}, load: 2, at: []int{3, 4, 5, 6}}
+		after := demand{name: "a", quota: limit.Quota{Revision: 2, PerSecond: 10, Burst: 10}, load: 20, at: []int{7, 8, 9}}
+		var all sync.WaitGroup
+		all.Add(2)
+		go f.play(before, 20*time.Second, all.Done)
+		time.Sleep(5 * time.Second)
+		loweredAt := time.Now()
+		go f.play(after, 15*time.Second, all.Done)
+		all.Wait()
+		f.sent["a"] = slices.DeleteFunc(f.sent["a"], func(at time.Time) bool { return at.Sub(loweredAt) < time.Second })
+		f.checkWindows(after)
+	})
+}
+
+// TestCutOffInstanceKeepsOnlyWhatItHolds checks that an instance that reaches no grantor stops
+// at once and says that it doesn't know, as the quota may not be used up.
+func TestCutOffInstanceKeepsOnlyWhatItHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newQuotaFleet(t, 6, 1)
+		quota := limit.Quota{Revision: 1, PerSecond: 1000, Burst: 1000}
+		for range 20 {
+			if permit, err := f.nodes[4].quotas.Acquire(t.Context(), "a", quota); err != nil || permit.Expired() {
+				t.Fatal(err)
+			}
+		}
+		f.nodes[4].cut = true
+		time.Sleep(quotaTolerance.PermitLifetime())
+		var unknown *limit.QuotaUnknownError
+		if _, err := f.nodes[4].quotas.Acquire(t.Context(), "a", quota); !errors.As(err, &unknown) {
+			t.Errorf("cut off: %v", err)
+		}
+		f.nodes[4].cut = false
+		time.Sleep(2 * quotaBackoff)
+		if _, err := f.nodes[4].quotas.Acquire(t.Context(), "a", quota); err != nil {
+			t.Errorf("back again: %v", err)
+		}
+	})
+}
--- a/internal/route/source.go
+++ b/internal/route/source.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/clock"
+)
 
 // Source is from whom an instance learnt something about routes. Its values appear in logs and
 // don't change.
@@ -25,13 +29,11 @@
 	By Source
 }
 
-// Age returns the time since the confirmation, or -1 s if there was none. It is the longer of
-// the times by the monotonic and the wall clock: the former stands still while the machine is
-// suspended, the latter may be set back.
+// Age returns the time since the confirmation, as clock.Since tells it, or -1 s if there was
+// none.
 func (c Confirmation) Age() time.Duration {
 	if c.At.IsZero() {
 		return -time.Second
 	}
-	now := time.Now()
-	return max(now.Sub(c.At), now.Round(0).Sub(c.At.Round(0)))
+	return clock.Since(c.At)
 }
