--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -57,7 +57,7 @@
 	s := &peersync.Syncer{
 		Replica:    local,
 		NeedsPeers: g.breaker.Open,
-		OnMerge:    func() { g.targetsKnown.Store(local.Versions().AsOf > 0) },
+		OnMerge:    func() { g.targetsKnown.Store(local.Targets.Known()) },
 		Transport:  transport,
 		Seeds:      otherSeeds,
 		Log:        g.log,
@@ -83,7 +83,8 @@
 		g.serveRelay(transport, local)
 		return peerRelay{isRelay: true}
 	}
-	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds, Log: g.log}
+	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds,
+		Region: g.settings.Location.Region, Log: g.log}
 	if within := g.settings.Keys.WithdrawWithin; within > 0 {
 		client.HoldRequests = min(peersync.AwaitWait, time.Duration(relayHoldShare*float64(within)))
 		client.MaxConfirmationAge = time.Duration(confirmSelfShare * float64(within))
@@ -98,12 +99,15 @@
 	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay(), evacuations: client.EvacuationsRelay()}
 }
 
-// sharePermits divides the limits that targets state among the seeds.
+// sharePermits divides the limits that targets state, and those of cold targets, among the
+// seeds.
 func (g *gateway) sharePermits(transport *peer.Transport, isSeed bool, otherSeeds []string) {
-	g.permits.Own, g.permits.Transport, g.permits.Seeds = nil, transport, otherSeeds
+	g.permits.Own, g.permits.OwnCold, g.permits.Transport, g.permits.Seeds = nil, nil, transport, otherSeeds
 	if isSeed || len(otherSeeds) == 0 {
 		g.permits.Own = limit.NewGrantor(len(otherSeeds) + 1)
 		transport.Handle(peer.OpAcquirePermit, (&peersync.PermitServer{Grantor: g.permits.Own}).HandleAcquire)
+		g.permits.OwnCold = newColdGrantor(len(otherSeeds)+1, g.settings)
+		transport.Handle(peer.OpAcquireColdPermit, (&peersync.ColdPermitServer{Grantor: g.permits.OwnCold}).HandleAcquire)
 	}
 }
 
@@ -139,7 +143,7 @@
 	}
 	g.breaker.OnOpen = local.NotifyChanged
 	g.onShutdown = local.NotifyChanged
-	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local}).HandleAwaitChange)
+	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local, Location: g.settings.Location}).HandleAwaitChange)
 }
 
 // listenForPeers returns a transport that listens for peers with a self-signed
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -161,13 +161,21 @@
 
 // relayNode is an instance that follows the store, as a relay or by means of relays.
 type relayNode struct {
-	replica *replica.Replica
-	breaker replica.Breaker
-	floor   replica.Floor
-	server  *RelayServer
-	client  *RelayClient
-	// silent is set while the node doesn't respond to peers.
+	replica  *replica.Replica
+	breaker  replica.Breaker
+	floor    replica.Floor
+	server   *RelayServer
+	client   *RelayClient
+	location model.Location
+	// sent counts the bytes of the node's responses.
+	sent int
+	// silent is set while the node doesn't respond to peers, delay is how late it responds.
 	silent bool
+	delay  time.Duration
+	// linkFreeAt is when the node's link has sent all responses.
+	linkFreeAt time.Time
+	// merged counts the calls of OnMerge.
+	merged int
 	// applied and left are the times at which routes came in force and targets left.
 	applied map[model.Revision]time.Time
 	left    map[model.TargetID]time.Time
@@ -180,6 +188,12 @@
 type relayNetwork struct {
 	mu    sync.Mutex
 	nodes map[string]*relayNode
+	// batchDelay is that of the nodes' followers of the store.
+	batchDelay time.Duration
+	// linkBytes is what a node's link sends in a second; zero means any number.
+	linkBytes int
+	// sent counts the bytes of requests and responses by distance, with those of packets.
+	sent [model.OtherRegion + 1]int
 	// evacuations is set if the nodes follow evacuations.
 	evacuations bool
 	// delay, if set, returns the latency of a message.
@@ -188,6 +202,44 @@
 	withdrawWithin time.Duration
 }
 
+const (
+	// packetPayload is what a packet carries, packetOverhead what it costs beside that with its
+	// acknowledgement, in bytes (TestWireCosts).
+	packetPayload  = 1200
+	packetOverhead = 52 + 57
+)
+
+// latency returns the time that a message takes over a distance.
+func latency(d model.Distance) time.Duration {
+	return [...]time.Duration{model.SameDomain: 0, model.SameRegion: 500 * time.Microsecond, model.OtherRegion: 12 * time.Millisecond}[d]
+}
+
+// carry counts a message and blocks until it has arrived. The link of a node that responds
+// sends one response after the other.
+func (n *relayNetwork) carry(responder *relayNode, size int, d model.Distance) {
+	n.mu.Lock()
+	size += (size/packetPayload + 1) * packetOverhead
+	n.sent[d] += size
+	if responder != nil {
+		responder.sent += size
+	}
+	arrivesAt := time.Now().Add(latency(d))
+	if responder != nil && n.linkBytes > 0 {
+		if now := time.Now(); responder.linkFreeAt.Before(now) {
+			responder.linkFreeAt = now
+		}
+		responder.linkFreeAt = responder.linkFreeAt.Add(time.Duration(size) * time.Second / time.Duration(n.linkBytes))
+		arrivesAt = responder.linkFreeAt.Add(latency(d))
+	}
+	if responder != nil {
+		arrivesAt = arrivesAt.Add(responder.delay)
+	}
+	n.mu.Unlock()
+	if wait := time.Until(arrivesAt); wait > 0 {
+		time.Sleep(wait)
+	}
+}
+
 // pause waits for the latency of a message.
 func (n *relayNetwork) pause(ctx context.Context) {
 	if n.delay == nil {
@@ -199,8 +251,14 @@
 	}
 }
 
+// nodeTransport is the network as one node sees it.
+type nodeTransport struct {
+	*relayNetwork
+	from *relayNode
+}
+
 // CallAddr implements Transport.
-func (n *relayNetwork) CallAddr(ctx context.Context, addr string, _ peer.Op, body, response any) (model.InstanceID, error) {
+func (n nodeTransport) CallAddr(ctx context.Context, addr string, _ peer.Op, body, response any) (model.InstanceID, error) {
 	n.mu.Lock()
 	to := n.nodes[addr]
 	silent := to == nil || to.silent
@@ -215,10 +273,17 @@
 	}
 	n.pause(ctx)
 	result := make(chan any, 1)
+	distance := n.from.location.DistanceTo(to.location)
 	go func() {
+		n.carry(nil, len(raw), distance)
 		out, err := to.server.HandleAwaitChange("asker", raw)
+		if err == nil {
+			out, err = peer.Encode(out)
+		}
 		if err != nil {
 			out = err
+		} else {
+			n.carry(to, len(out.([]byte)), distance)
 		}
 		result <- out
 	}()
@@ -238,10 +303,7 @@
 		if err, failed := out.(error); failed {
 			return "", err
 		}
-		if raw, err = peer.Encode(out); err != nil {
-			return "", err
-		}
-		return model.InstanceID(addr), peer.Decode(raw, response)
+		return model.InstanceID(addr), peer.Decode(out.([]byte), response)
 	case <-ctx.Done():
 		return "", ctx.Err()
 	}
@@ -253,6 +315,18 @@
 	n.nodes[addr].silent = silent
 }
 
+func (n *relayNetwork) countMerge(node *relayNode) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	node.merged++
+}
+
+func (n *relayNetwork) setDelay(addr string, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[addr].delay = delay
+}
+
 // nodeObserver records when routes and targets changed.
 type nodeObserver struct {
 	nopObserver
@@ -285,7 +359,12 @@
 
 // start adds a node and runs it until ctx ends. Nodes named "seed-..." are relays.
 func (n *relayNetwork) start(ctx context.Context, store *relayStore, name string, seeds ...string) *relayNode {
-	node := &relayNode{applied: make(map[model.Revision]time.Time), left: make(map[model.TargetID]time.Time),
+	return n.startAt(ctx, store, name, model.Location{}, seeds...)
+}
+
+// startAt is like start for a node at a location.
+func (n *relayNetwork) startAt(ctx context.Context, store *relayStore, name string, at model.Location, seeds ...string) *relayNode {
+	node := &relayNode{location: at, applied: make(map[model.Revision]time.Time), left: make(map[model.TargetID]time.Time),
 		evacuated: make(map[model.FailureDomain]time.Time), returned: make(map[model.FailureDomain]time.Time)}
 	o := nodeObserver{node: node, mu: &n.mu}
 	decodeRoutes := func(object replica.Object) (route.Config, bool, error) {
@@ -295,17 +374,17 @@
 	node.replica = &replica.Replica{
 		Routes: &replica.Routes{Decode: decodeRoutes, Holder: route.NewHolder(), Observer: o},
 		Targets: &replica.Targets{Table: nopObserver{}, Observer: o, Decode: func(object replica.Object) (model.Target, error) {
-			return model.Target{ID: model.TargetID(object.Name), Service: "a"}, nil
+			return model.Target{ID: model.TargetID(object.Name), Service: model.ServiceName(object.Name[len(object.Name)-1:])}, nil
 		}},
 	}
 	follower := func(kind string, view replica.View) *replica.Follower {
 		return &replica.Follower{Source: relaySource{store, name, kind}, View: view, Observer: o, WatchWait: ownWatchWait,
-			MaxBackoff: ownMaxBackoff, Breaker: &node.breaker, Floor: &node.floor, Consistency: replica.Eventual}
+			MaxBackoff: ownMaxBackoff, BatchDelay: n.batchDelay, Breaker: &node.breaker, Floor: &node.floor, Consistency: replica.Eventual}
 	}
 	routes, targets := follower("routes", node.replica.Routes), follower("targets", node.replica.Targets)
 	routes.Consistency = replica.Strong
 	if len(seeds) == 0 {
-		node.server = &RelayServer{Replica: node.replica}
+		node.server = &RelayServer{Replica: node.replica, Location: at}
 		node.replica.Current = func() bool { return node.replica.Routes.Holder.Current() != nil && !node.breaker.Open() }
 		node.replica.Routes.OnChange, node.replica.Targets.OnChange = node.replica.NotifyChanged, node.replica.NotifyChanged
 		node.breaker.OnOpen = node.replica.NotifyChanged
@@ -314,12 +393,13 @@
 			routes.WatchWait = n.withdrawWithin / 10
 		}
 	} else {
-		node.client = &RelayClient{Replica: node.replica, OnMerge: func() {}, Transport: n, Seeds: seeds, Log: zap.NewNop()}
+		node.client = &RelayClient{Replica: node.replica, OnMerge: func() { n.countMerge(node) }, Transport: nodeTransport{n, node}, Seeds: seeds, Region: at.Region, Log: zap.NewNop()}
 		if n.withdrawWithin > 0 {
 			node.client.HoldRequests, node.client.MaxConfirmationAge = n.withdrawWithin*12/100, n.withdrawWithin/2
 			routes.WatchWait = n.withdrawWithin * 18 / 100
 		}
 		routes.Relay, targets.Relay = node.client.RoutesRelay(), node.client.TargetsRelay()
+		targets.StartFromRelay = true
 	}
 	followers := []*replica.Follower{routes, targets}
 	if n.evacuations {
@@ -598,3 +678,138 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestRelayOfTheOwnRegionIsPreferred guards against relays of other regions that respond first,
+// such as when a fleet starts: the one in the region is followed, also after its return.
+func TestRelayOfTheOwnRegionIsPreferred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newRelayStore(660)
+		n := &relayNetwork{nodes: make(map[string]*relayNode)}
+		here, there := model.Location{Region: "here", FailureDomain: "here-a"}, model.Location{Region: "there", FailureDomain: "there-a"}
+		n.startAt(ctx, store, "seed-near", here)
+		n.startAt(ctx, store, "seed-far", there)
+		// The answers of the near relay arrive last.
+		n.setDelay("seed-near", 100*time.Millisecond)
+		node := n.startAt(ctx, store, "node", model.Location{Region: "here", FailureDomain: "here-b"}, "seed-far", "seed-near")
+		time.Sleep(10 * time.Second)
+		n.setDelay("seed-near", 0)
+		check := func(what string, far bool) {
+			t.Helper()
+			n.mu.Lock()
+			before := n.sent[model.OtherRegion]
+			n.mu.Unlock()
+			time.Sleep(10 * time.Second)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if followed := n.sent[model.OtherRegion]-before > 2000; followed != far {
+				t.Errorf("%s: %d B between regions in 10 s", what, n.sent[model.OtherRegion]-before)
+			}
+		}
+		check("both relays respond", false)
+		n.silence("seed-near", true)
+		time.Sleep(10 * time.Second)
+		check("the near relay is silent", true)
+		n.silence("seed-near", false)
+		time.Sleep(2 * returnInterval)
+		check("the near relay has returned", false)
+		if !node.client.Relayed() {
+			t.Error("no relay is followed")
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// TestSearchesCarryNoChanges guards against searches for a relay, each of which brought all
+// changes from each of the seeds.
+func TestSearchesCarryNoChanges(t *testing.T) {
+	relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, node *relayNode) {
+		body, err := peer.Encode(awaitRequest{Versions: replica.Versions{AsOf: 1, Routes: 1}, Search: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		found, err := n.nodes["seed-1"].server.HandleAwaitChange("asker", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if raw, err := peer.Encode(found); err != nil || len(raw) > 200 {
+			t.Errorf("a search brings %d B, %v", len(raw), err)
+		}
+	})
+}
+
+// TestSlowRelayGivesWayToTheStore guards against a list that arrives in parts over a link that
+// is too slow for it: the store is read, and no part is sent twice.
+func TestSlowRelayGivesWayToTheStore(t *testing.T) {
+	relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, node *relayNode) {
+		n.mu.Lock()
+		n.linkBytes = 12_000
+		n.mu.Unlock()
+		for i := range 3700 {
+			store.put("targets", fmt.Sprintf("i-%08x", i), "ready")
+		}
+		time.Sleep(catchUpTimeout + AwaitWait + 2*exchangeTimeout)
+		if own, relay := node.replica.Versions(), n.nodes["seed-1"].replica.Versions(); own.AsOf != relay.AsOf || own.Digest != relay.Digest {
+			t.Errorf("the instance holds %+v, the relay %+v", own, relay)
+		}
+	})
+}
+
+// TestStartingInstanceListsTargetsFromARelay guards against a fleet that starts and whose
+// instances each list all targets from the store, across regions. Without a relay that is fast
+// enough they still do.
+func TestStartingInstanceListsTargetsFromARelay(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		linkBytes int
+		silent    bool
+		lists     int
+		within    time.Duration
+	}{
+		{"relays respond", 0, false, 1, searchInterval},
+		{"relays are silent", 0, true, 2, startWait + searchInterval},
+		{"relays are slow", 12_000, false, 2, startWait + searchInterval},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, _ *relayNode) {
+				n.mu.Lock()
+				n.linkBytes = c.linkBytes
+				n.mu.Unlock()
+				n.silence("seed-1", c.silent)
+				n.silence("seed-2", c.silent)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				node := n.start(ctx, store, "starting", "seed-1", "seed-2")
+				time.Sleep(c.within)
+				if own, relay := node.replica.Versions(), n.nodes["seed-1"].replica.Versions(); own.Digest != relay.Digest {
+					t.Errorf("the instance holds %+v, the relay %+v", own, relay)
+				}
+				if lists, _ := store.takeCalls("starting"); lists != c.lists {
+					t.Errorf("%d lists from the store, want %d", lists, c.lists)
+				}
+			})
+		})
+	}
+}
+
+// TestStoreWithoutTargetsIsKnown checks that an instance that starts behind a relay learns that
+// there are no targets: until then it isn't ready.
+func TestStoreWithoutTargetsIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newRelayStore(0)
+		n := &relayNetwork{nodes: make(map[string]*relayNode)}
+		n.start(ctx, store, "seed-1")
+		time.Sleep(time.Second)
+		node := n.start(ctx, store, "node", "seed-1")
+		time.Sleep(searchInterval)
+		n.mu.Lock()
+		if node.merged == 0 || node.replica.Versions().AsOf == 0 {
+			t.Errorf("merged %d times, holds %+v", node.merged, node.replica.Versions())
+		}
+		n.mu.Unlock()
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,6 +38,9 @@
 	// ConfirmedMillis is the age of the confirmation of the routes in milliseconds, plus 1; 0
 	// without one. Only relays send it.
 	ConfirmedMillis int64 `cbor:"9,keyasint,omitempty"`
+	// AcceptsParts is set if Delta.Packed may replace Delta.Targets and a list may come in
+	// parts. It is not set by older builds.
+	AcceptsParts bool `cbor:"10,keyasint,omitempty"`
 }
 
 // SetConfirmation sets ConfirmedMillis. The confirmation must have been loaded before the
@@ -68,6 +71,14 @@
 	Since uint64 `cbor:"5,keyasint,omitempty"`
 	// Removed holds the name hashes of the entries removed after Since.
 	Removed []byte `cbor:"6,keyasint,omitempty"`
+	// Packed, if set, holds the changed entries in place of Targets.
+	Packed *PackedEntries `cbor:"8,keyasint,omitempty"`
+	// More is set if this is a part of the changes: those up to Versions.AsOf, and of the
+	// later ones all removals and all entries that are leaving. The rest follows on the next
+	// request.
+	More bool `cbor:"9,keyasint,omitempty"`
+	// Location is where the sender runs, in responses to the search for a relay.
+	Location *model.Location `cbor:"10,keyasint,omitempty"`
 	// Evacuations are all failure domains to evacuate, or nil if the other holds the same or
 	// newer ones.
 	Evacuations *EvacuationList `cbor:"7,keyasint,omitempty"`
@@ -76,8 +87,16 @@
 	HeldMillis int64 `cbor:"11,keyasint,omitempty"`
 }
 
+// Entries returns the changed entries in either encoding.
+func (d *Delta) Entries() []TargetEntry {
+	if d.Packed != nil {
+		return d.Packed.Entries
+	}
+	return d.Targets
+}
+
 // HasTargets reports whether the delta changes the other's list of targets.
-func (d *Delta) HasTargets() bool { return d.Since > 0 || len(d.NameHashes) > 0 }
+func (d *Delta) HasTargets() bool { return d.Since > 0 || len(d.NameHashes) > 0 || d.Packed != nil }
 
 // nameHashBytes is the size of a name's hash. With 4 bytes, 1 in 600 lists of 3,700
 // entries contains two names with the same hash.
@@ -90,6 +109,22 @@
 	Name     string       `cbor:"1,keyasint"`
 	Revision uint64       `cbor:"2,keyasint"`
 	Target   model.Target `cbor:"3,keyasint"`
+	// ColdMillis is how long the target is still cold by its entry, at the time of sending or
+	// earlier.
+	ColdMillis int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// newTargetEntry returns an entry to send now.
+func newTargetEntry(name string, e *entry) TargetEntry {
+	coldLeft := max(time.Until(e.target.ColdEndsAt), 0)
+	return TargetEntry{Name: name, Revision: e.revision, Target: e.target, ColdMillis: coldLeft.Milliseconds()}
+}
+
+// received returns the entry with its times by this instance's clock.
+func (e TargetEntry) received() TargetEntry {
+	now := time.Now()
+	e.Target.ColdEndsAt, e.Target.ColdKnownAt = now.Add(time.Duration(e.ColdMillis)*time.Millisecond), now
+	return e
 }
 
 // Replica is an instance's local copy of the store's routes and targets. It is safe
@@ -136,7 +171,7 @@
 	if t := r.Routes.Holder.Current(); t != nil {
 		v.Routes = t.Revision
 	}
-	v.AcceptsRemovals = true
+	v.AcceptsRemovals, v.AcceptsParts = true, true
 	v.Evacuations = r.Evacuations.version()
 	v.Current = r.Current != nil && r.Current()
 	return v
@@ -157,6 +192,29 @@
 	return d
 }
 
+// PackFor packs the changed entries if the instance with the given versions accepts that.
+func (d *Delta) PackFor(other Versions) {
+	if other.AcceptsParts && len(d.Targets) > 0 {
+		d.Packed, d.Targets = &PackedEntries{Entries: d.Targets}, nil
+	}
+}
+
+// PartFor is like DeltaFor for targets and evacuations, of the targets at most a part of them if the other instance
+// accepts that.
+func (r *Replica) PartFor(other Versions) (Delta, error) {
+	own := r.Versions()
+	d := Delta{Versions: own}
+	r.Evacuations.addTo(&d, other.Evacuations)
+	if own.AsOf <= other.AsOf || own.Digest == other.Digest {
+		return d, nil
+	}
+	if other.AcceptsParts && other.AcceptsRemovals {
+		return d, r.Targets.addPart(&d, other)
+	}
+	r.Targets.addChanges(&d, other)
+	return d, nil
+}
+
 // HasState reports whether the delta changes anything that the other holds.
 func (d *Delta) HasState() bool { return d.Routes != nil || d.HasTargets() || d.Evacuations != nil }
 
@@ -192,14 +250,18 @@
 }
 
 // addChanges adds to d what an instance with the given versions lacks: the entries that
-// changed after its list and, as far as they are still known, the removals since then.
+// changed after its list and, as far as they are still known, the removals since then. Entries
+// that are incomplete are not offered: others would take those missing for removed.
 func (t *Targets) addChanges(d *Delta, other Versions) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.incomplete {
+		return
+	}
 	d.Versions.AsOf, d.Versions.Digest = t.asOf, t.digest
 	for name, e := range t.entries {
 		if e.revision > other.AsOf {
-			d.Targets = append(d.Targets, TargetEntry{Name: name, Revision: e.revision, Target: e.target})
+			d.Targets = append(d.Targets, newTargetEntry(name, e))
 		}
 	}
 	slices.SortFunc(d.Targets, func(a, b TargetEntry) int { return cmp.Compare(a.Name, b.Name) })
@@ -221,9 +283,12 @@
 	}
 	if d.Versions.Digest == t.digest {
 		t.advance(d.Versions.AsOf)
+		t.incomplete = false
 		return
 	}
-	if !d.HasTargets() || d.Since > t.asOf {
+	// Changes since no list are for an instance that has none.
+	sinceNone := d.Since == 0 && len(d.NameHashes) == 0
+	if !d.HasTargets() || d.Since > t.asOf || sinceNone && t.asOf > 0 {
 		return
 	}
 	t.advance(d.Versions.AsOf)
@@ -233,11 +298,11 @@
 	} else {
 		t.deleteUnlisted(d, affected)
 	}
-	for _, e := range d.Targets {
-		t.upsert(e, affected)
+	for _, e := range d.Entries() {
+		t.upsert(e.received(), affected)
 	}
 	t.publish(affected)
-	t.mergedAsOf = d.Versions.AsOf
+	t.mergedAsOf, t.incomplete = d.Versions.AsOf, d.More
 }
 
 // mergeRemovals deletes the entries with the given name hashes. The caller must hold t.mu.
