--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -95,6 +95,7 @@
 			route.NewHolder,
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
 			func(set *metrics.Set) *peersync.Permits { return newPermits(s, log, set) },
+			newQuotas,
 			func(set *metrics.Set, permits *peersync.Permits) *upstream.Client {
 				return newUpstreamClient(p, log, set, permits)
 			},
@@ -108,7 +109,7 @@
 	)
 }
 
-func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *dispatch.Dispatcher {
+func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits, quotas *peersync.Quotas) *dispatch.Dispatcher {
 	picker := routing.NewProbingPicker(table, client, routing.Monotonic, probes, permits)
 	picker.InStages = s.Probes.PerTarget < settings.UsualProbesPerTarget
 	return dispatch.New(dispatch.Options{
@@ -118,6 +119,7 @@
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
 		Quarantine:  marks,
+		Quotas:      quotas,
 		Regions:     knownRegions(s.Regions),
 
 		WithdrawKeysWithin: s.Keys.WithdrawWithin,
@@ -140,6 +142,7 @@
 	listener   net.Listener
 	quarantine *quarantine.Registry
 	permits    *peersync.Permits
+	quotas     *peersync.Quotas
 	// probes limits the load probes of targets.
 	probes *rate.Limiter
 	// breaker is shared by the followers of routes and targets.
@@ -158,10 +161,10 @@
 	targetsKnown atomic.Bool
 }
 
-func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *gateway {
+func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits, quotas *peersync.Quotas) *gateway {
 	return &gateway{
 		settings: s, provider: p, log: log, set: set, routes: routes, table: table, dispatcher: d, probes: probes,
-		quarantine: marks, permits: permits,
+		quarantine: marks, permits: permits, quotas: quotas,
 		server: httpserver.NewServer(d, d.Limits),
 	}
 }
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -194,7 +194,7 @@
 	if f.lacksHome(f.homes()) {
 		return &localReply{status: http.StatusServiceUnavailable, cause: CauseNoHome, retryAfter: noHomeRetryAfter}
 	}
-	return f.checkShutdown()
+	return firstReply(f.checkQuota, f.checkShutdown)
 }
 
 // explainTargets adds the targets and the decision that follows from them.
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -38,6 +38,8 @@
 	caller    caller
 	// organisation is the one on whose behalf the request was sent, or nil.
 	organisation *route.Organisation
+	// permit is the part of the organisation's quota that the next attempt uses, or nil.
+	permit limit.QuotaPermit
 	// objectiveDeadline is the time by which a response meets the rule's latency
 	// objective, deadline the time after which the caller no longer waits.
 	objectiveDeadline, deadline time.Time
@@ -64,15 +66,17 @@
 		return f.sendLocalReply(reply)
 	}
 	workCtx, cancel := f.deadlineContext(ctx)
+	defer f.releasePermit()
 	var lastFailure localReply
 	for {
 		var candidate routing.Candidate
-		reply := firstReply(f.checkKey, f.checkQuarantine)
+		reply := firstReply(f.checkKey, f.checkQuarantine, f.checkQuota)
 		if reply == nil {
 			candidate, reply = f.selectTarget(workCtx, lastFailure)
 		}
 		if reply == nil {
-			reply = firstReply(f.checkKey, f.checkShutdown)
+			acquire := func() *localReply { return f.acquirePermit(workCtx) }
+			reply = firstReply(acquire, f.checkKey, f.checkShutdown)
 		}
 		if reply != nil {
 			cancel()
