Pass nothing on behind an answer that may still break off

Cause: an answer above 64 KiB is sent before it is whole.

Weighed: serving pipelined requests one after the other, which makes each wait for all before it; holding back whatever stands behind an unanswered request, the same; keeping every answer until it is whole, whose size nothing bounds.

Change: where an answer is streamed alone, requests that arrive meanwhile are held back; where others are open behind it, it is read whole first, up to 1 MiB, and 502 or 504 takes its place if it breaks. The test of the peers' port follows the new signature of keys.NewSelfSigned.

Cost: up to 1 MiB a connection whose caller has sent ahead, while it is answered. Beyond 1 MiB the loss remains possible.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -220,6 +220,9 @@
 		cancel()
 	} else {
 		response.ContentLength = result.ContentLength
+		response.OnBroken = func(err error) *httpserver.Response {
+			return f.sendLocalReply(f.unknownOutcomeReply(f.recordFailure(ctx, c, err).Reason))
+		}
 		response.Remainder = &trackedBody{ReadCloser: result.Body, onClose: func() { c.Endpoint.Load.End(); cancel() }}
 	}
 	f.state.observe(c, elapsed)
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -53,6 +53,10 @@
 	// idleSince is the time of the latest response.
 	openRequests int
 	idleSince    time.Time
+	// streaming is open while a response is sent whose body can still break off, which ends
+	// the connection; nil if there is none. Requests that are read meanwhile are served when
+	// it is closed.
+	streaming chan struct{}
 	// closing is set once the caller was told, or is about to be told, that the
 	// connection closes, so that no further request is accepted.
 	closing bool
@@ -144,14 +148,37 @@
 }
 
 // beginRequest counts a request that was read. It reports false if the connection is
-// closing, in which case the request must not be served.
-func (c *conn) beginRequest() bool {
+// closing, in which case the request must not be served. If streaming isn't nil, it must not
+// be served before that is closed.
+func (c *conn) beginRequest() (streaming <-chan struct{}, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closing {
 		c.openRequests++
 	}
-	return !c.closing
+	return c.streaming, !c.closing
+}
+
+// beginStreaming holds back further requests until endStreaming, unless others than the one
+// that is being answered are open and force isn't set. It reports whether it did.
+func (c *conn) beginStreaming(force bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !force && c.openRequests > 1 {
+		return false
+	}
+	c.streaming = make(chan struct{})
+	return true
+}
+
+// endStreaming lets the requests be served that were held back.
+func (c *conn) endStreaming() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.streaming != nil {
+		close(c.streaming)
+	}
+	c.streaming = nil
 }
 
 // endRequest counts the response to a request.
@@ -253,7 +280,8 @@
 // without a body are served concurrently. Otherwise the body owns the connection's input until
 // it was read to its end, or until the response was written.
 func (c *conn) startServing(x *exchange) bool {
-	if !c.beginRequest() {
+	streaming, ok := c.beginRequest()
+	if !ok {
 		return false
 	}
 	c.pending <- x
@@ -267,7 +295,7 @@
 	handlerDone := make(chan struct{})
 	go func() {
 		defer close(handlerDone)
-		response := c.server.handler.Serve(c.ctx, x.request)
+		response := c.serveRequest(x, streaming)
 		if !body.handlerReturned() {
 			// The rest of the body would be parsed as a request.
 			x.closeAfter.Store(true)
@@ -288,6 +316,21 @@
 	return false
 }
 
+// serveRequest returns the response to a request. It waits until streaming is closed if that
+// isn't nil.
+func (c *conn) serveRequest(x *exchange, streaming <-chan struct{}) *Response {
+	if streaming != nil {
+		select {
+		case <-streaming:
+		case <-c.ctx.Done():
+		}
+		if c.ctx.Err() != nil {
+			return nil
+		}
+	}
+	return c.server.handler.Serve(c.ctx, x.request)
+}
+
 // awaitPrevious waits until the response to the previous request was written, since 100
 // Continue must not come before or within it. It reports false if nothing more is written.
 func (c *conn) awaitPrevious() bool {
@@ -338,7 +381,7 @@
 		return
 	}
 	x := newExchange(&Request{HTTP: &http.Request{Method: http.MethodGet}}, true)
-	if !c.beginRequest() {
+	if _, ok := c.beginRequest(); !ok {
 		return
 	}
 	x.response <- c.server.handler.Reject(status, err)
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -39,6 +39,9 @@
 	// ContentLength is the length of the complete body in bytes if Remainder is set; -1
 	// if unknown.
 	ContentLength int64
+	// OnBroken, if set, returns the response that takes the place of this one if reading
+	// Remainder fails before anything was sent.
+	OnBroken func(err error) *Response
 	// OnWritten, if set, is called once the response was written or writing failed; err is
 	// nil after success.
 	OnWritten func(err error)
--- a/internal/httpserver/write.go
+++ b/internal/httpserver/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"time"
@@ -27,16 +28,52 @@
 	broken := false
 	for x := range c.pending {
 		response := <-x.response
+		if response != nil && response.Remainder != nil && !broken {
+			response = c.secure(response)
+		}
 		if !broken {
 			broken = !c.writeResponse(w, x, response)
 		} else if response != nil {
 			response.discard()
 		}
 		c.endRequest()
+		c.endStreaming()
 		close(x.writeDone)
 	}
 }
 
+// maxSecuredBytes is the longest response in bytes that is read whole before it is sent, where
+// requests behind it are served already.
+const maxSecuredBytes = 1 << 20
+
+// secure keeps a response that breaks off from taking others with it, since it can only end
+// by closing the connection. If no other request is open, further ones are held back until it
+// was sent. Otherwise the response is read whole, so that another can take its place; beyond
+// maxSecuredBytes it is sent as it is.
+func (c *conn) secure(r *Response) *Response {
+	if c.beginStreaming(false) {
+		return r
+	}
+	buffered := bytes.NewBuffer(r.Body)
+	n, err := io.CopyN(buffered, r.Remainder, maxSecuredBytes)
+	r.Body = buffered.Bytes()
+	switch {
+	case err == io.EOF && (r.ContentLength < 0 || int64(len(r.Body)) == r.ContentLength):
+		_ = r.Remainder.Close()
+		r.Remainder = nil
+	case err == nil && n == maxSecuredBytes:
+		c.beginStreaming(true)
+	case r.OnBroken != nil:
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		other := r.OnBroken(err)
+		r.discard()
+		return other
+	}
+	return r
+}
+
 // discard releases a response that can't be sent.
 func (r *Response) discard() {
 	if r.Remainder != nil {
--- a/internal/misuse/peers_test.go
+++ b/internal/misuse/peers_test.go
@@ -62,7 +62,7 @@
 
 // dialPeer opens a connection as a gateway with a certificate of its own does.
 func (g *gateway) dialPeer(ctx context.Context, transport *quic.Transport) (*quic.Conn, error) {
-	credentials, err := keys.NewSelfSigned("gateways", model.InstanceID(rand.Text()), time.Now)
+	credentials, err := keys.NewSelfSigned(keys.Identity{Fleet: "gateways", Instance: model.InstanceID(rand.Text())}, time.Now)
 	if err != nil {
 		g.t.Fatal(err)
 	}
