--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -74,8 +74,11 @@
 	// Regions are those that exist; homes elsewhere don't count. None means that they
 	// aren't known and all homes count.
 	Regions map[model.Region]bool
-	Log     *zap.Logger
-	Metrics *Metrics
+	// WithdrawKeysWithin is the maximum time after the withdrawal of a key until no request
+	// with it is sent to a target. Zero means no bound of its own.
+	WithdrawKeysWithin time.Duration
+	Log                *zap.Logger
+	Metrics            *Metrics
 }
 
 // Dispatcher forwards the requests of callers to targets. It implements
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -1,6 +1,7 @@
 package peersync
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -18,8 +19,8 @@
 	// RelayWatchWait is how long the store may hold a watch of a relay. A relay notices a
 	// watch that the store dropped after this and the timeout of the response.
 	RelayWatchWait = 700 * time.Millisecond
-	// awaitWait is how long a relay holds a request without a change.
-	awaitWait = 600 * time.Millisecond
+	// AwaitWait is how long a relay holds a request without a change.
+	AwaitWait = 600 * time.Millisecond
 	// maxAwaitWait bounds the wait that a request may ask for.
 	maxAwaitWait = 2 * time.Second
 	// searchTimeout bounds the search for a relay. A handshake and a call across regions
@@ -29,6 +30,9 @@
 	// have lost the store. A relay regains it about half a second after a lost history;
 	// then it has listed the targets for all its peers.
 	lossTolerance = time.Second
+	// startTolerance is how long the evacuations may be missing after a start, until they are
+	// listed: a relay that has started too is ready after about a second.
+	startTolerance = 1500 * time.Millisecond
 	// searchInterval is the time between two searches during lossTolerance, and
 	// idleSearchInterval that without a relay.
 	searchInterval     = 100 * time.Millisecond
@@ -36,7 +40,7 @@
 	// MaxRelayLag is the longest time for which a relay that lost the store first, and its
 	// peer right after, delays a change: the watch and the request with their timeouts, and
 	// the search for another relay.
-	MaxRelayLag = RelayWatchWait + awaitWait + 2*exchangeTimeout + searchTimeout
+	MaxRelayLag = RelayWatchWait + AwaitWait + 2*exchangeTimeout + searchTimeout
 )
 
 // awaitRequest is the request of peer.OpAwaitChange.
@@ -50,8 +54,8 @@
 // changes. It is safe for concurrent use.
 type RelayServer struct{ Replica *replica.Replica }
 
-// HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets and the
-// versions held as soon as the targets differ from the requester's, newer routes are in
+// HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets and evacuations
+// and the versions held as soon as these differ from the requester's, newer routes are in
 // force or the instance can no longer relay; without a change it does after the wait asked
 // for. It never sends routes: every peer reads them from the store, because the same large
 // document sent to all peers would fill the instance's link.
@@ -60,19 +64,25 @@
 	if err := peer.Decode(body, &req); err != nil {
 		return nil, err
 	}
+	arrivedAt := time.Now()
 	timer := time.NewTimer(min(time.Duration(req.WaitMillis)*time.Millisecond, maxAwaitWait))
 	defer timer.Stop()
-	for {
+	for expired := false; ; {
 		changed := s.Replica.Changed()
+		confirmed := s.Replica.Routes.Holder.Confirmed()
 		delta := s.Replica.DeltaFor(req.Versions)
 		delta.Routes = nil
-		if delta.HasTargets() || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
+		// In this order, a pause of the process between the two makes the confirmation seem
+		// older, not younger.
+		delta.HeldMillis = time.Since(arrivedAt).Milliseconds()
+		delta.Versions.SetConfirmation(confirmed)
+		if expired || delta.HasTargets() || delta.Evacuations != nil || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
 			return delta, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return delta, nil
+			expired = true
 		}
 	}
 }
@@ -87,6 +97,12 @@
 	// Seeds are the peer addresses of the instances that may relay.
 	Seeds []string
 	Log   *zap.Logger
+	// HoldRequests is how long a relay may hold a request without a change; zero means
+	// AwaitWait.
+	HoldRequests time.Duration
+	// MaxConfirmationAge is the age of the confirmation of the routes from which the store is
+	// read although a relay answers; zero means never.
+	MaxConfirmationAge time.Duration
 
 	names nameComparison
 
@@ -117,10 +133,19 @@
 			relay, found = c.replaceRelay(ctx, relay, responds)
 		}
 		c.setLost()
-		wait.For(ctx, idleSearchInterval)
+		wait.For(ctx, c.idleInterval())
 	}
 }
 
+// idleInterval returns the time until the next search for a relay. An instance that waits for
+// the evacuations searches as soon as its own state is known.
+func (c *RelayClient) idleInterval() time.Duration {
+	if own := c.Replica.Versions(); own.Evacuations.Followed && own.Evacuations.AsOf == 0 {
+		return searchInterval
+	}
+	return idleSearchInterval
+}
+
 // replaceRelay returns the next relay after one that has lost the store or, if responds is
 // not set, is silent. The silent one may have been without the store before, so its return
 // is not waited for.
@@ -187,15 +212,18 @@
 
 // awaitChange asks a relay for the next change and merges its targets.
 func (c *RelayClient) awaitChange(ctx context.Context, relay string) (replica.Delta, error) {
-	ctx, cancel := context.WithTimeout(ctx, awaitWait+exchangeTimeout)
+	hold := cmp.Or(c.HoldRequests, AwaitWait)
+	ctx, cancel := context.WithTimeout(ctx, hold+exchangeTimeout)
 	defer cancel()
 	var remote replica.Delta
-	request := awaitRequest{Versions: c.names.ownVersions(c.Replica), WaitMillis: uint32(awaitWait.Milliseconds())}
+	request := awaitRequest{Versions: c.names.ownVersions(c.Replica), WaitMillis: uint32(hold.Milliseconds())}
 	// The relay need not tell again of routes that are being read from the store.
 	request.Versions.Routes = max(request.Versions.Routes, c.toldRoutes())
+	sentAt := time.Now()
 	if _, err := c.Transport.CallAddr(ctx, relay, peer.OpAwaitChange, request, &remote); err != nil {
 		return replica.Delta{}, err
 	}
+	c.confirm(remote, sentAt)
 	c.Replica.Merge(remote)
 	c.names.compare(c.Replica, remote.Versions)
 	if remote.HasTargets() {
@@ -204,6 +232,18 @@
 	return remote, nil
 }
 
+// confirm passes on the relay's confirmation of routes that are in force here or were before.
+// The relay got the request after it was sent and held it, so that the confirmation is as old as
+// it says at the end of that time; what the response needed is added to the age.
+func (c *RelayClient) confirm(remote replica.Delta, sentAt time.Time) {
+	age, confirmed := remote.Versions.ConfirmedAge()
+	if !confirmed || !remote.Versions.Current || remote.Versions.Routes > c.Replica.Versions().Routes {
+		return
+	}
+	held := time.Duration(remote.HeldMillis) * time.Millisecond
+	c.Replica.Routes.Holder.Confirm(route.FromRelay, sentAt.Add(held-age))
+}
+
 // accept records a response of a relay that follows the store.
 func (c *RelayClient) accept(remote replica.Delta) {
 	own := c.Replica.Versions()
@@ -212,13 +252,21 @@
 	c.current, c.latest = true, remote.Versions
 	if remote.Versions.Routes == own.Routes {
 		c.routesAsOf = max(c.routesAsOf, remote.Versions.RoutesAsOf)
-		c.Replica.Routes.Holder.Confirm(route.FromRelay)
 	}
-	if c.isBehind(own) {
+	if c.Replica.Evacuations != nil && remote.Versions.Evacuations.Digest == own.Evacuations.Digest && remote.Versions.Evacuations.AsOf > 0 {
+		c.Replica.Evacuations.Confirm()
+	}
+	if c.isBehind(own) || !c.relaysEvacuations() {
 		c.end()
 	}
 }
 
+// relaysEvacuations reports whether the relay knows the evacuations, if this instance follows
+// them. c.mu must be held.
+func (c *RelayClient) relaysEvacuations() bool {
+	return c.Replica.Evacuations == nil || c.latest.Evacuations.AsOf > 0
+}
+
 // setLost records that no relay follows the store for this instance.
 func (c *RelayClient) setLost() {
 	c.mu.Lock()
@@ -258,6 +306,11 @@
 // TargetsRelay returns the replica.Relay of the follower of the targets.
 func (c *RelayClient) TargetsRelay() replica.Relay { return &relayWaiter{client: c} }
 
+// EvacuationsRelay returns the replica.Relay of the follower of the evacuations.
+func (c *RelayClient) EvacuationsRelay() replica.Relay {
+	return &relayWaiter{client: c, evacuations: true}
+}
+
 // RoutesRelay returns the replica.Relay of the follower of the routes, which are behind if
 // the relay has newer ones.
 func (c *RelayClient) RoutesRelay() replica.Relay { return &relayWaiter{client: c, routes: true} }
@@ -265,15 +318,20 @@
 // relayWaiter implements replica.Relay for one follower.
 type relayWaiter struct {
 	client *RelayClient
-	routes bool
+	// routes or evacuations is set if the follower is not that of the targets.
+	routes, evacuations bool
 }
 
 // AwaitReturn implements replica.Relay.
 func (w *relayWaiter) AwaitReturn(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, lossTolerance)
+	tolerance := lossTolerance
+	if w.evacuations {
+		tolerance = startTolerance
+	}
+	ctx, cancel := context.WithTimeout(ctx, tolerance)
 	defer cancel()
 	for ctx.Err() == nil {
-		if w.client.Relayed() {
+		if w.isRelayed() {
 			return true
 		}
 		wait.For(ctx, searchInterval)
@@ -281,6 +339,14 @@
 	return false
 }
 
+// isRelayed reports whether a relay answers that knows what the follower is for.
+func (w *relayWaiter) isRelayed() bool {
+	c := w.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current && (!w.evacuations || c.relaysEvacuations())
+}
+
 // StrongReadFinished implements replica.Relay.
 func (w *relayWaiter) StrongReadFinished() {
 	w.client.mu.Lock()
@@ -300,12 +366,29 @@
 		}
 		select {
 		case <-ended:
+		case <-w.untilUnconfirmed():
 		case <-ctx.Done():
 			return state
 		}
 	}
 }
 
+// untilUnconfirmed returns a channel that receives when the confirmation of the routes is too
+// old, or nil if its age doesn't matter.
+func (w *relayWaiter) untilUnconfirmed() <-chan time.Time {
+	if !w.routes || w.client.MaxConfirmationAge == 0 {
+		return nil
+	}
+	return time.After(w.client.MaxConfirmationAge - w.client.Replica.Routes.Holder.Confirmed().Age())
+}
+
+// isUnconfirmed reports whether the store must be read because the confirmation of the routes
+// is too old.
+func (w *relayWaiter) isUnconfirmed() bool {
+	limit := w.client.MaxConfirmationAge
+	return w.routes && limit > 0 && w.client.Replica.Routes.Holder.Confirmed().Age() >= limit
+}
+
 // check updates the state and returns the channel to wait for, or nil if the follower must
 // go to the store.
 func (w *relayWaiter) check(state *replica.RelayState) <-chan struct{} {
@@ -317,7 +400,10 @@
 	if w.routes {
 		state.AsOf = c.routesAsOf
 	}
-	if !c.current {
+	if w.evacuations {
+		state.AsOf = own.Evacuations.AsOf
+	}
+	if !c.current || (w.evacuations && !c.relaysEvacuations()) {
 		return nil
 	}
 	state.Relayed = true
@@ -326,6 +412,9 @@
 		c.soughtRoutes = c.latest.Routes
 		return nil
 	}
+	if w.isUnconfirmed() {
+		return nil
+	}
 	if c.ended == nil {
 		c.ended = make(chan struct{})
 	}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -105,6 +105,9 @@
 	Floor *Floor
 	// Relay, if set, replaces watches of the store while peers relay its changes.
 	Relay Relay
+	// StartFromRelay makes Run list the objects only if no relay brings them soon after the
+	// start.
+	StartFromRelay bool
 
 	outageStarted       time.Time
 	callStarted         time.Time
@@ -122,8 +125,14 @@
 
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	var after uint64
+	var err error
+	started := f.StartFromRelay && f.Relay != nil && f.Relay.AwaitReturn(ctx)
 	for ctx.Err() == nil {
-		after, err := f.list(ctx)
+		if !started {
+			after, err = f.list(ctx)
+		}
+		started = false
 		for (err == nil || f.relayReturns(ctx, err)) && ctx.Err() == nil {
 			after, err = f.watch(ctx, after)
 		}
@@ -155,7 +164,7 @@
 	}
 	f.handleSuccess()
 	f.goneRevision, f.listNext = 0, false
-	batch.Strong = true
+	batch.Strong, batch.BeganAt = true, startedAt
 	f.Floor.raise(0, Batch{AsOf: batch.AsOf})
 	f.View.Replace(batch, f.removeAfter)
 	f.notifyRelay(batch)
@@ -213,6 +222,7 @@
 		f.handleFailure(ctx, err)
 		return after, nil
 	}
+	batch.BeganAt = startedAt
 	if consistency == Strong {
 		batch.Strong = true
 		f.raiseFloor(after, batch)
