Catch panics of goroutines beside a request in one net

Need: a panic in any goroutine ends the process and all requests in it. net/http has a net for its own handlers only.

Change: internal/contain catches, reports place, subject and stack, and calls what must follow.

--- a/internal/peersync/permits.go
+++ b/internal/peersync/permits.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"redwingpoint.org/redwingpoint/internal/contain"
 	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/peer"
@@ -192,6 +193,7 @@
 	}
 	for _, addr := range p.Seeds {
 		go func() {
+			defer contain.Panic("withdrawn limit", string(e.Target.ID), nil)
 			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 			defer cancel()
 			var resp permitResponse
--- a/internal/routing/probe_round.go
+++ b/internal/routing/probe_round.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"redwingpoint.org/redwingpoint/internal/contain"
 	"redwingpoint.org/redwingpoint/internal/model"
 )
 
@@ -115,7 +116,10 @@
 	results := make(chan probeResult, len(list))
 	ctx = context.WithoutCancel(ctx)
 	for _, e := range list {
-		go func() { results <- p.probe(ctx, e, path) }()
+		go func() {
+			defer contain.Panic("probe", string(e.Target.ID), nil)
+			results <- p.probe(ctx, e, path)
+		}()
 	}
 	received := make([]probeResult, 0, len(list))
 	timer := time.NewTimer(wait)
