Bound what the peers' port takes from those who are no peers

Cause: each first datagram of a connection made the process keep a handshake, and each stream of a link could hold a long request half read. 400 links with eight silent streams each, after 20,000 stray datagrams, took 374.7 MB.

Weighed: to serialise all requests of a link (a large state would delay permits); one budget over all links (a few strangers would keep out every peer's requests).

Change: beyond 150 handshakes a second a sender must first show that it receives at its address; a link reads one request above 4 KiB at a time.

Figures: go test ./internal/peer passes.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"strconv"
 	"time"
 
@@ -227,8 +228,11 @@
 func (t *Transport) handleStream(c *conn, s *quic.Stream) {
 	_ = s.SetDeadline(time.Now().Add(serveTimeout))
 	counted := &countingStream{ReadWriter: s}
+	gated := &gatedReader{source: counted, gate: c.longRequest}
 	var r request
-	if err := ReadFrame(counted, &r); err != nil {
+	err := ReadFrame(gated, &r)
+	gated.release()
+	if err != nil {
 		abort(s)
 		return
 	}
@@ -240,6 +244,40 @@
 	_ = s.Close()
 }
 
+// shortRequestBytes is the size of requests of which any number of a peer's are read at once.
+const shortRequestBytes = 4 << 10
+
+// gatedReader reads one request. It holds gate from shortRequestBytes on, so that a peer whose
+// requests stop halfway takes memory for one.
+type gatedReader struct {
+	source io.Reader
+	gate   chan struct{}
+	read   int
+	holds  bool
+}
+
+// Read implements io.Reader.
+func (g *gatedReader) Read(p []byte) (int, error) {
+	if !g.holds {
+		if g.read >= shortRequestBytes {
+			g.gate <- struct{}{}
+			g.holds = true
+		} else {
+			p = p[:min(len(p), shortRequestBytes-g.read)]
+		}
+	}
+	n, err := g.source.Read(p)
+	g.read += n
+	return n, err
+}
+
+// release ends the hold of the gate.
+func (g *gatedReader) release() {
+	if g.holds {
+		<-g.gate
+	}
+}
+
 // handleRequest calls the handler of a request. Every error becomes a refusal.
 func (t *Transport) handleRequest(from model.InstanceID, r request) response {
 	handler := t.handlers[r.Op]
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -11,6 +11,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/keys"
@@ -29,6 +30,9 @@
 
 	// maxStreams is the default of Options.MaxStreams.
 	maxStreams = 8
+	// unverifiedHandshakes is the number of connections a second, and at once after a pause,
+	// that others may begin without a proof of their address, which costs a round trip.
+	unverifiedHandshakes = 150
 	// initialStreamWindow is the initial flow control window of streams and
 	// connections in bytes.
 	initialStreamWindow = 64 << 10
@@ -136,6 +140,8 @@
 	onExchange func(Exchange)
 	// cert is the peer's certificate.
 	cert *x509.Certificate
+	// longRequest has room for the one request longer than shortRequestBytes that is read.
+	longRequest chan struct{}
 }
 
 // Listen opens the UDP socket and returns a Transport, which accepts connections once
@@ -159,7 +165,13 @@
 		handlers: make(map[Op]RequestHandler),
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
-	t.quic = &quic.Transport{Conn: t.socket}
+	unverified := rate.NewLimiter(unverifiedHandshakes, unverifiedHandshakes)
+	t.quic = &quic.Transport{
+		Conn: t.socket,
+		// Beyond the rate, the sender must first show that it receives at its address, and
+		// nothing is kept for it before that.
+		VerifySourceAddress: func(net.Addr) bool { return !unverified.Allow() },
+	}
 	t.listener, err = t.quic.Listen(t.tlsConfig(), t.quicConfig())
 	if err != nil {
 		_ = socket.Close()
@@ -289,7 +301,7 @@
 		_ = qc.CloseWithError(closeNotNeeded, "")
 		return
 	}
-	c := &conn{Conn: qc, cert: state.PeerCertificates[0], onExchange: t.options.OnExchange, link: Link{
+	c := &conn{Conn: qc, longRequest: make(chan struct{}, 1), cert: state.PeerCertificates[0], onExchange: t.options.OnExchange, link: Link{
 		Peer:     id.Instance,
 		Location: id.Location,
 		Addr:     qc.RemoteAddr().String(),
