Bound what the process holds for its callers by its machine

Cause: nothing counted what callers make the process hold. Bodies of legal size that stop short of their end were kept whole until the route's timeout; half a head took twenty times its bytes; answers that nobody reads and idle connections had no bound; one failure of Accept ended the listener for good; the addresses of readiness and metrics took heads of 1 MB on any number of connections.

Weighed: fixed parts for each connection, shares for each caller's address (the platform connects callers from its own), a timeout for each state, the runtime's limit alone.

Change: internal/callers counts memory, connections and exchanges in one budget. A request without room is refused before any target has it; near the limits the stalled connection that has held most for longest is closed, never one whose request runs at a target. Heads are gathered as bytes and parsed when whole; trailers have the limit of heads. Body buffers grow with what arrives. Connections to targets and links of peers are bounded too. Accept tries again. Readiness and metrics keep 16 connections and drop the oldest. Writes to callers have 10 s without progress in place of 10 s for all. Panics in a request's path end that request. New settings callerLimits; defaults follow from the machine.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"redwingpoint.org/redwingpoint/internal/callers"
 	"redwingpoint.org/redwingpoint/internal/dispatch"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/limit"
@@ -97,7 +99,9 @@
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
 			func() *peersync.Permits { return &peersync.Permits{Own: limit.NewGrantor(1), Log: log} },
 			func(set *metrics.Set, permits *peersync.Permits) *upstream.Client {
-				return newUpstreamClient(p, log, set, permits)
+				client := newUpstreamClient(p, log, set, permits)
+				client.MaxConnections = cmp.Or(s.CallerLimits.TargetConnections, callers.MaxTargetConnections(s.Machine.Descriptors))
+				return client
 			},
 			func() *quarantine.Registry { return new(quarantine.Registry) },
 			func() *rate.Limiter { return rate.NewLimiter(rate.Limit(s.Probes.PerSecond), s.Probes.Burst) },
@@ -166,9 +170,10 @@
 // run registers the gateway's servers and background loops with the application.
 func (g *gateway) run(lc fx.Lifecycle) {
 	g.registerGauges()
-	serveHTTP(lc, g.log, g.settings.ReadinessAddr, http.HandlerFunc(g.serveReadiness), nil)
+	g.limitCallers()
+	g.serveAuxiliary(lc, g.settings.ReadinessAddr, g.serveReadiness)
 	if g.settings.MetricsAddr != "" {
-		serveHTTP(lc, g.log, g.settings.MetricsAddr, http.HandlerFunc(g.serveMetrics), nil)
+		g.serveAuxiliary(lc, g.settings.MetricsAddr, g.serveMetrics)
 	}
 	local := &replica.Replica{
 		Routes:  &replica.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"redwingpoint.org/redwingpoint/internal/callers"
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/keys"
 	"redwingpoint.org/redwingpoint/internal/limit"
@@ -129,7 +131,7 @@
 		Credentials: credentials,
 		Handler:     syncLinkHandler{},
 		Recorder:    events.Discard,
-		MaxLinks:    maxSyncLinks,
+		MaxLinks:    cmp.Or(g.settings.CallerLimits.PeerLinks, callers.MaxPeerLinks(g.settings.Machine.MemoryMB, maxSyncLinks)),
 		IdleTimeout: syncIdleTimeout,
 		OnExchange:  g.countExchange,
 	})
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -223,7 +223,11 @@
 		response.OnBroken = func(err error) *httpserver.Response {
 			return f.sendLocalReply(f.unknownOutcomeReply(f.recordFailure(ctx, c, err).Reason))
 		}
-		response.Remainder = &trackedBody{ReadCloser: result.Body, onClose: func() { c.Endpoint.Load.End(); cancel() }}
+		response.Remainder = &trackedBody{ReadCloser: result.Body, onClose: func() {
+			c.Endpoint.Load.End()
+			cancel()
+			f.inbound.Account.EndExchange()
+		}}
 	}
 	f.state.observe(c, elapsed)
 	f.logResponse(c, response, elapsed)
--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -34,6 +34,8 @@
 	// CauseShuttingDown means that the gateway would end before the request's deadline.
 	CauseShuttingDown Cause = "shutting-down"
 	CauseCallerGone   Cause = "caller-gone"
+	// CauseCallersLimited means that the process holds as much for its callers as it may.
+	CauseCallersLimited Cause = "callers-limited"
 )
 
 const (
@@ -67,6 +69,8 @@
 	// noHomeRetryAfter is advised when no region may serve a request. Only a change of the
 	// routes changes that.
 	noHomeRetryAfter = time.Second
+	// callersRetryAfter is advised when the process holds as much for its callers as it may.
+	callersRetryAfter = 200 * time.Millisecond
 	// noTargetRetryAfter is advised when no target is known.
 	noTargetRetryAfter = 150 * time.Millisecond
 )
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"redwingpoint.org/redwingpoint/internal/callers"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
@@ -110,6 +111,8 @@
 	*Dispatcher
 	picker   *orderedPicker
 	received []*atomic.Int32
+	// account is that of the caller's connection, or nil.
+	account *callers.Account
 }
 
 func newFixture(t *testing.T, class model.Class, behaviors ...http.HandlerFunc) *fixture {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,6 +29,9 @@
 	// a target is chosen. A larger body is streamed; it is not sent again once an attempt
 	// has read from it.
 	maxBufferedBody = 512 << 10
+	// firstBodyBuffer is the size in bytes of the first buffer for a body, unless the body is
+	// smaller. It doubles as the body arrives.
+	firstBodyBuffer = 16 << 10
 	// maxReuseIdle is the longest idle time after which a connection is reused for a
 	// request. Targets close idle connections after 10 s or after the timeout that they
 	// announce.
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -42,6 +42,9 @@
 	body       []byte
 	bodyPrefix []byte
 	stream     *streamedBody
+	// bodyHeld is the size in bytes of the buffer of body or bodyPrefix, reserved in the account
+	// of the caller's connection.
+	bodyHeld int64
 	// knownFingerprint is the result of fingerprint, or empty before its first call.
 	knownFingerprint quarantine.Fingerprint
 	triedTargets     []model.TargetID
@@ -53,11 +56,22 @@
 
 // run makes attempts until one gives a response or no further attempt may be made, and
 // returns the response. Nil closes the caller's connection without a response.
-func (f *forwarder) run(ctx context.Context) *httpserver.Response {
+func (f *forwarder) run(ctx context.Context) (response *httpserver.Response) {
 	f.state.countRequest()
+	account := f.inbound.Account
+	defer func() { account.Release(f.bodyHeld) }()
 	if reply, ok := f.bufferBody(); !ok {
 		return f.sendLocalReply(reply)
 	}
+	if !account.BeginExchange() {
+		return f.sendLocalReply(localReply{status: http.StatusServiceUnavailable, cause: CauseCallersLimited, retryAfter: callersRetryAfter})
+	}
+	defer func() {
+		// A remaining body ends the exchange when it is closed.
+		if response == nil || response.Remainder == nil {
+			account.EndExchange()
+		}
+	}()
 	workCtx, cancel := f.deadlineContext(ctx)
 	var lastFailure localReply
 	for {
@@ -116,14 +130,16 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(nil, body, limit)
 	}
-	buffered := bytes.NewBuffer(make([]byte, 0, max(0, min(req.ContentLength, maxBufferedBody))))
-	_, err := io.CopyN(buffered, body, maxBufferedBody+1)
+	buffered, err := f.readBody(body)
+	var noMemory httpserver.NoMemoryError
 	switch {
 	case err == nil:
-		f.bodyPrefix = buffered.Bytes()
-		f.stream = &streamedBody{src: io.MultiReader(bytes.NewReader(buffered.Bytes()), body), inbound: req.Body}
+		f.bodyPrefix = buffered
+		f.stream = &streamedBody{src: io.MultiReader(bytes.NewReader(buffered), body), inbound: req.Body}
 	case err == io.EOF:
-		f.body = buffered.Bytes()
+		f.body = buffered
+	case errors.As(err, &noMemory):
+		return localReply{status: http.StatusServiceUnavailable, cause: CauseCallersLimited, retryAfter: callersRetryAfter}, false
 	case exceedsBodyLimit(err):
 		return localReply{status: http.StatusRequestEntityTooLarge, cause: CauseBodyTooLarge}, false
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -136,6 +152,39 @@
 	return localReply{}, true
 }
 
+// readBody reads the body up to one byte more than maxBufferedBody. The error is nil if it is
+// that long, else that of the body's end or httpserver.NoMemoryError. Its buffer grows with what
+// arrives, so that a caller that announces a body and doesn't send it holds little.
+func (f *forwarder) readBody(body io.Reader) ([]byte, error) {
+	var buffered []byte
+	announced := f.inbound.HTTP.ContentLength
+	if announced == 0 {
+		announced = maxBufferedBody
+	}
+	for {
+		if len(buffered) == cap(buffered) {
+			size := min(max(firstBodyBuffer, 2*cap(buffered)), maxBufferedBody+1)
+			if announced > int64(len(buffered)) {
+				size = int(min(int64(size), announced))
+			}
+			if !f.inbound.Account.Reserve(int64(size)) {
+				return nil, httpserver.NoMemoryError{}
+			}
+			grown := append(make([]byte, 0, size), buffered...)
+			f.inbound.Account.Release(int64(cap(buffered)))
+			f.bodyHeld, buffered = int64(size), grown
+		}
+		n, err := body.Read(buffered[len(buffered):cap(buffered)])
+		buffered = buffered[:len(buffered)+n]
+		if err != nil {
+			return buffered, err
+		}
+		if len(buffered) > maxBufferedBody {
+			return buffered, nil
+		}
+	}
+}
+
 // checkQuarantine returns the reply to a quarantined request, or nil.
 func (f *forwarder) checkQuarantine() *localReply {
 	if f.d.Quarantine.Empty() {
--- a/internal/dispatch/streamed_body.go
+++ b/internal/dispatch/streamed_body.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync/atomic"
 
+	"redwingpoint.org/redwingpoint/internal/contain"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
@@ -86,11 +87,15 @@
 func (StreamReleasedError) Error() string { return "the attempt that reads the body has ended" }
 
 // Read implements io.Reader. It returns StreamReleasedError after a successful release.
-func (r *streamReader) Read(p []byte) (int, error) {
+func (r *streamReader) Read(p []byte) (n int, err error) {
+	defer contain.Panic("request body", "", func() {
+		err = httpserver.PanicError{}
+		r.body.failure.Store(&err)
+	})
 	if !r.state.CompareAndSwap(streamUnread, streamReading) && r.state.Load() == streamReleased {
 		return 0, StreamReleasedError{}
 	}
-	n, err := r.body.src.Read(p)
+	n, err = r.body.src.Read(p)
 	if err != nil && err != io.EOF {
 		r.body.failure.Store(&err)
 	}
--- a/internal/dispatch/streamed_body_test.go
+++ b/internal/dispatch/streamed_body_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"redwingpoint.org/redwingpoint/internal/callers"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/routing"
@@ -29,7 +30,7 @@
 	req.Host = "h"
 	req.Header.Set("Id", "request-1")
 	return f.Serve(context.Background(), &httpserver.Request{
-		HTTP: req, RequestTarget: "/a/", Path: "/a/", ReceivedAt: time.Now(), BodyDeadline: func(time.Time) {},
+		HTTP: req, RequestTarget: "/a/", Path: "/a/", ReceivedAt: time.Now(), BodyDeadline: func(time.Time) {}, Account: f.account,
 	})
 }
 
@@ -211,3 +212,50 @@
 		t.Error("a stream that was read can be sent again")
 	}
 }
+
+// heldConn is a connection of a test in a budget.
+type heldConn struct{}
+
+func (heldConn) MayClose() bool { return false }
+func (heldConn) Abort()         {}
+func (heldConn) Caller() string { return "caller" }
+
+// TestFullBudgetRefusesBeforeAnyTarget guards against a refusal of a request that has run, and
+// against memory that a refused or served request keeps.
+func TestFullBudgetRefusesBeforeAnyTarget(t *testing.T) {
+	for _, full := range []struct {
+		name   string
+		limits callers.Limits
+		others int
+		size   int
+		status int
+	}{
+		{"body", callers.Limits{Memory: 200 << 10}, 0, 190 << 10, http.StatusServiceUnavailable},
+		{"exchange", callers.Limits{Exchanges: 1, Memory: 10 << 20}, 1, 100, http.StatusServiceUnavailable},
+		{"room", callers.Limits{Exchanges: 1, Memory: 10 << 20}, 0, 300 << 10, http.StatusCreated},
+		{"streamed", callers.Limits{Exchanges: 1, Memory: 10 << 20}, 0, 2 * maxBufferedBody, http.StatusCreated},
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %t", full.name, chunked), func(t *testing.T) {
+				f := newFixtureWithBodyLimit(t, 0, model.NonIdempotent, succeeds)
+				budget := callers.NewBudget(full.limits)
+				other, _ := budget.Open(heldConn{})
+				for range full.others {
+					other.BeginExchange()
+				}
+				f.account, _ = budget.Open(heldConn{})
+				held := f.account.Held()
+				resp := f.sendSized(full.size, chunked)
+				if resp.Remainder != nil {
+					_ = resp.Remainder.Close()
+				}
+				if resp.Status != full.status || (full.status == http.StatusServiceUnavailable) != (f.deliveries() == "0") {
+					t.Errorf("status %d, requests by target %s", resp.Status, f.deliveries())
+				}
+				if f.account.Held() != held {
+					t.Errorf("%d bytes are held, %d before", f.account.Held(), held)
+				}
+			})
+		}
+	}
+}
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -154,6 +154,13 @@
 	}
 }
 
+// isReading reports whether a read waits for the caller.
+func (b *body) isReading() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reading
+}
+
 // handlerReturned records that the handler has returned. It reports whether the body was read
 // to its end before that, so that another request may follow.
 func (b *body) handlerReturned() bool {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -12,6 +12,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"redwingpoint.org/redwingpoint/internal/callers"
+	"redwingpoint.org/redwingpoint/internal/contain"
 )
 
 const (
@@ -19,8 +22,10 @@
 	// concurrently behind the one to be answered next. Further ones wait until a response
 	// was sent.
 	maxPipelined = 16
-	// writeTimeout bounds the time to write one response to a caller that reads slowly or
-	// not at all.
+	// readBufferBytes is the size of a connection's read buffer.
+	readBufferBytes = 4 << 10
+	// writeTimeout bounds the time without progress of a write to a caller that reads slowly
+	// or not at all.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout is how long input is still read before a connection is closed.
 	// Closing with unread input would reset the connection, and the caller could lose the
@@ -34,11 +39,16 @@
 // conn is one connection of a caller. One goroutine reads requests, one writes responses
 // in the order of the requests, and each request is served in its own goroutine.
 type conn struct {
-	server      *Server
-	raw         net.Conn
-	limitedConn *headerLimitConn
-	reader      *bufio.Reader
-	pending     chan *exchange
+	server  *Server
+	raw     net.Conn
+	reader  *bufio.Reader
+	pending chan *exchange
+	// account is what the connection holds, or nil. It is set before serve.
+	account *callers.Account
+	// writeBlocked is set while a write to the caller is pending.
+	writeBlocked atomic.Bool
+	// body is the body of the request that was read last, or nil.
+	body atomic.Pointer[body]
 	// awaitingRequest is set while no byte of a further request has arrived.
 	awaitingRequest atomic.Bool
 	ctx             context.Context
@@ -67,6 +77,9 @@
 	request *Request
 	// response receives exactly one value; nil closes the connection without a response.
 	response chan *Response
+	// held is what the request's head, and then its response, take in bytes, reserved in the
+	// connection's account.
+	held int64
 	// closeAfter is set if the connection closes after the response.
 	closeAfter atomic.Bool
 	// writeDone is closed when the response was written.
@@ -80,38 +93,55 @@
 	return x
 }
 
-// headerLimitConn limits the size of a request header: while limiting is set, reads fail
-// once remaining bytes were read.
-type headerLimitConn struct {
-	net.Conn
-	limiting  bool
-	remaining int64
+// Read implements io.Reader for the connection's buffer.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.raw.Read(p)
+	if n > 0 {
+		c.account.Progress()
+	}
+	return n, err
 }
 
-// headerTooLargeError reports a request header beyond the limit.
-type headerTooLargeError struct{}
-
-func (headerTooLargeError) Error() string { return "request header is too large" }
-
-func (c *headerLimitConn) Read(p []byte) (int, error) {
-	if c.limiting && c.remaining <= 0 {
-		return 0, headerTooLargeError{}
+// Write implements io.Writer for the writing goroutine. It bounds the time without progress.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writeBlocked.Store(true)
+	defer c.writeBlocked.Store(false)
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	n, err := c.raw.Write(p)
+	if n > 0 {
+		c.account.Progress()
 	}
-	n, err := c.Conn.Read(p)
-	c.remaining -= int64(n)
 	return n, err
 }
 
+// MayClose implements callers.Holder.
+func (c *conn) MayClose() bool {
+	if c.writeBlocked.Load() {
+		return true
+	}
+	if b := c.body.Load(); b != nil && b.isReading() {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.openRequests == 0
+}
+
+// Abort implements callers.Holder.
+func (c *conn) Abort() { c.abort() }
+
+// Caller implements callers.Holder.
+func (c *conn) Caller() string { return c.raw.RemoteAddr().String() }
+
 // newConn returns a connection of a server.
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{
-		server:      s,
-		raw:         raw,
-		limitedConn: &headerLimitConn{Conn: raw},
-		pending:     make(chan *exchange, maxPipelined),
-		writerDone:  make(chan struct{}),
+		server:     s,
+		raw:        raw,
+		pending:    make(chan *exchange, maxPipelined),
+		writerDone: make(chan struct{}),
 	}
-	c.reader = bufio.NewReader(c.limitedConn)
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	return c
 }
@@ -120,13 +150,19 @@
 func (c *conn) serve() {
 	defer c.cancel()
 	go c.write()
-	for c.readRequest() {
-	}
+	c.readRequests()
 	close(c.pending)
 	c.drainInput()
 	c.closeGracefully()
 }
 
+// readRequests reads requests until no further one may be read.
+func (c *conn) readRequests() {
+	defer contain.Panic("request reader", c.Caller(), c.abort)
+	for c.readRequest() {
+	}
+}
+
 // drainInput waits until all responses are written. If the caller disconnects before
 // that, it cancels the requests that are still served.
 func (c *conn) drainInput() {
@@ -222,15 +258,14 @@
 	}
 	limits := c.server.limits()
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.limitedConn.limiting, c.limitedConn.remaining = true, limits.HeaderBytes
-	req, err := http.ReadRequest(c.reader)
-	c.limitedConn.limiting = false
+	req, held, err := c.readHead(limits.HeaderBytes)
 	if err != nil {
 		c.reject(err)
 		return false
 	}
 	_ = c.raw.SetReadDeadline(time.Time{})
 	x := newExchange(c.request(req), req.Close || c.server.draining.Load())
+	x.held = held
 	return c.startServing(x)
 }
 
@@ -273,6 +308,7 @@
 		Path:          path,
 		Query:         query,
 		ReceivedAt:    time.Now(),
+		Account:       c.account,
 	}
 }
 
@@ -286,6 +322,7 @@
 	}
 	c.pending <- x
 	body := newBody(c, x.request.HTTP)
+	c.body.Store(body)
 	x.request.HTTP.Body, x.request.BodyDeadline = body, body.setDeadline
 	if body.expectsContinue && !c.awaitPrevious() {
 		x.response <- nil
@@ -300,6 +337,11 @@
 			// The rest of the body would be parsed as a request.
 			x.closeAfter.Store(true)
 		}
+		if response != nil {
+			n := int64(cap(response.Body))
+			c.account.Hold(n)
+			x.held += n
+		}
 		x.response <- response
 	}()
 	select {
@@ -318,7 +360,11 @@
 
 // serveRequest returns the response to a request. It waits until streaming is closed if that
 // isn't nil.
-func (c *conn) serveRequest(x *exchange, streaming <-chan struct{}) *Response {
+func (c *conn) serveRequest(x *exchange, streaming <-chan struct{}) (response *Response) {
+	defer contain.Panic("request handler", x.request.describe(), func() {
+		// A target may have run the request.
+		response = c.server.handler.Reject(http.StatusBadGateway, PanicError{})
+	})
 	if streaming != nil {
 		select {
 		case <-streaming:
@@ -370,10 +416,15 @@
 // disconnected.
 func (c *conn) reject(err error) {
 	status := http.StatusBadRequest
-	var tooLarge headerTooLargeError
+	var tooLarge HeadTooLargeError
+	var noMemory NoMemoryError
+	var malformed *MalformedHeadError
 	switch {
+	case errors.As(err, &malformed):
 	case errors.As(err, &tooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &noMemory):
+		status = http.StatusServiceUnavailable
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isConnError(err):
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -9,6 +9,8 @@
 	"net/textproto"
 	"strconv"
 	"time"
+
+	"redwingpoint.org/redwingpoint/internal/callers"
 )
 
 // Request is one request of a caller.
@@ -25,8 +27,14 @@
 	// BodyDeadline sets the time after which reads of the body fail; the zero time means
 	// no limit. It does nothing once the body has ended.
 	BodyDeadline func(time.Time)
+	// Account is what the connection holds for its caller, or nil. Serve releases what it
+	// reserves, at the latest when Response.Remainder is closed.
+	Account *callers.Account
 }
 
+// describe names the request in reports.
+func (r *Request) describe() string { return r.HTTP.Method + " " + r.HTTP.Host + r.RequestTarget }
+
 // Response is the response to a caller.
 type Response struct {
 	Status int
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -3,11 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"redwingpoint.org/redwingpoint/internal/callers"
+	"redwingpoint.org/redwingpoint/internal/contain"
 	"redwingpoint.org/redwingpoint/internal/route"
 )
 
@@ -23,6 +26,9 @@
 	defaultIdleTimeout = 15 * time.Second
 	// idleCheckInterval is how often Shutdown closes connections that have become idle.
 	idleCheckInterval = 20 * time.Millisecond
+	// minAcceptPause and maxAcceptPause bound the pause after a failure of Accept.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 200 * time.Millisecond
 )
 
 // Handler responds to requests. Implementations must be safe for concurrent use.
@@ -41,6 +47,10 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	draining     atomic.Bool
+	// Budget, if set before Serve, bounds what the connections hold.
+	Budget *callers.Budget
+	// OnAcceptError, if set before Serve, is called when Accept fails and is tried again.
+	OnAcceptError func(error)
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -64,23 +74,57 @@
 	return l
 }
 
-// Serve accepts connections until the listener is closed or fails. It always returns an
-// error.
+// Serve accepts connections until the listener is closed. It always returns an error. Other
+// failures of Accept, such as the want of a descriptor, pass.
 func (s *Server) Serve(l net.Listener) error {
 	for {
-		raw, err := l.Accept()
+		raw, err := AcceptNext(s.ctx, l, func(err error) {
+			s.Budget.CloseStalled()
+			if s.OnAcceptError != nil {
+				s.OnAcceptError(err)
+			}
+		})
 		if err != nil {
 			return err
 		}
 		c := newConn(s, raw)
+		var ok bool
+		if c.account, ok = s.Budget.Open(c); !ok {
+			c.abort()
+			continue
+		}
 		s.add(c)
 		go func() {
 			defer s.remove(c)
+			defer contain.Panic("caller connection", c.Caller(), c.abort)
 			c.serve()
 		}()
 	}
 }
 
+// AcceptNext returns the next connection of a listener. After a failure other than the
+// listener's end it calls onError and tries again, with growing pauses. The error is that of
+// the listener's end or of the context.
+func AcceptNext(ctx context.Context, l net.Listener, onError func(error)) (net.Conn, error) {
+	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
+		c, err := l.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		onError(err)
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// PanicError takes the place of the response of a handler that panicked.
+type PanicError struct{}
+
+func (PanicError) Error() string { return "the handler panicked" }
+
 func (s *Server) add(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -92,6 +136,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	c.account.Close()
 	s.wg.Done()
 }
 
--- a/internal/httpserver/write.go
+++ b/internal/httpserver/write.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"time"
+
+	"redwingpoint.org/redwingpoint/internal/contain"
 )
 
 // closeGracefully closes the write side first and then discards input for a short time,
@@ -24,36 +26,50 @@
 // write sends the responses in the order of the requests until pending is closed.
 func (c *conn) write() {
 	defer close(c.writerDone)
-	w := bufio.NewWriterSize(c.raw, 4<<10)
+	w := bufio.NewWriterSize(c, writeBufferBytes)
 	broken := false
 	for x := range c.pending {
 		response := <-x.response
-		if response != nil && response.Remainder != nil && !broken {
-			response = c.secure(response)
-		}
-		if !broken {
-			broken = !c.writeResponse(w, x, response)
-		} else if response != nil {
-			response.discard()
-		}
+		broken = !c.send(w, x, response, broken)
+		c.account.Release(x.held)
 		c.endRequest()
 		c.endStreaming()
 		close(x.writeDone)
 	}
 }
 
+// send sends one response, or discards it if the connection is broken. It reports false if
+// nothing more can be sent.
+func (c *conn) send(w *bufio.Writer, x *exchange, response *Response, broken bool) (ok bool) {
+	defer contain.Panic("response writer", x.request.describe(), c.abort)
+	if broken {
+		if response != nil {
+			response.discard()
+		}
+		return false
+	}
+	if response == nil || response.Remainder == nil || c.beginStreaming(false) {
+		return c.writeResponse(w, x, response)
+	}
+	if !c.account.Reserve(maxSecuredBytes) {
+		c.beginStreaming(true)
+		return c.writeResponse(w, x, response)
+	}
+	defer c.account.Release(maxSecuredBytes)
+	return c.writeResponse(w, x, c.secure(response))
+}
+
+// writeBufferBytes is the size of the buffer for writing responses.
+const writeBufferBytes = 4 << 10
+
 // maxSecuredBytes is the longest response in bytes that is read whole before it is sent, where
 // requests behind it are served already.
 const maxSecuredBytes = 1 << 20
 
-// secure keeps a response that breaks off from taking others with it, since it can only end
-// by closing the connection. If no other request is open, further ones are held back until it
-// was sent. Otherwise the response is read whole, so that another can take its place; beyond
-// maxSecuredBytes it is sent as it is.
+// secure keeps a response that breaks off from taking others with it that are served already,
+// since it can only end by closing the connection. It is read whole, so that another can take
+// its place; beyond maxSecuredBytes it is sent as it is, and further requests are held back.
 func (c *conn) secure(r *Response) *Response {
-	if c.beginStreaming(false) {
-		return r
-	}
 	buffered := bytes.NewBuffer(r.Body)
 	n, err := io.CopyN(buffered, r.Remainder, maxSecuredBytes)
 	r.Body = buffered.Bytes()
@@ -94,7 +110,6 @@
 	// Requests that were read must be answered, so that only the response to the last of
 	// them closes the connection.
 	closeAfter := x.closeAfter.Load() || (c.server.draining.Load() && c.closeIfLast())
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	err := response.write(w, x.request.HTTP.Method, closeAfter)
 	if response.OnWritten != nil {
 		response.OnWritten(err)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -45,6 +45,20 @@
 	// until its targets are out of use. Zero means that such requests aren't followed.
 	EvacuationTimeout time.Duration `yaml:"evacuation" range:"0s..1m"`
 	Machine           Machine       `yaml:"machine"`
+	CallerLimits      CallerLimits  `yaml:"callerLimits"`
+}
+
+// CallerLimits bounds what the process holds for its callers. Zero fields follow from Machine.
+type CallerLimits struct {
+	// MemoryMB is in megabytes (10^6 bytes).
+	MemoryMB int `yaml:"memoryMB" range:"0..16777216"`
+	// Connections is the number of connections of callers, Exchanges that of requests that are
+	// at targets or wait for one, TargetConnections that of connections to targets, and
+	// PeerLinks that of connections that other gateways have opened.
+	Connections       int `yaml:"connections" range:"0..16777216"`
+	Exchanges         int `yaml:"exchanges" range:"0..16777216"`
+	TargetConnections int `yaml:"targetConnections" range:"0..16777216"`
+	PeerLinks         int `yaml:"peerLinks" range:"0..16777216"`
 }
 
 // Keys configures how withdrawn keys take effect.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/routing"
@@ -69,6 +70,10 @@
 	// OnStatement, if set before the first call, is called when a target's statement about
 	// itself differs from the one before.
 	OnStatement func(e *routing.Endpoint, before, now routing.Statement)
+	// MaxConnections, if set before the first call, is the number of connections to all
+	// targets that may be open; a few calls at once may exceed it.
+	MaxConnections int
+	connections    atomic.Int64
 }
 
 // NewClient returns a client without connections that uses redwingpoint's own protocol.
@@ -83,7 +88,8 @@
 
 // NewClientWithDialer is like NewClient but opens connections with dial.
 func NewClientWithDialer(dial Dialer) *Client {
-	c := &Client{transport: newTransport(dial), epoch: time.Now(), protocol: defaultProtocol}
+	c := &Client{epoch: time.Now(), protocol: defaultProtocol}
+	c.transport = newTransport(dial, &c.connections)
 	c.pools.current.Store(&map[netip.AddrPort]*pool{})
 	return c
 }
@@ -146,6 +152,9 @@
 	return cn, nil
 }
 
+// ConnectionCount returns the number of open connections to targets.
+func (c *Client) ConnectionCount() int { return int(c.connections.Load()) }
+
 // CloseIdleConnections closes the idle connections.
 func (c *Client) CloseIdleConnections() {
 	for _, p := range *c.pools.current.Load() {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -66,10 +66,16 @@
 	onWrite func(bytes int)
 	// onClose, if set before the exchange starts, is called by Close.
 	onClose func()
+	// open counts the client's open connections; Close leaves it once.
+	open   *atomic.Int64
+	closed atomic.Bool
 }
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.open.Add(-1)
+	}
 	if c.onClose != nil {
 		c.onClose()
 	}
@@ -92,7 +98,7 @@
 
 // newTransport returns a transport that only opens connections. Its own connection pool
 // is not used, since net/http resends some requests on another connection.
-func newTransport(dial Dialer) *http.Transport {
+func newTransport(dial Dialer, open *atomic.Int64) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			parsed, err := netip.ParseAddrPort(addr)
@@ -104,7 +110,8 @@
 				return nil, err
 			}
 			slot := ctx.Value(trackedConnKey{}).(**trackedConn)
-			*slot = &trackedConn{Conn: raw}
+			open.Add(1)
+			*slot = &trackedConn{Conn: raw, open: open}
 			return *slot, nil
 		},
 		DisableCompression:     true,
@@ -112,8 +119,15 @@
 	}
 }
 
-// open opens a connection to a target.
+// open opens a connection to a target. If MaxConnections are open, it closes the idle ones
+// first, and returns TooManyConnectionsError if there are none.
 func (c *Client) open(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	if c.MaxConnections > 0 && c.connections.Load() >= int64(c.MaxConnections) {
+		c.CloseIdleConnections()
+		if c.connections.Load() >= int64(c.MaxConnections) {
+			return nil, TooManyConnectionsError{}
+		}
+	}
 	var tracked *trackedConn
 	cc, err := c.transport.NewClientConn(context.WithValue(ctx, trackedConnKey{}, &tracked), "http", addr.String())
 	if err != nil {
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -51,6 +51,12 @@
 
 var errNotCommitted = NotCommittedError{}
 
+// TooManyConnectionsError reports that no connection could be opened because of
+// Client.MaxConnections.
+type TooManyConnectionsError struct{}
+
+func (TooManyConnectionsError) Error() string { return "too many connections to targets" }
+
 // CallError reports an attempt that gave no complete response.
 type CallError struct {
 	Target model.TargetID
