--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -19,7 +19,6 @@
 	"redwingpoint.org/redwingpoint/internal/callers"
 	"redwingpoint.org/redwingpoint/internal/dispatch"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
-	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/peersync"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/replica"
@@ -97,7 +96,7 @@
 			metrics.NewSet,
 			route.NewHolder,
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
-			func() *peersync.Permits { return &peersync.Permits{Own: limit.NewGrantor(1), Log: log} },
+			func(set *metrics.Set) *peersync.Permits { return newPermits(s, log, set) },
 			func(set *metrics.Set, permits *peersync.Permits) *upstream.Client {
 				client := newUpstreamClient(p, log, set, permits)
 				client.MaxConnections = cmp.Or(s.CallerLimits.TargetConnections, callers.MaxTargetConnections(s.Machine.Descriptors))
@@ -151,6 +150,8 @@
 	floor replica.Floor
 	// unknownHomes holds the homes, by region, that were checked and logged if unknown.
 	unknownHomes sync.Map
+	// routeWarnings holds the warnings about routes that were logged.
+	routeWarnings sync.Map
 	// shuttingDown is set when the shutdown starts.
 	shuttingDown atomic.Bool
 	// onShutdown, if set, is called when the shutdown has started.
@@ -191,6 +192,7 @@
 	// Targets change often: their watches are the cheaper ones, bounded by those of the routes.
 	targets.Consistency = replica.Eventual
 	targets.BatchDelay, targets.Relay = time.Duration(targetsBatchShare*float64(g.settings.DrainTimeout)), relay.targets
+	targets.StartFromRelay = true
 	runLoop(lc, targets.Run)
 	if local.Evacuations != nil {
 		g.followEvacuations(lc, local.Evacuations, relay)
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -34,6 +34,9 @@
 	// Await blocks while a peer relays the changes and the view holds them. It returns at
 	// once if no peer does.
 	Await(ctx context.Context) RelayState
+	// AwaitStart waits a short time until the view holds what a peer relays and reports whether
+	// it does. It is called once, before the first list.
+	AwaitStart(ctx context.Context) bool
 	// AwaitReturn waits a short time for a peer that relays changes and reports whether
 	// there is one. It is called before all objects are listed after a loss of history.
 	AwaitReturn(ctx context.Context) bool
@@ -127,7 +130,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var after uint64
 	var err error
-	started := f.StartFromRelay && f.Relay != nil && f.Relay.AwaitReturn(ctx)
+	started := f.StartFromRelay && f.Relay != nil && f.Relay.AwaitStart(ctx)
 	for ctx.Err() == nil {
 		if !started {
 			after, err = f.list(ctx)
@@ -136,6 +139,7 @@
 		for (err == nil || f.relayReturns(ctx, err)) && ctx.Err() == nil {
 			after, err = f.watch(ctx, after)
 		}
+		after = 0
 	}
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -74,6 +74,9 @@
 	// targets that may be open; a few calls at once may exceed it.
 	MaxConnections int
 	connections    atomic.Int64
+	// OnCold, if set before the first call, is called when a target says that it is cold and
+	// wasn't before.
+	OnCold func(e *routing.Endpoint, coldFor time.Duration)
 }
 
 // NewClient returns a client without connections that uses redwingpoint's own protocol.
