--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -11,6 +12,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"redwingpoint.org/redwingpoint/internal/callers"
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/keys"
 	"redwingpoint.org/redwingpoint/internal/limit"
@@ -159,7 +161,7 @@
 		Credentials: credentials,
 		Handler:     syncLinkHandler{},
 		Recorder:    events.Discard,
-		MaxLinks:    maxSyncLinks,
+		MaxLinks:    cmp.Or(g.settings.CallerLimits.PeerLinks, callers.MaxPeerLinks(g.settings.Machine.MemoryMB, maxSyncLinks)),
 		IdleTimeout: syncIdleTimeout,
 		OnExchange:  g.countExchange,
 	})
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -9,6 +9,8 @@
 	"net/textproto"
 	"strconv"
 	"time"
+
+	"redwingpoint.org/redwingpoint/internal/callers"
 )
 
 // Request is one request of a caller.
@@ -25,8 +27,14 @@
 	// BodyDeadline sets the time after which reads of the body fail; the zero time means
 	// no limit. It does nothing once the body has ended.
 	BodyDeadline func(time.Time)
+	// Account is what the connection holds for its caller, or nil. Serve releases what it
+	// reserves, at the latest when Response.Remainder is closed.
+	Account *callers.Account
 }
 
+// describe names the request in reports.
+func (r *Request) describe() string { return r.HTTP.Method + " " + r.HTTP.Host + r.RequestTarget }
+
 // Response is the response to a caller.
 type Response struct {
 	Status int
@@ -39,6 +47,9 @@
 	// ContentLength is the length of the complete body in bytes if Remainder is set; -1
 	// if unknown.
 	ContentLength int64
+	// OnBroken, if set, returns the response that takes the place of this one if reading
+	// Remainder fails before anything was sent.
+	OnBroken func(err error) *Response
 	// OnWritten, if set, is called once the response was written or writing failed; err is
 	// nil after success.
 	OnWritten func(err error)
