A gateway that starts lists the targets at once if a caller waits

Cause: since gateways wait up to 0.8 s for the list of a relay at their start, a fleet that restarts under load refuses requests for that time: the relays have just started too.

Change: the first request that arrives ends the wait for a relay. A start before there are callers still takes its list from the relay of the region.

--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -87,7 +87,7 @@
 		return peerRelay{isRelay: true}
 	}
 	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds,
-		Region: g.settings.Location.Region, Log: g.log}
+		Region: g.settings.Location.Region, Demanded: g.dispatcher.Demanded(), Log: g.log}
 	if within := g.settings.Keys.WithdrawWithin; within > 0 {
 		client.HoldRequests = min(peersync.AwaitWait, time.Duration(relayHoldShare*float64(within)))
 		client.MaxConfirmationAge = time.Duration(confirmSelfShare * float64(within))
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -102,6 +103,9 @@
 type Dispatcher struct {
 	Options
 	serviceStates serviceStates
+	// demanded is closed when the first request arrives.
+	demanded   chan struct{}
+	demandOnce sync.Once
 	// shutdown is set once the shutdown has started.
 	shutdown atomic.Pointer[shutdownTimes]
 }
@@ -115,7 +119,7 @@
 
 // New returns a Dispatcher. The retry budget of each service starts empty.
 func New(o Options) *Dispatcher {
-	d := &Dispatcher{Options: o}
+	d := &Dispatcher{Options: o, demanded: make(chan struct{})}
 	d.serviceStates.burst = o.RetryBudget.Burst
 	d.SetRetryShare(o.RetryBudget.Share)
 	return d
@@ -125,6 +129,9 @@
 // retried.
 func (d *Dispatcher) SetRetryShare(share float64) { d.serviceStates.setRetryShare(share) }
 
+// Demanded returns a channel that is closed when the first request arrives.
+func (d *Dispatcher) Demanded() <-chan struct{} { return d.demanded }
+
 // BeginShutdown makes the dispatcher refuse requests that would be sent to a target after
 // lastStart and might be broken off at the end of the shutdown.
 func (d *Dispatcher) BeginShutdown(lastStart, end time.Time) {
@@ -142,6 +149,7 @@
 
 // Serve implements httpserver.Handler.
 func (d *Dispatcher) Serve(ctx context.Context, r *httpserver.Request) *httpserver.Response {
+	d.demandOnce.Do(func() { close(d.demanded) })
 	table := d.routes(ctx)
 	if table == nil {
 		return d.rejectUnrouted(r, localReply{status: http.StatusServiceUnavailable, cause: CauseNoRoutes, retryAfter: noRoutesRetryAfter})
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -127,6 +127,10 @@
 	// Region is that of this instance; a relay in it is preferred.
 	Region model.Region
 	Log    *zap.Logger
+	// Demanded, if set, is closed when the first request of a caller arrives. Then the start
+	// waits for no relay, because a list of the store is there sooner than a relay that has
+	// just started too.
+	Demanded <-chan struct{}
 	// HoldRequests is how long a relay may hold a request without a change; zero means
 	// AwaitWait.
 	HoldRequests time.Duration
@@ -442,7 +446,11 @@
 		if w.client.hasListed() {
 			return true
 		}
-		wait.For(ctx, startPollInterval)
+		select {
+		case <-w.client.Demanded:
+			return false
+		case <-time.After(startPollInterval):
+		}
 	}
 	return false
 }
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -188,6 +188,8 @@
 type relayNetwork struct {
 	mu    sync.Mutex
 	nodes map[string]*relayNode
+	// demanded is RelayClient.Demanded of nodes that are started.
+	demanded chan struct{}
 	// batchDelay is that of the nodes' followers of the store.
 	batchDelay time.Duration
 	// linkBytes is what a node's link sends in a second; zero means any number.
@@ -393,7 +395,7 @@
 			routes.WatchWait = n.withdrawWithin / 10
 		}
 	} else {
-		node.client = &RelayClient{Replica: node.replica, OnMerge: func() { n.countMerge(node) }, Transport: nodeTransport{n, node}, Seeds: seeds, Region: at.Region, Log: zap.NewNop()}
+		node.client = &RelayClient{Replica: node.replica, OnMerge: func() { n.countMerge(node) }, Transport: nodeTransport{n, node}, Seeds: seeds, Region: at.Region, Demanded: n.demanded, Log: zap.NewNop()}
 		if n.withdrawWithin > 0 {
 			node.client.HoldRequests, node.client.MaxConfirmationAge = n.withdrawWithin*12/100, n.withdrawWithin/2
 			routes.WatchWait = n.withdrawWithin * 18 / 100
@@ -758,23 +760,29 @@
 
 // TestStartingInstanceListsTargetsFromARelay guards against a fleet that starts and whose
 // instances each list all targets from the store, across regions. Without a relay that is fast
-// enough they still do.
+// enough they still do, and at once if a caller waits.
 func TestStartingInstanceListsTargetsFromARelay(t *testing.T) {
 	for _, c := range []struct {
 		name      string
 		linkBytes int
 		silent    bool
+		demanded  bool
 		lists     int
 		within    time.Duration
 	}{
-		{"relays respond", 0, false, 1, searchInterval},
-		{"relays are silent", 0, true, 2, startWait + searchInterval},
-		{"relays are slow", 12_000, false, 2, startWait + searchInterval},
+		{"relays respond", 0, false, false, 1, searchInterval},
+		{"relays are silent", 0, true, false, 2, startWait + searchInterval},
+		{"relays are silent and a caller's request arrives", 0, true, true, 2, 2 * startPollInterval},
+		{"relays are slow", 12_000, false, false, 2, startWait + searchInterval},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, _ *relayNode) {
 				n.mu.Lock()
 				n.linkBytes = c.linkBytes
+				n.demanded = make(chan struct{})
+				if c.demanded {
+					close(n.demanded)
+				}
 				n.mu.Unlock()
 				n.silence("seed-1", c.silent)
 				n.silence("seed-2", c.silent)
