Ask the nearest seed for quotas first, and far ones less when they deny

Cause: a gateway asked each of the seeds once to learn their distances, which opened connections to all regions, and asked all of them again at each turn of an organisation that was beyond its quota.

Change: the seed that relays the store's changes is the nearest; the others are asked only if it denies, and after four denials in a row at most every 0.25 to 2 s. The order of the others is that of their shortest calls.

Shown by TestNearestGrantorIsAskedAlone and the tests of quotas in peersync.

--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -85,6 +85,7 @@
 	}
 	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds,
 		Region: g.settings.Location.Region, Log: g.log}
+	g.quotas.Nearest = client.LatestRelay
 	if within := g.settings.Keys.WithdrawWithin; within > 0 {
 		client.HoldRequests = min(peersync.AwaitWait, time.Duration(relayHoldShare*float64(within)))
 		client.MaxConfirmationAge = time.Duration(confirmSelfShare * float64(within))
--- a/internal/peersync/quotas.go
+++ b/internal/peersync/quotas.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -24,6 +25,11 @@
 	// maxQuotaRounds is how often the grantors are asked in turn: the first may have something
 	// again when the last, in another region, has denied.
 	maxQuotaRounds = 2
+	// patientDenials is how often a grantor beyond the nearest may deny an organisation before
+	// it is asked less often, from minDeniedBackoff on up to maxDeniedBackoff.
+	patientDenials   = 4
+	minDeniedBackoff = 250 * time.Millisecond
+	maxDeniedBackoff = 2 * time.Second
 	// maxPrefetched bounds the permits that are asked for beyond the one that is needed.
 	maxPrefetched = 32
 	// useWindow is the time over which the recent use of an organisation is averaged.
@@ -76,6 +82,8 @@
 	Transport Transport
 	Seeds     []string
 	Log       *zap.Logger
+	// Nearest, if set, returns the address of the seed that is known as the nearest, or "".
+	Nearest func() string
 	// OnAsked, if set, is called after each question to a grantor.
 	OnAsked func(QuotaResult)
 
@@ -102,8 +110,8 @@
 	// grantor is this instance's own; nil for that at addr.
 	grantor *limit.QuotaGrantor
 	addr    string
-	// took is the duration of the shortest call since the last silence; zero before the first.
-	// Longer ones say more about this machine than about the way.
+	// took is the duration of the shortest call; zero before the first. Longer ones say more
+	// about this machine than about the way.
 	took time.Duration
 	// silentUntil is until when the grantor is not asked because it didn't respond.
 	silentUntil time.Time
@@ -115,6 +123,18 @@
 type quotaDenial struct {
 	// until is when it can grant again, turn when this instance's turn is if all ask again.
 	until, turn time.Time
+	// repeated is how often the grantor has denied since it last granted.
+	repeated int
+}
+
+// backoff returns for how long a grantor that has denied again and again is not asked. The
+// nearest always is, so that little passes between regions for an organisation that is far
+// beyond its quota.
+func (d *quotaDenial) backoff() time.Duration {
+	if d.repeated < patientDenials {
+		return 0
+	}
+	return min(minDeniedBackoff<<min(d.repeated-patientDenials, 8), maxDeniedBackoff)
 }
 
 // quotaStock is what an instance holds for one organisation.
@@ -175,11 +195,11 @@
 	var answers quotaAnswers
 	for range maxQuotaRounds {
 		answers = quotaAnswers{retryAfter: q.Tolerance.Window}
-		for _, s := range q.orderedSources() {
+		for i, s := range q.orderedSources() {
 			if ctx.Err() != nil {
 				return nil, ctx.Err()
 			}
-			if permit := q.askUnlessDenied(ctx, s, organisation, quota, count, &answers); permit != nil {
+			if permit := q.askUnlessDenied(ctx, s, i == 0, organisation, quota, count, &answers); permit != nil {
 				return permit, nil
 			}
 		}
@@ -204,7 +224,7 @@
 
 // askUnlessDenied asks a grantor for permits, unless it is known to deny or to be silent. It
 // returns one, or adds the answer to answers.
-func (q *Quotas) askUnlessDenied(ctx context.Context, s *quotaSource, organisation model.OrganisationName, quota limit.Quota, count int, answers *quotaAnswers) limit.QuotaPermit {
+func (q *Quotas) askUnlessDenied(ctx context.Context, s *quotaSource, isFirst bool, organisation model.OrganisationName, quota limit.Quota, count int, answers *quotaAnswers) limit.QuotaPermit {
 	switch state, wait := q.stateOf(s, organisation); state {
 	case sourceSilent:
 		answers.silent = true
@@ -213,7 +233,7 @@
 		answers.retryAfter = min(answers.retryAfter, wait)
 		return nil
 	}
-	permit, wait, err := q.ask(ctx, s, organisation, quota, count)
+	permit, wait, err := q.ask(ctx, s, isFirst, organisation, quota, count)
 	switch {
 	case err != nil:
 		answers.silent = true
@@ -315,10 +335,28 @@
 		}
 	}
 	ordered := slices.Clone(q.sources)
-	slices.SortStableFunc(ordered, func(a, b *quotaSource) int { return cmp.Compare(a.took, b.took) })
+	nearest := ""
+	if q.Nearest != nil {
+		nearest = q.Nearest()
+	}
+	slices.SortStableFunc(ordered, func(a, b *quotaSource) int { return cmp.Compare(a.distance(nearest), b.distance(nearest)) })
 	return ordered
 }
 
+// distance orders grantors: the own one, the nearest known, those that were asked by their
+// shortest call, and the others. Quotas.mu must be held.
+func (s *quotaSource) distance(nearest string) time.Duration {
+	switch {
+	case s.grantor != nil:
+		return -2
+	case s.addr == nearest:
+		return -1
+	case s.took == 0:
+		return math.MaxInt64
+	}
+	return s.took
+}
+
 // sourceState tells whether a grantor may be asked.
 type sourceState uint8
 
@@ -338,15 +376,14 @@
 		return sourceSilent, 0
 	}
 	if denial, denied := s.denials[organisation]; denied && now.Before(denial.until) {
-		return sourceDenies, denial.turn.Sub(now)
+		return sourceDenies, max(denial.turn.Sub(now), denial.until.Sub(now))
 	}
-	delete(s.denials, organisation)
 	return sourceAsks, 0
 }
 
 // ask asks a grantor for permits. It returns one of them and keeps the others, or records the
 // denial and returns when to ask again.
-func (q *Quotas) ask(ctx context.Context, s *quotaSource, organisation model.OrganisationName, quota limit.Quota, count int) (*quotaPermit, time.Duration, error) {
+func (q *Quotas) ask(ctx context.Context, s *quotaSource, isFirst bool, organisation model.OrganisationName, quota limit.Quota, count int) (*quotaPermit, time.Duration, error) {
 	askedAt := time.Now()
 	g, err := q.call(ctx, s, organisation, quota, count)
 	now := time.Now()
@@ -354,14 +391,19 @@
 	defer q.mu.Unlock()
 	switch {
 	case err != nil:
-		// The nearest grantor is tried first again after the backoff.
-		s.silentUntil, s.took = now.Add(quotaBackoff), 0
+		s.silentUntil = now.Add(quotaBackoff)
 		q.Log.Info("peer not reached for a quota", zap.String("address", s.addr), zap.Error(err))
 		return nil, 0, err
 	case g.Granted == 0:
-		s.denials[organisation] = quotaDenial{until: now.Add(g.AvailableAfter), turn: now.Add(g.RetryAfter)}
+		denial := quotaDenial{repeated: s.denials[organisation].repeated + 1}
+		denial.until, denial.turn = now.Add(g.AvailableAfter), now.Add(g.RetryAfter)
+		if !isFirst {
+			denial.until = now.Add(max(g.AvailableAfter, denial.backoff()))
+		}
+		s.denials[organisation] = denial
 		return nil, g.RetryAfter, nil
 	}
+	delete(s.denials, organisation)
 	for range g.Granted - 1 {
 		q.putBack(&quotaPermit{quotas: q, organisation: organisation, askedAt: askedAt})
 	}
@@ -382,7 +424,7 @@
 	_, err = q.Transport.CallAddr(ctx, s.addr, peer.OpAcquireQuota, req, &resp)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if took := time.Since(startedAt); s.took == 0 || took < s.took {
+	if took := time.Since(startedAt); err == nil && (s.took == 0 || took < s.took) {
 		s.took = took
 	}
 	return limit.QuotaGrant{
--- a/internal/peersync/quotas_test.go
+++ b/internal/peersync/quotas_test.go
@@ -34,6 +34,9 @@
 	nodes []*quotaNode
 	// sent are the times of the requests that were sent, by organisation.
 	sent map[model.OrganisationName][]time.Time
+	// asked counts the questions to other instances, by the one that asks and the one that is
+	// asked.
+	asked map[[2]int]int
 	// exceeded and unknown count the denials, by organisation.
 	exceeded, unknown map[model.OrganisationName]int
 }
@@ -57,6 +60,9 @@
 	if _, err := fmt.Sscan(addr, &to); err != nil {
 		return "", err
 	}
+	p.fleet.mu.Lock()
+	p.fleet.asked[[2]int{p.from, to}]++
+	p.fleet.mu.Unlock()
 	node := p.fleet.reach(p.from, to)
 	if node == nil {
 		<-ctx.Done()
@@ -99,7 +105,7 @@
 // newQuotaFleet starts a fleet that has run for long enough for all shares to be full.
 func newQuotaFleet(t *testing.T, instances int, seed uint64) *quotaFleet {
 	f := &quotaFleet{t: t, random: rand.New(rand.NewPCG(seed, 3)), nodes: make([]*quotaNode, instances),
-		sent: make(map[model.OrganisationName][]time.Time), exceeded: make(map[model.OrganisationName]int), unknown: make(map[model.OrganisationName]int)}
+		asked: make(map[[2]int]int), sent: make(map[model.OrganisationName][]time.Time), exceeded: make(map[model.OrganisationName]int), unknown: make(map[model.OrganisationName]int)}
 	for i := range f.nodes {
 		f.start(i)
 	}
@@ -357,6 +363,26 @@
 	})
 }
 
+// TestNearestGrantorIsAskedAlone checks that nothing passes between regions for an organisation
+// within its quota, while another one is far beyond.
+func TestNearestGrantorIsAskedAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newQuotaFleet(t, 17, 1)
+		for _, node := range f.nodes {
+			node.quotas.Nearest = func() string { return "2" }
+		}
+		quota := limit.Quota{Revision: 1, PerSecond: 40, Burst: 40}
+		var all sync.WaitGroup
+		all.Add(2)
+		go f.play(demand{name: "calm", quota: quota, load: 0.1, at: []int{8}}, 30*time.Second, all.Done)
+		go f.play(demand{name: "hot", quota: quota, load: 7, at: []int{3, 4, 5, 6}}, 30*time.Second, all.Done)
+		all.Wait()
+		if far := f.asked[[2]int{8, 0}] + f.asked[[2]int{8, 1}]; far > 0 || f.asked[[2]int{8, 2}] == 0 {
+			t.Errorf("%d questions to far grantors", far)
+		}
+	})
+}
+
 // TestCutOffInstanceKeepsOnlyWhatItHolds checks that an instance that reaches no grantor stops
 // at once and says that it doesn't know, as the quota may not be used up.
 func TestCutOffInstanceKeepsOnlyWhatItHolds(t *testing.T) {
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -142,6 +142,8 @@
 	// ended is closed when current is reset or the routes fall behind; nil while no follower
 	// waits for it.
 	ended chan struct{}
+	// relay is the address of the relay that is followed, or was last.
+	relay string
 	// latest is what the relay held at its last response.
 	latest replica.Versions
 	// routesAsOf is the store's latest revision up to which the routes of this instance are
@@ -271,6 +273,7 @@
 
 // follow receives the changes of a relay and returns why that ended.
 func (c *RelayClient) follow(ctx context.Context, relay foundRelay) followEnd {
+	c.setRelay(relay.addr)
 	c.Log.Info("changes come from a relay", zap.String("address", relay.addr), zap.Bool("own_region", relay.near))
 	nearer := make(chan foundRelay, 1)
 	if !relay.near {
@@ -363,6 +366,19 @@
 	return c.Replica.Evacuations == nil || c.latest.Evacuations.AsOf > 0
 }
 
+func (c *RelayClient) setRelay(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relay = addr
+}
+
+// LatestRelay returns the address of the relay that is followed, or was last, or "".
+func (c *RelayClient) LatestRelay() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relay
+}
+
 // setLost records that no relay follows the store for this instance.
 func (c *RelayClient) setLost() {
 	c.mu.Lock()
