Order requests that compete for too little room

Need: whoever came first got a slot, whatever its priority, the time it has left and the work it needs.

Change: internal/schedule decides, for services to which requests of different priority go. A less urgent request leaves a reserve of slots free at a target that follows the urgent demand, while room is short. Those without a slot wait in order of priority and slack, half of their slack at most; one whose turn isn't expected in time is refused at once and told when. A kind that is served too rarely counts as urgent. Gateways share nothing but what targets report. With probes in stages the further targets are drawn from the whole region. TestLimitedTargetsNeedPermits runs in virtual time with the same checks: its probes missed their real 8 ms on a busy machine. The fixture of the dispatch tests reports free slots.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -90,13 +90,15 @@
 type orderedPicker struct {
 	endpoints []*routing.Endpoint
 	full      bool
+	// free is the number of free slots, of six, that targets report.
+	free atomic.Int32
 }
 
 func (p *orderedPicker) Pick(_ context.Context, req routing.ProbingRequest) ([]routing.Candidate, error) {
 	var out []routing.Candidate
 	for _, e := range p.endpoints {
 		if !slices.Contains(req.Exclude, e.Target.ID) {
-			out = append(out, routing.Candidate{Endpoint: e, Report: routing.LoadReport{Slots: 6}, Estimate: routing.Estimate{HasFreeSlot: !p.full}})
+			out = append(out, routing.Candidate{Endpoint: e, Report: routing.LoadReport{Slots: 6}, Estimate: routing.Estimate{HasFreeSlot: !p.full, FreeSlots: int(p.free.Load())}})
 		}
 	}
 	if len(out) == 0 {
@@ -121,6 +123,7 @@
 func newFixtureWithBodyLimit(t *testing.T, bodyLimit int64, class model.Class, behaviors ...http.HandlerFunc) *fixture {
 	t.Helper()
 	f := &fixture{picker: new(orderedPicker)}
+	f.picker.free.Store(6)
 	for i, behavior := range behaviors {
 		count := new(atomic.Int32)
 		f.received = append(f.received, count)
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -32,6 +32,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_second_runs_total{service=%q}", string(service))).Inc()
 }
 
+func (m *Metrics) countScheduled(service model.ServiceName, priority int, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_scheduled_total{service=%q,priority=\"%d\",outcome=%q}", string(service), priority, outcome)).Inc()
+}
+
 func (m *Metrics) countTargetEnded(service model.ServiceName) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_targets_ended_total{service=%q}", string(service))).Inc()
 }
--- a/internal/dispatch/second_run.go
+++ b/internal/dispatch/second_run.go
@@ -82,21 +82,26 @@
 }
 
 // pickSecond returns the target of a second run, whose load counts it from then on. There is
-// none while the targets have little room, the retry budget is short or the request is
-// quarantined.
+// none while the targets have little room or the retry budget is short, nor for a request
+// that may no longer be sent.
 func (f *forwarder) pickSecond(ctx context.Context) (routing.Candidate, bool) {
-	if f.checkQuarantine() != nil {
+	req := f.pickRequest()
+	if f.lacksHome(req.Homes) {
 		return routing.Candidate{}, false
 	}
-	candidates, err := f.d.Picker.Pick(ctx, f.pickRequest())
-	if err != nil || !candidates[0].TakesRequest() || !candidates[0].HasSpareRoom() || candidates[0].Estimate.Duration > time.Until(f.deadline) {
+	candidates, err := f.d.Picker.Pick(ctx, req)
+	if err != nil || f.checkKey() != nil || f.checkQuarantine() != nil {
+		return routing.Candidate{}, false
+	}
+	best := candidates[0]
+	if !best.TakesRequest() || !req.Homes.Allows(best.Endpoint.Target.Location.Region) ||
+		!best.HasSpareRoom() || best.Estimate.Duration > time.Until(f.deadline) {
 		return routing.Candidate{}, false
 	}
 	if !f.state.spendSecondRun() {
 		f.d.Metrics.countRetryDenied(f.service.Name)
 		return routing.Candidate{}, false
 	}
-	best := candidates[0]
 	f.triedTargets = append(f.triedTargets, best.Endpoint.Target.ID)
 	f.deliveries++
 	f.mayHaveRun = true
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -16,8 +16,16 @@
 // selectTarget returns the best target that has not been tried, or the reply if there is
 // none. While no target is expected to respond in time, it ranks the targets again every
 // repickInterval until a part of the latency objective has passed: slots become free and
-// paces change within milliseconds.
+// paces change within milliseconds. Where requests of different priority compete for the
+// service's targets, it first waits for room in their order.
 func (f *forwarder) selectTarget(ctx context.Context, lastFailure localReply) (routing.Candidate, *localReply) {
+	var first *ranking
+	if f.contended {
+		var reply *localReply
+		if first, reply = f.awaitRoom(ctx, lastFailure); reply != nil {
+			return routing.Candidate{}, reply
+		}
+	}
 	waitUntil := time.Now().Add(f.rule.Objective / waitDivisor)
 	var candidates []routing.Candidate
 	for rounds := 1; ; rounds++ {
@@ -26,7 +34,7 @@
 			return routing.Candidate{}, f.noHomeReply(lastFailure, req.Homes)
 		}
 		req.Repeated = rounds > 1
-		ranked, err := f.d.Picker.Pick(ctx, req)
+		ranked, err := f.rank(ctx, req, &first)
 		var probesSpent *routing.ProbeBudgetError
 		if !errors.As(err, &probesSpent) {
 			candidates = ranked
@@ -34,6 +42,7 @@
 		candidates = slices.DeleteFunc(candidates, func(c routing.Candidate) bool {
 			return !c.TakesRequest() || !req.Homes.Allows(c.Endpoint.Target.Location.Region)
 		})
+		f.keepReserve(candidates)
 		var unavailable *routing.UnavailableError
 		if errors.As(err, &unavailable) && lastFailure.cause == "" && unavailable.RetryAfter > time.Until(waitUntil) {
 			return routing.Candidate{}, f.unavailableReply(unavailable)
@@ -56,6 +65,15 @@
 	}
 }
 
+// rank returns the candidates of a first ranking, once, or else those of the Picker.
+func (f *forwarder) rank(ctx context.Context, req routing.ProbingRequest, first **ranking) ([]routing.Candidate, error) {
+	if known := *first; known != nil {
+		*first = nil
+		return known.candidates, known.err
+	}
+	return f.d.Picker.Pick(ctx, req)
+}
+
 const (
 	// waitDivisor divides the latency objective to give the longest wait for a better
 	// target. Callers lose nothing by a wait of up to an eighth of the objective. A wait of
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -10,6 +10,7 @@
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/route"
 	"redwingpoint.org/redwingpoint/internal/routing"
+	"redwingpoint.org/redwingpoint/internal/schedule"
 )
 
 // RetryBudget bounds the retries that reach targets, as a share of each service's
@@ -43,6 +44,8 @@
 	// byKind holds the same of each kind of request by its workKind, as *limit.LatencyWindow,
 	// where kinds compete for the targets.
 	byKind sync.Map
+	// scheduler orders the requests that wait for a slot where kinds compete.
+	scheduler schedule.Scheduler
 }
 
 // workKind tells kinds of request with different work apart. It doesn't name the rule, so
--- a/internal/routing/estimate.go
+++ b/internal/routing/estimate.go
@@ -66,6 +66,8 @@
 	Cost time.Duration
 	// HasFreeSlot is set if the target has a free slot for the request.
 	HasFreeSlot bool
+	// FreeSlots is the number of the target's free slots.
+	FreeSlots int
 }
 
 // estimate returns the expected duration and cost of work at an endpoint with a recent
@@ -84,7 +86,7 @@
 	// A request runs at the pace at which it started, so the current pace applies to
 	// all of its work.
 	service = scale(service, max(1, float64(r.Pace)/NormalPace))
-	out := Estimate{Duration: service + roundTrip(e.Distance), HasFreeSlot: busy < slots}
+	out := Estimate{Duration: service + roundTrip(e.Distance), HasFreeSlot: busy < slots, FreeSlots: max(0, slots-busy)}
 	if !out.HasFreeSlot {
 		out.Duration += queueDelay(busy-slots, slots, scale(w.ServiceTime, highLoadSlowdown))
 	}
--- a/internal/routing/limited_test.go
+++ b/internal/routing/limited_test.go
@@ -55,19 +55,21 @@
 		"a busy target stays the best without a permit":         {[]testTarget{busyTarget, limited}, 0, nil, "busy", 1},
 		"a limited target of another region is the last resort": {[]testTarget{busyTarget, limited, remote}, 0, []model.TargetID{"remote"}, "remote", 2},
 	} {
-		p, prober, _ := newTestPicker(c.targets...)
-		permits := p.permits.(*fakePermits)
-		permits.granted = c.granted
-		stateLimit(p, "limited", p.now()-c.age)
-		if len(c.targets) != 2 || c.targets[1].id == "remote" {
-			stateLimit(p, "remote", p.now()-c.age)
-		}
-		if got := best(t, p, previewRequest).Endpoint.Target.ID; got != c.want || len(permits.asked) != c.asked {
-			t.Errorf("%s: picked %s after asking for %v, want %s after %d", name, got, permits.asked, c.want, c.asked)
-		}
-		if c.want != "limited" && prober.probed["limited"] != 0 {
-			t.Errorf("%s: the target was probed without a permit", name)
-		}
+		synctest.Test(t, func(t *testing.T) {
+			p, prober, _ := newTestPicker(c.targets...)
+			permits := p.permits.(*fakePermits)
+			permits.granted = c.granted
+			stateLimit(p, "limited", p.now()-c.age)
+			if len(c.targets) != 2 || c.targets[1].id == "remote" {
+				stateLimit(p, "remote", p.now()-c.age)
+			}
+			if got := best(t, p, previewRequest).Endpoint.Target.ID; got != c.want || len(permits.asked) != c.asked {
+				t.Errorf("%s: picked %s after asking for %v, want %s after %d", name, got, permits.asked, c.want, c.asked)
+			}
+			if c.want != "limited" && prober.probed["limited"] != 0 {
+				t.Errorf("%s: the target was probed without a permit", name)
+			}
+		})
 	}
 }
 
--- a/internal/routing/probing_picker.go
+++ b/internal/routing/probing_picker.go
@@ -105,7 +105,8 @@
 	// permits grants requests to targets that stated a limit.
 	permits Permits
 	// InStages makes picks probe the preferred targets in two stages, the second only if
-	// the first finds no target that is undisturbed. It must be set before the first pick.
+	// the first finds no target that is undisturbed, and then others of the region that are
+	// drawn from all its failure domains. It must be set before the first pick.
 	InStages bool
 
 	mu sync.Mutex
@@ -191,9 +192,15 @@
 // fallbacks returns functions that probe more targets, the cheapest way first.
 func (p *ProbingPicker) fallbacks(pool *Pool, homes model.Homes) []func(context.Context, ProbingRequest) []Candidate {
 	_, otherLocal, remote := p.splitByPreference(pool, homes)
+	otherWait := p.preferredWait(homes)
+	if p.InStages {
+		// Where the preferred targets are short of room, those next to them are too. A draw
+		// reaches the other failure domains of the region.
+		otherLocal, otherWait = sample(otherLocal, maxOtherLocalProbes), remoteProbeWait
+	}
 	return []func(context.Context, ProbingRequest) []Candidate{
 		func(ctx context.Context, req ProbingRequest) []Candidate {
-			return p.probeFirst(ctx, req, otherLocal, maxOtherLocalProbes, p.preferredWait(req.Homes))
+			return p.probeFirst(ctx, req, otherLocal, maxOtherLocalProbes, otherWait)
 		},
 		func(ctx context.Context, req ProbingRequest) []Candidate { return p.probeRemote(ctx, req, remote) },
 	}
