--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -17,7 +17,6 @@
 
 	"redwingpoint.org/redwingpoint/internal/dispatch"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
-	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/peersync"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/replica"
@@ -95,7 +94,8 @@
 			metrics.NewSet,
 			route.NewHolder,
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
-			func() *peersync.Permits { return &peersync.Permits{Own: limit.NewGrantor(1), Log: log} },
+			func(set *metrics.Set) *peersync.Permits { return newPermits(s, log, set) },
+			newQuotas,
 			func(set *metrics.Set, permits *peersync.Permits) *upstream.Client {
 				return newUpstreamClient(p, log, set, permits)
 			},
@@ -109,7 +109,7 @@
 	)
 }
 
-func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *dispatch.Dispatcher {
+func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits, quotas *peersync.Quotas) *dispatch.Dispatcher {
 	picker := routing.NewProbingPicker(table, client, routing.Monotonic, probes, permits)
 	picker.InStages = s.Probes.PerTarget < settings.UsualProbesPerTarget
 	return dispatch.New(dispatch.Options{
@@ -119,6 +119,7 @@
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
 		Quarantine:  marks,
+		Quotas:      quotas,
 		Regions:     knownRegions(s.Regions),
 
 		WithdrawKeysWithin: s.Keys.WithdrawWithin,
@@ -141,6 +142,7 @@
 	listener   net.Listener
 	quarantine *quarantine.Registry
 	permits    *peersync.Permits
+	quotas     *peersync.Quotas
 	// probes limits the load probes of targets.
 	probes *rate.Limiter
 	// breaker is shared by the followers of routes and targets.
@@ -149,6 +151,8 @@
 	floor replica.Floor
 	// unknownHomes holds the homes, by region, that were checked and logged if unknown.
 	unknownHomes sync.Map
+	// routeWarnings holds the warnings about routes that were logged.
+	routeWarnings sync.Map
 	// shuttingDown is set when the shutdown starts.
 	shuttingDown atomic.Bool
 	// onShutdown, if set, is called when the shutdown has started.
@@ -157,10 +161,10 @@
 	targetsKnown atomic.Bool
 }
 
-func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *gateway {
+func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits, quotas *peersync.Quotas) *gateway {
 	return &gateway{
 		settings: s, provider: p, log: log, set: set, routes: routes, table: table, dispatcher: d, probes: probes,
-		quarantine: marks, permits: permits,
+		quarantine: marks, permits: permits, quotas: quotas,
 		server: httpserver.NewServer(d, d.Limits),
 	}
 }
@@ -170,7 +174,7 @@
 	g.registerGauges()
 	serveHTTP(lc, g.log, g.settings.ReadinessAddr, http.HandlerFunc(g.serveReadiness), nil)
 	if g.settings.MetricsAddr != "" {
-		serveHTTP(lc, g.log, g.settings.MetricsAddr, http.HandlerFunc(g.serveMetrics), nil)
+		serveHTTP(lc, g.log, g.settings.MetricsAddr, g.inspectionHandler(), nil)
 	}
 	local := &replica.Replica{
 		Routes:  &replica.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
@@ -188,6 +192,7 @@
 	// Targets change often: their watches are the cheaper ones, bounded by those of the routes.
 	targets.Consistency = replica.Eventual
 	targets.BatchDelay, targets.Relay = time.Duration(targetsBatchShare*float64(g.settings.DrainTimeout)), relay.targets
+	targets.StartFromRelay = true
 	runLoop(lc, targets.Run)
 	if local.Evacuations != nil {
 		g.followEvacuations(lc, local.Evacuations, relay)
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -17,6 +18,7 @@
 	"redwingpoint.org/redwingpoint/internal/peer"
 	"redwingpoint.org/redwingpoint/internal/peersync"
 	"redwingpoint.org/redwingpoint/internal/replica"
+	"redwingpoint.org/redwingpoint/internal/settings"
 )
 
 const (
@@ -55,7 +57,7 @@
 	s := &peersync.Syncer{
 		Replica:    local,
 		NeedsPeers: g.breaker.Open,
-		OnMerge:    func() { g.targetsKnown.Store(local.Versions().AsOf > 0) },
+		OnMerge:    func() { g.targetsKnown.Store(local.Targets.Known()) },
 		Transport:  transport,
 		Seeds:      otherSeeds,
 		Log:        g.log,
@@ -68,11 +70,13 @@
 	})
 	runLoop(lc, s.Run)
 	marks := peersync.NewMarkExchange(g.quarantine, transport, otherSeeds, isSeed, g.log)
+	marks.Region = g.settings.Location.Region
 	g.quarantine.Isolated = marks.Isolated
 	g.quarantine.OnQuarantine = g.logQuarantine
 	transport.Handle(peer.OpExchangeMarks, marks.HandleExchange)
 	runLoop(lc, marks.Run)
 	g.sharePermits(transport, isSeed, otherSeeds)
+	g.shareQuotas(transport, isSeed, otherSeeds)
 	if g.settings.SettleTimeout-watchReserve < peersync.MaxRelayLag {
 		return peerRelay{}
 	}
@@ -96,12 +100,37 @@
 	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay(), evacuations: client.EvacuationsRelay()}
 }
 
-// sharePermits divides the limits that targets state among the seeds.
+// sharePermits divides the limits that targets state, and those of cold targets, among the
+// seeds.
 func (g *gateway) sharePermits(transport *peer.Transport, isSeed bool, otherSeeds []string) {
-	g.permits.Own, g.permits.Transport, g.permits.Seeds = nil, transport, otherSeeds
+	g.permits.Own, g.permits.OwnCold, g.permits.Transport, g.permits.Seeds = nil, nil, transport, otherSeeds
 	if isSeed || len(otherSeeds) == 0 {
 		g.permits.Own = limit.NewGrantor(len(otherSeeds) + 1)
 		transport.Handle(peer.OpAcquirePermit, (&peersync.PermitServer{Grantor: g.permits.Own}).HandleAcquire)
+		g.permits.OwnCold = newColdGrantor(len(otherSeeds)+1, g.settings)
+		transport.Handle(peer.OpAcquireColdPermit, (&peersync.ColdPermitServer{Grantor: g.permits.OwnCold}).HandleAcquire)
+	}
+}
+
+// newQuotas returns the quotas of a gateway without peers.
+func newQuotas(s *settings.Gateway, log *zap.Logger, set *metrics.Set) *peersync.Quotas {
+	tolerance := limit.Tolerance{Window: s.Quotas.Window, Overage: s.Quotas.Overage, Slack: s.Quotas.Slack}
+	return &peersync.Quotas{
+		Tolerance: tolerance,
+		Own:       limit.NewQuotaGrantor(1, tolerance),
+		Log:       log,
+		OnAsked: func(result peersync.QuotaResult) {
+			set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_quota_questions_total{result=%q}", string(result))).Inc()
+		},
+	}
+}
+
+// shareQuotas divides the quotas of organisations among the seeds.
+func (g *gateway) shareQuotas(transport *peer.Transport, isSeed bool, otherSeeds []string) {
+	g.quotas.Own, g.quotas.Transport, g.quotas.Seeds = nil, transport, otherSeeds
+	if isSeed || len(otherSeeds) == 0 {
+		g.quotas.Own = limit.NewQuotaGrantor(len(otherSeeds)+1, g.quotas.Tolerance)
+		transport.Handle(peer.OpAcquireQuota, (&peersync.QuotaServer{Grantor: g.quotas.Own}).HandleAcquire)
 	}
 }
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -89,6 +89,9 @@
 		MaxIdle:   maxReuseIdle,
 		KeepAlive: true,
 	}
+	if c.ColdPermit != nil {
+		call.Commit = c.ColdPermit.Valid
+	}
 	if f.stream != nil {
 		reader := f.stream.newReader()
 		call.Body, call.ContentLength, call.OnClose = reader, f.inbound.HTTP.ContentLength, reader.stop
@@ -119,7 +122,7 @@
 		f.d.Log.Info("target declined", f.logFields(zap.Object("target", candidateFields(c)), zap.Int("status", result.Status))...)
 		return outcome{retryable: f.mayResendBody(), reply: localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsDeclined, retryAfter: busyRetryAfter}}
 	}
-	f.mayHaveRun = true
+	f.mayHaveRun, f.permit = true, nil
 	return f.receiveResponse(ctx, cancel, c, result, deciding.startedAt)
 }
 
@@ -131,6 +134,7 @@
 		return outcome{retryable: f.mayResendBody(), budgetExempt: true, reply: reply}
 	}
 	f.deliveries++
+	f.permit = nil
 	if f.stream != nil {
 		switch bodyErr := f.stream.err(); {
 		case exceedsBodyLimit(bodyErr):
@@ -168,7 +172,7 @@
 	if failed.Sent && failed.Reason == upstream.ConnectionLost && f.d.Upstream.HasEnded(ctx, c.Endpoint) {
 		f.recordTargetEnd(c)
 	}
-	if failed.Reason != upstream.Cancelled {
+	if failed.Reason != upstream.Cancelled && failed.Reason != upstream.NotCommitted {
 		c.Endpoint.Load.Reliability.Observe(false, routing.Monotonic())
 	}
 	return failed
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
@@ -63,6 +64,16 @@
 	ReportResponse(f quarantine.Fingerprint)
 }
 
+// Quotas grants requests of organisations; *peersync.Quotas implements it. Implementations
+// must be safe for concurrent use.
+type Quotas interface {
+	// Check returns *limit.QuotaExceededError if the quota is known to be used up, or nil.
+	Check(organisation model.OrganisationName) error
+	// Acquire takes a permit for one request. The error is *limit.QuotaExceededError,
+	// *limit.QuotaUnknownError or that of ctx.
+	Acquire(ctx context.Context, organisation model.OrganisationName, quota limit.Quota) (limit.QuotaPermit, error)
+}
+
 // Options are the dependencies and settings of a Dispatcher.
 type Options struct {
 	Routes      *route.Holder
@@ -71,6 +82,8 @@
 	Protocol    *upstream.Protocol
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
+	// Quotas grants requests of organisations that have a quota; nil grants all.
+	Quotas Quotas
 	// Regions are those that exist; homes elsewhere don't count. None means that they
 	// aren't known and all homes count.
 	Regions map[model.Region]bool
--- a/internal/dispatch/second_run.go
+++ b/internal/dispatch/second_run.go
@@ -82,22 +82,21 @@
 }
 
 // pickSecond returns the target of a second run, whose load counts it from then on. There is
-// none while the targets have little room or the retry budget is short, nor for a request
-// that may no longer be sent.
+// none while the targets have little room, the retry budget is short or the request may not be
+// sent any more.
 func (f *forwarder) pickSecond(ctx context.Context) (routing.Candidate, bool) {
 	req := f.pickRequest()
-	if f.lacksHome(req.Homes) {
-		return routing.Candidate{}, false
-	}
 	candidates, err := f.d.Picker.Pick(ctx, req)
-	if err != nil || f.checkKey() != nil || f.checkQuarantine() != nil {
+	if err != nil || !candidates[0].TakesRequest() || !req.Homes.Allows(candidates[0].Endpoint.Target.Location.Region) || !candidates[0].HasSpareRoom() || candidates[0].Estimate.Duration > time.Until(f.deadline) {
 		return routing.Candidate{}, false
 	}
-	best := candidates[0]
-	if !best.TakesRequest() || !req.Homes.Allows(best.Endpoint.Target.Location.Region) ||
-		!best.HasSpareRoom() || best.Estimate.Duration > time.Until(f.deadline) {
+	// The first run has used the permit of the quota that the request holds.
+	f.permit = nil
+	acquire := func() *localReply { return f.acquirePermit(ctx) }
+	if firstReply(f.checkQuarantine, acquire, f.checkKey, f.checkShutdown) != nil {
 		return routing.Candidate{}, false
 	}
+	best := candidates[0]
 	if !f.state.spendSecondRun() {
 		f.d.Metrics.countRetryDenied(f.service.Name)
 		return routing.Candidate{}, false
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -110,6 +110,7 @@
 		HealthPath: f.service.HealthPath,
 		Exclude:    f.triedTargets,
 		Homes:      f.homes(),
+		Cold:       routing.ColdLimit{PerSecond: f.service.ColdPerSecond, Start: f.service.ColdStart},
 		Work: routing.Work{
 			ServiceTime: f.expectedDuration(),
 			TimeLeft:    time.Until(f.objectiveDeadline),
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -33,6 +33,14 @@
 	// returnInterval is the mean time between two searches for a relay in the own region while
 	// one in another region is followed.
 	returnInterval = 5 * time.Second
+	// startWait is how long a gateway that starts waits for the list of a relay. Without one it
+	// lists the targets from the store, which takes about as long.
+	startWait = 800 * time.Millisecond
+	// nearStartWait is how long after its start a gateway follows only a relay of its region,
+	// which may have started at the same time and lists the targets first.
+	nearStartWait = 400 * time.Millisecond
+	// startPollInterval is the time between two looks at whether that list is complete.
+	startPollInterval = 10 * time.Millisecond
 	// lossTolerance is how long the changes may be missing after all relays said that they
 	// have lost the store. A relay regains it about half a second after a lost history;
 	// then it has listed the targets for all its peers.
@@ -68,11 +76,11 @@
 }
 
 // HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets, or a part of
-// them, the evacuations and the versions held as soon as these differ from the requester's,
-// newer routes are in force or the instance can no longer relay; without a change it does after
-// the wait asked for. A search gets the versions alone. It never sends routes: every peer reads
-// them from the store, because the same large document sent to all peers would fill the
-// instance's link.
+// them, the changed evacuations and the versions held as soon as these differ from the
+// requester's, newer routes are in force or the instance can no longer relay; without a change it
+// does after the wait asked for. A search gets the versions alone. It never sends routes: every
+// peer reads them from the store, because the same large document sent to all peers would fill
+// the instance's link.
 func (s *RelayServer) HandleAwaitChange(_ model.InstanceID, body []byte) (any, error) {
 	var req awaitRequest
 	if err := peer.Decode(body, &req); err != nil {
@@ -95,7 +103,8 @@
 		// older, not younger.
 		delta.HeldMillis = time.Since(arrivedAt).Milliseconds()
 		delta.Versions.SetConfirmation(confirmed)
-		if expired || delta.HasTargets() || delta.Evacuations != nil || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
+		firstList := req.Versions.AsOf == 0 && delta.Versions.AsOf > 0
+		if expired || firstList || delta.HasTargets() || delta.Evacuations != nil || delta.Versions.Routes > req.Versions.Routes || !delta.Versions.Current {
 			return delta, nil
 		}
 		select {
@@ -110,7 +119,7 @@
 // called once; the other methods are safe for concurrent use.
 type RelayClient struct {
 	Replica *replica.Replica
-	// OnMerge is called after targets of a relay were merged.
+	// OnMerge is called after all targets of a relay were merged.
 	OnMerge   func()
 	Transport Transport
 	// Seeds are the peer addresses of the instances that may relay.
@@ -128,6 +137,8 @@
 	names nameComparison
 
 	mu sync.Mutex
+	// listed is set once all targets of a relay were received.
+	listed bool
 	// current is set while a relay that follows the store answers, and also while its
 	// replacement is looked for.
 	current bool
@@ -168,13 +179,21 @@
 
 // Run receives changes until ctx ends.
 func (c *RelayClient) Run(ctx context.Context) {
+	startedAt := time.Now()
 	for ctx.Err() == nil {
 		relay, found := c.nearestRelay(ctx)
+		if time.Since(startedAt) < nearStartWait {
+			found = found && relay.near
+		}
 		for found && ctx.Err() == nil {
 			relay, found = c.replaceRelay(ctx, relay, c.follow(ctx, relay))
 		}
 		c.setLost()
-		wait.For(ctx, c.idleInterval())
+		pause := c.idleInterval()
+		if time.Since(startedAt) < startWait {
+			pause = searchInterval
+		}
+		wait.For(ctx, pause)
 	}
 }
 
@@ -209,9 +228,6 @@
 // nearestRelay returns the seed that follows the store and responds first, one in the own
 // region if any of them responds within searchTimeout.
 func (c *RelayClient) nearestRelay(ctx context.Context) (nearest foundRelay, found bool) {
-	if own := c.Replica.Versions(); own.AsOf == 0 || own.Routes == 0 {
-		return foundRelay{}, false
-	}
 	relays := make(chan foundRelay, len(c.Seeds))
 	var calls sync.WaitGroup
 	for _, addr := range c.Seeds {
@@ -311,7 +327,7 @@
 	if !remote.More {
 		c.names.compare(c.Replica, remote.Versions)
 	}
-	if remote.HasTargets() {
+	if !remote.More && (remote.HasTargets() || !c.hasListed()) {
 		c.OnMerge()
 	}
 	return remote, nil
@@ -335,6 +351,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current, c.latest = true, remote.Versions
+	c.listed = c.listed || !remote.More
 	if remote.Versions.Routes == own.Routes {
 		c.routesAsOf = max(c.routesAsOf, remote.Versions.RoutesAsOf)
 	}
@@ -388,6 +405,13 @@
 	return c.current
 }
 
+// hasListed reports whether all targets of a relay were received.
+func (c *RelayClient) hasListed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listed
+}
+
 // TargetsRelay returns the replica.Relay of the follower of the targets.
 func (c *RelayClient) TargetsRelay() replica.Relay { return &relayWaiter{client: c} }
 
@@ -407,6 +431,22 @@
 	routes, evacuations bool
 }
 
+// AwaitStart implements replica.Relay.
+func (w *relayWaiter) AwaitStart(ctx context.Context) bool {
+	if w.evacuations {
+		return w.AwaitReturn(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		if w.client.hasListed() {
+			return true
+		}
+		wait.For(ctx, startPollInterval)
+	}
+	return false
+}
+
 // AwaitReturn implements replica.Relay.
 func (w *relayWaiter) AwaitReturn(ctx context.Context) bool {
 	tolerance := lossTolerance
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -96,7 +96,7 @@
 }
 
 // HasTargets reports whether the delta changes the other's list of targets.
-func (d *Delta) HasTargets() bool { return d.Since > 0 || len(d.NameHashes) > 0 }
+func (d *Delta) HasTargets() bool { return d.Since > 0 || len(d.NameHashes) > 0 || d.Packed != nil }
 
 // nameHashBytes is the size of a name's hash. With 4 bytes, 1 in 600 lists of 3,700
 // entries contains two names with the same hash.
@@ -109,6 +109,22 @@
 	Name     string       `cbor:"1,keyasint"`
 	Revision uint64       `cbor:"2,keyasint"`
 	Target   model.Target `cbor:"3,keyasint"`
+	// ColdMillis is how long the target is still cold by its entry, at the time of sending or
+	// earlier.
+	ColdMillis int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// newTargetEntry returns an entry to send now.
+func newTargetEntry(name string, e *entry) TargetEntry {
+	coldLeft := max(time.Until(e.target.ColdEndsAt), 0)
+	return TargetEntry{Name: name, Revision: e.revision, Target: e.target, ColdMillis: coldLeft.Milliseconds()}
+}
+
+// received returns the entry with its times by this instance's clock.
+func (e TargetEntry) received() TargetEntry {
+	now := time.Now()
+	e.Target.ColdEndsAt, e.Target.ColdKnownAt = now.Add(time.Duration(e.ColdMillis)*time.Millisecond), now
+	return e
 }
 
 // Replica is an instance's local copy of the store's routes and targets. It is safe
@@ -183,8 +199,8 @@
 	}
 }
 
-// PartFor is like DeltaFor for targets and evacuations, of the targets at most a part of them if the other instance
-// accepts that.
+// PartFor is like DeltaFor without the routes, and with at most a part of the targets if the
+// other instance accepts that.
 func (r *Replica) PartFor(other Versions) (Delta, error) {
 	own := r.Versions()
 	d := Delta{Versions: own}
@@ -234,14 +250,18 @@
 }
 
 // addChanges adds to d what an instance with the given versions lacks: the entries that
-// changed after its list and, as far as they are still known, the removals since then.
+// changed after its list and, as far as they are still known, the removals since then. Entries
+// that are incomplete are not offered: others would take those missing for removed.
 func (t *Targets) addChanges(d *Delta, other Versions) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.incomplete {
+		return
+	}
 	d.Versions.AsOf, d.Versions.Digest = t.asOf, t.digest
 	for name, e := range t.entries {
 		if e.revision > other.AsOf {
-			d.Targets = append(d.Targets, TargetEntry{Name: name, Revision: e.revision, Target: e.target})
+			d.Targets = append(d.Targets, newTargetEntry(name, e))
 		}
 	}
 	slices.SortFunc(d.Targets, func(a, b TargetEntry) int { return cmp.Compare(a.Name, b.Name) })
@@ -263,9 +283,12 @@
 	}
 	if d.Versions.Digest == t.digest {
 		t.advance(d.Versions.AsOf)
+		t.incomplete = false
 		return
 	}
-	if !d.HasTargets() || d.Since > t.asOf {
+	// Changes since no list are for an instance that has none.
+	sinceNone := d.Since == 0 && len(d.NameHashes) == 0
+	if !d.HasTargets() || d.Since > t.asOf || sinceNone && t.asOf > 0 {
 		return
 	}
 	t.advance(d.Versions.AsOf)
@@ -276,10 +299,10 @@
 		t.deleteUnlisted(d, affected)
 	}
 	for _, e := range d.Entries() {
-		t.upsert(e, affected)
+		t.upsert(e.received(), affected)
 	}
 	t.publish(affected)
-	t.mergedAsOf = d.Versions.AsOf
+	t.mergedAsOf, t.incomplete = d.Versions.AsOf, d.More
 }
 
 // mergeRemovals deletes the entries with the given name hashes. The caller must hold t.mu.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -41,6 +41,8 @@
 	// LearntFrom is from whom this instance has the table.
 	LearntFrom Source
 	Limits     Limits
+	// Warnings tell what was bounded or ignored in the configuration.
+	Warnings []string
 	// KeysRequired is set if requests to rules that aren't public need a key.
 	KeysRequired bool
 	// organisations are sorted as in the configuration.
@@ -65,6 +67,9 @@
 	}
 	t.keys = newKeyIndex(t.organisations)
 	for _, s := range c.Services {
+		if problem := s.boundCold(); problem != "" {
+			t.Warnings = append(t.Warnings, problem)
+		}
 		t.services[s.Name] = s
 	}
 	for _, r := range c.Rules {
@@ -176,6 +181,16 @@
 // OrganisationOf returns the organisation that holds a key, or nil if none does.
 func (t *Table) OrganisationOf(key KeyDigest) *Organisation { return t.keys.find(key) }
 
+// OrganisationNamed returns the organisation with a name, or nil. It may have a Problem.
+func (t *Table) OrganisationNamed(name model.OrganisationName) *Organisation {
+	for i := range t.organisations {
+		if t.organisations[i].Name == name && name != "" {
+			return &t.organisations[i]
+		}
+	}
+	return nil
+}
+
 // Organisations returns the organisations of the configuration, those with a Problem
 // included. The slice must not be changed.
 func (t *Table) Organisations() []Organisation { return t.organisations }
