A shutdown awaits the first request of a connection that it has just accepted

The gateway stops to accept 2.3 s after SIGTERM and then closes idle connections. One that was accepted just before counted as idle, though its first request was on the way: it was read and thrown away while the closed connection lingered, and the caller learnt it 222 ms after the send.

Ruled out: the requests of kept connections, which get answers that close them; the end of the grace, which was 3 s later.

Change: a new connection has 0.5 s for its first request. A connection whose last answer was written longer ago than the time to linger closes at once, so that a request that crosses the close isn't read and its caller knows.

Test: TestShutdownAwaitsTheFirstRequestOfANewConnection fails before with "unexpected EOF".

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -57,10 +57,11 @@
 	previous *exchange
 	// writerDone is closed when the writing goroutine has ended.
 	writerDone chan struct{}
+	openedAt   time.Time
 
 	mu sync.Mutex
 	// openRequests is the number of requests that were read and not yet answered;
-	// idleSince is the time of the latest response.
+	// idleSince is the time of the latest response, zero before the first.
 	openRequests int
 	idleSince    time.Time
 	// streaming is open while a response is sent whose body can still break off, which ends
@@ -140,6 +141,7 @@
 		raw:        raw,
 		pending:    make(chan *exchange, maxPipelined),
 		writerDone: make(chan struct{}),
+		openedAt:   time.Now(),
 	}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -231,6 +232,31 @@
 	}
 }
 
+// TestShutdownAwaitsTheFirstRequestOfANewConnection guards against a shutdown that closes a
+// connection which was accepted just before, while its first request is on the way.
+func TestShutdownAwaitsTheFirstRequestOfANewConnection(t *testing.T) {
+	s, c := startServer(t, route.Limits{}, func(_ context.Context, r *Request) *Response {
+		return plainResponse(http.StatusOK, r.Path)
+	})
+	awaiting := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for opened := range s.conns {
+			return opened.awaitingRequest.Load()
+		}
+		return false
+	}
+	for !awaiting() {
+		runtime.Gosched()
+	}
+	s.Drain()
+	s.closeIdle()
+	send(t, c, get("/1"))
+	if response, _ := receive(t, bufio.NewReader(c)); response.StatusCode != http.StatusOK || !response.Close {
+		t.Errorf("status %d, closing %t, want a response that closes the connection", response.StatusCode, response.Close)
+	}
+}
+
 func TestIdleConnectionsCloseAfterTheTimeout(t *testing.T) {
 	_, c := startServer(t, route.Limits{IdleTimeout: time.Millisecond}, func(_ context.Context, r *Request) *Response {
 		return plainResponse(http.StatusOK, r.Path)
--- a/internal/httpserver/write.go
+++ b/internal/httpserver/write.go
@@ -12,9 +12,10 @@
 
 // closeGracefully closes the write side first and then discards input for a short time,
 // because closing with unread input would reset the connection and the caller could lose
-// the last response.
+// the last response. If that was written long ago, it closes at once: a caller that sends a
+// request at this moment learns that it wasn't read.
 func (c *conn) closeGracefully() {
-	if halfCloser, ok := c.raw.(interface{ CloseWrite() error }); ok && c.ctx.Err() == nil {
+	if halfCloser, ok := c.raw.(interface{ CloseWrite() error }); ok && c.ctx.Err() == nil && !c.isIdle(lingerTimeout) {
 		if halfCloser.CloseWrite() == nil {
 			_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
 			_, _ = io.CopyN(io.Discard, c.raw, maxLingerBytes)
@@ -138,10 +139,18 @@
 	_ = c.raw.SetReadDeadline(time.Now().Add(-time.Second))
 }
 
-// closeIdle closes the connection if no request is open and no byte of one has arrived.
+// firstRequestWait is how long a shutdown leaves a new connection open for its first request:
+// a caller opens one to send a request, which follows within a round trip.
+const firstRequestWait = 500 * time.Millisecond
+
+// closeIdle closes the connection if no request is open and no byte of one has arrived, unless
+// it is new and its first request may be on the way.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.idleSince.IsZero() && time.Since(c.openedAt) < firstRequestWait {
+		return
+	}
 	if c.openRequests == 0 && c.awaitingRequest.Load() {
 		c.closing = true
 		c.interruptRead()
