--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -109,9 +109,11 @@
 }
 
 func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *dispatch.Dispatcher {
+	picker := routing.NewProbingPicker(table, client, routing.Monotonic, probes, permits)
+	picker.InStages = s.Probes.PerTarget < settings.UsualProbesPerTarget
 	return dispatch.New(dispatch.Options{
 		Routes:      routes,
-		Picker:      routing.NewProbingPicker(table, client, routing.Monotonic, probes, permits),
+		Picker:      picker,
 		Upstream:    client,
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
@@ -187,6 +189,7 @@
 	// Targets change often: their watches are the cheaper ones, bounded by those of the routes.
 	targets.Consistency = replica.Eventual
 	targets.BatchDelay, targets.Relay = time.Duration(targetsBatchShare*float64(g.settings.DrainTimeout)), relay.targets
+	targets.StartFromRelay = true
 	runLoop(lc, targets.Run)
 	if local.Evacuations != nil {
 		g.followEvacuations(lc, local.Evacuations, relay)
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
@@ -30,6 +31,10 @@
 	state     *serviceState
 	limits    route.Limits
 	revision  model.Revision
+	// contended is set if requests of different priority compete for the service's targets.
+	contended bool
+	// durations are those from which the request's work is estimated.
+	durations *limit.LatencyWindow
 	caller    caller
 	// organisation is the one on whose behalf the request was sent, or nil.
 	organisation *route.Organisation
@@ -62,18 +67,12 @@
 	var lastFailure localReply
 	for {
 		var candidate routing.Candidate
-		reply := f.checkKey()
-		if reply == nil {
-			reply = f.checkQuarantine()
-		}
+		reply := firstReply(f.checkKey, f.checkQuarantine)
 		if reply == nil {
 			candidate, reply = f.selectTarget(workCtx, lastFailure)
 		}
 		if reply == nil {
-			reply = f.checkKey()
-		}
-		if reply == nil {
-			reply = f.checkShutdown()
+			reply = firstReply(f.checkKey, f.checkShutdown)
 		}
 		if reply != nil {
 			cancel()
@@ -91,6 +90,16 @@
 	}
 }
 
+// firstReply returns the first reply that one of the checks gives, or nil.
+func firstReply(checks ...func() *localReply) *localReply {
+	for _, check := range checks {
+		if reply := check(); reply != nil {
+			return reply
+		}
+	}
+	return nil
+}
+
 // deadlineContext returns the context of the attempts, which ends at the request's
 // deadline. For idempotent requests it also ends when the caller disconnects; other
 // requests may have started to run, and completing them is better than breaking them off.
--- a/internal/routing/probe_round.go
+++ b/internal/routing/probe_round.go
@@ -40,6 +40,9 @@
 		return r, nil
 	}
 	preferred, _, _ := p.splitByPreference(pool, req.Homes, req.Cold)
+	if p.InStages {
+		preferred = sample(preferred, firstStageProbes)
+	}
 	if req.Repeated && !p.budget.AllowN(time.Now(), len(preferred)) {
 		p.mu.Unlock()
 		return nil, &ProbeBudgetError{Service: req.Service}
