--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -36,6 +36,9 @@
 	// startWait is how long a gateway that starts waits for the list of a relay. Without one it
 	// lists the targets from the store, which takes about as long.
 	startWait = 800 * time.Millisecond
+	// nearStartWait is how long after its start a gateway follows only a relay of its region,
+	// which may have started at the same time and lists the targets first.
+	nearStartWait = 400 * time.Millisecond
 	// startPollInterval is the time between two looks at whether that list is complete.
 	startPollInterval = 10 * time.Millisecond
 	// lossTolerance is how long the changes may be missing after all relays said that they
@@ -73,11 +76,11 @@
 }
 
 // HandleAwaitChange handles peer.OpAwaitChange: it returns the changed targets, or a part of
-// them, the evacuations and the versions held as soon as these differ from the requester's,
-// newer routes are in force or the instance can no longer relay; without a change it does after
-// the wait asked for. A search gets the versions alone. It never sends routes: every peer reads
-// them from the store, because the same large document sent to all peers would fill the
-// instance's link.
+// them, the changed evacuations and the versions held as soon as these differ from the
+// requester's, newer routes are in force or the instance can no longer relay; without a change it
+// does after the wait asked for. A search gets the versions alone. It never sends routes: every
+// peer reads them from the store, because the same large document sent to all peers would fill
+// the instance's link.
 func (s *RelayServer) HandleAwaitChange(_ model.InstanceID, body []byte) (any, error) {
 	var req awaitRequest
 	if err := peer.Decode(body, &req); err != nil {
@@ -179,6 +182,9 @@
 	startedAt := time.Now()
 	for ctx.Err() == nil {
 		relay, found := c.nearestRelay(ctx)
+		if time.Since(startedAt) < nearStartWait {
+			found = found && relay.near
+		}
 		for found && ctx.Err() == nil {
 			relay, found = c.replaceRelay(ctx, relay, c.follow(ctx, relay))
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -199,8 +199,8 @@
 	}
 }
 
-// PartFor is like DeltaFor for targets and evacuations, of the targets at most a part of them if the other instance
-// accepts that.
+// PartFor is like DeltaFor without the routes, and with at most a part of the targets if the
+// other instance accepts that.
 func (r *Replica) PartFor(other Versions) (Delta, error) {
 	own := r.Versions()
 	d := Delta{Versions: own}
