Refuse waiting requests when keys become required

Cause: a request that was accepted under routes without organisations and sent under routes with them would have passed its key on to the target.

Change: the check before each send refuses it as not run.

Shown by TestKeysThatBecomeRequiredStopWaitingRequests, which failed before.

--- a/internal/dispatch/caller.go
+++ b/internal/dispatch/caller.go
@@ -51,11 +51,16 @@
 // have lost since they were confirmed, or nil. It is called right before each send, so that
 // all waits count.
 func (f *forwarder) checkKey() *localReply {
+	confirmed := f.d.Routes.Confirmed()
+	table := f.d.Routes.Current()
 	if f.organisation == nil {
+		if table.KeysRequired && !f.caller.keysRequired {
+			// It was accepted when no keys were needed, and its key would reach the target.
+			return &localReply{status: http.StatusServiceUnavailable, cause: CauseKeysUnconfirmed, retryAfter: minRetryAfter}
+		}
 		return nil
 	}
-	confirmed := f.d.Routes.Confirmed()
-	if table := f.d.Routes.Current(); table.Revision != f.revision && table.KeysRequired {
+	if table.Revision != f.revision && table.KeysRequired {
 		switch o := table.OrganisationOf(f.caller.key); {
 		case o == nil:
 			return &localReply{status: http.StatusUnauthorized, cause: CauseKeyUnknown}
--- a/internal/dispatch/caller_test.go
+++ b/internal/dispatch/caller_test.go
@@ -202,6 +202,19 @@
 	}
 }
 
+// TestKeysThatBecomeRequiredStopWaitingRequests checks that a request that was accepted when no
+// keys were needed is not sent with its key once they are.
+func TestKeysThatBecomeRequiredStopWaitingRequests(t *testing.T) {
+	f := newKeyedFixture(t, showsCaller)
+	open := keyedConfig(3, "org", "secret")
+	open.KeysRequired, open.Organisations = false, nil
+	f.applyRoutes(t, open)
+	f.Picker = &hookedPicker{Picker: f.picker, onPick: func() { f.applyRoutes(t, keyedConfig(4, "org", "secret")) }}
+	if got := f.sendAs("/a/", "", "Bearer secret"); got.Status != http.StatusServiceUnavailable || f.received[0].Load() > 0 {
+		t.Errorf("status %d", got.Status)
+	}
+}
+
 // TestRetriesStopWhenKeysAreWithdrawn checks that the reply to a request that may have run
 // doesn't promise that it did not.
 func TestRetriesStopWhenKeysAreWithdrawn(t *testing.T) {
