--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"redwingpoint.org/redwingpoint/internal/callers"
 	"redwingpoint.org/redwingpoint/internal/dispatch"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/peersync"
@@ -97,7 +99,9 @@
 			func(set *metrics.Set) *peersync.Permits { return newPermits(s, log, set) },
 			newQuotas,
 			func(set *metrics.Set, permits *peersync.Permits) *upstream.Client {
-				return newUpstreamClient(p, log, set, permits)
+				client := newUpstreamClient(p, log, set, permits)
+				client.MaxConnections = cmp.Or(s.CallerLimits.TargetConnections, callers.MaxTargetConnections(s.Machine.Descriptors))
+				return client
 			},
 			func() *quarantine.Registry { return new(quarantine.Registry) },
 			func() *rate.Limiter { return rate.NewLimiter(rate.Limit(s.Probes.PerSecond), s.Probes.Burst) },
@@ -110,9 +114,11 @@
 }
 
 func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits, quotas *peersync.Quotas) *dispatch.Dispatcher {
+	picker := routing.NewProbingPicker(table, client, routing.Monotonic, probes, permits)
+	picker.InStages = s.Probes.PerTarget < settings.UsualProbesPerTarget
 	return dispatch.New(dispatch.Options{
 		Routes:      routes,
-		Picker:      routing.NewProbingPicker(table, client, routing.Monotonic, probes, permits),
+		Picker:      picker,
 		Upstream:    client,
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
@@ -170,9 +176,10 @@
 // run registers the gateway's servers and background loops with the application.
 func (g *gateway) run(lc fx.Lifecycle) {
 	g.registerGauges()
-	serveHTTP(lc, g.log, g.settings.ReadinessAddr, http.HandlerFunc(g.serveReadiness), nil)
+	g.limitCallers()
+	g.serveAuxiliary(lc, g.settings.ReadinessAddr, g.serveReadiness)
 	if g.settings.MetricsAddr != "" {
-		serveHTTP(lc, g.log, g.settings.MetricsAddr, http.HandlerFunc(g.serveMetrics), nil)
+		g.serveAuxiliary(lc, g.settings.MetricsAddr, g.inspectionHandler().ServeHTTP)
 	}
 	local := &replica.Replica{
 		Routes:  &replica.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"redwingpoint.org/redwingpoint/internal/callers"
 	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
@@ -96,7 +97,7 @@
 	var out []routing.Candidate
 	for _, e := range p.endpoints {
 		if !slices.Contains(req.Exclude, e.Target.ID) {
-			out = append(out, routing.Candidate{Endpoint: e, Estimate: routing.Estimate{HasFreeSlot: !p.full}})
+			out = append(out, routing.Candidate{Endpoint: e, Report: routing.LoadReport{Slots: 6}, Estimate: routing.Estimate{HasFreeSlot: !p.full}})
 		}
 	}
 	if len(out) == 0 {
@@ -110,6 +111,8 @@
 	*Dispatcher
 	picker   *orderedPicker
 	received []*atomic.Int32
+	// account is that of the caller's connection, or nil.
+	account *callers.Account
 }
 
 func newFixture(t *testing.T, class model.Class, behaviors ...http.HandlerFunc) *fixture {
--- a/internal/routing/probe_round.go
+++ b/internal/routing/probe_round.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"redwingpoint.org/redwingpoint/internal/contain"
 	"redwingpoint.org/redwingpoint/internal/model"
 )
 
@@ -40,6 +41,9 @@
 		return r, nil
 	}
 	preferred, _, _ := p.splitByPreference(pool, req.Homes, req.Cold)
+	if p.InStages {
+		preferred = sample(preferred, firstStageProbes)
+	}
 	if req.Repeated && !p.budget.AllowN(time.Now(), len(preferred)) {
 		p.mu.Unlock()
 		return nil, &ProbeBudgetError{Service: req.Service}
@@ -115,7 +119,10 @@
 	results := make(chan probeResult, len(list))
 	ctx = context.WithoutCancel(ctx)
 	for _, e := range list {
-		go func() { results <- p.probe(ctx, e, path) }()
+		go func() {
+			defer contain.Panic("probe", string(e.Target.ID), nil)
+			results <- p.probe(ctx, e, path)
+		}()
 	}
 	received := make([]probeResult, 0, len(list))
 	timer := time.NewTimer(wait)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -45,6 +45,20 @@
 	// until its targets are out of use. Zero means that such requests aren't followed.
 	EvacuationTimeout time.Duration `yaml:"evacuation" range:"0s..1m"`
 	Machine           Machine       `yaml:"machine"`
+	CallerLimits      CallerLimits  `yaml:"callerLimits"`
+}
+
+// CallerLimits bounds what the process holds for its callers. Zero fields follow from Machine.
+type CallerLimits struct {
+	// MemoryMB is in megabytes (10^6 bytes).
+	MemoryMB int `yaml:"memoryMB" range:"0..16777216"`
+	// Connections is the number of connections of callers, Exchanges that of requests that are
+	// at targets or wait for one, TargetConnections that of connections to targets, and
+	// PeerLinks that of connections that other gateways have opened.
+	Connections       int `yaml:"connections" range:"0..16777216"`
+	Exchanges         int `yaml:"exchanges" range:"0..16777216"`
+	TargetConnections int `yaml:"targetConnections" range:"0..16777216"`
+	PeerLinks         int `yaml:"peerLinks" range:"0..16777216"`
 }
 
 // Keys configures how withdrawn keys take effect.
@@ -106,8 +120,15 @@
 	PerSecond int `yaml:"perSecond" range:"1..100000"`
 	// Burst is the number of probes that may be sent at once after a pause.
 	Burst int `yaml:"burst" range:"8..100000"`
+	// PerTarget is the number of probes per second and target that the platform allows all
+	// instances together. Below UsualProbesPerTarget, targets are probed in stages.
+	PerTarget float64 `yaml:"perTarget" range:"1..100000"`
 }
 
+// UsualProbesPerTarget is the Probes.PerTarget at which eight probes for each request are
+// affordable. It is what platforms usually allow.
+const UsualProbesPerTarget = 60
+
 const (
 	// defaultProbeRate results in 30 probes per target and second in a fleet with two
 	// targets per instance. The platform allows 60 on the average of a day.
@@ -140,7 +161,7 @@
 func DefaultGateway() *Gateway {
 	return &Gateway{
 		RetryBudget:   RetryBudget{Share: defaultRetryShare, Burst: defaultRetryBurst},
-		Probes:        Probes{PerSecond: defaultProbeRate, Burst: defaultProbeBurst},
+		Probes:        Probes{PerSecond: defaultProbeRate, Burst: defaultProbeBurst, PerTarget: UsualProbesPerTarget},
 		SettleTimeout: defaultSettleTimeout,
 		DrainTimeout:  defaultDrainTimeout,
 		ShutdownGrace: defaultShutdownGrace,
