Ask the seed of the own region before connecting to others

Cause: at its start each gateway connected to all seeds, twice across regions, to find out which of them is near: 6.5 kB for each handshake, and while no relay is ready a search at each of them every 0.1 s.

Change: a datagram of 96 B and its answer tell where a seed runs, without a connection. The seed of the own region is asked 60 ms before the others, in the first 5 s after a start alone while it responds. The time of a whole search stays. The answer isn't authenticated and decides nothing but whom to ask first; it is as long as the question, so a forged sender gains nothing.

Weighed: the order of addresses (tells nothing of regions), asking one seed for the others' places (a handshake across regions for two in three).

--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -68,7 +68,8 @@
 	})
 	runLoop(lc, s.Run)
 	marks := peersync.NewMarkExchange(g.quarantine, transport, otherSeeds, isSeed, g.log)
-	marks.Region = g.settings.Location.Region
+	vicinity := &peersync.Vicinity{Locator: transport, Seeds: otherSeeds, Region: g.settings.Location.Region}
+	marks.Region, marks.Vicinity = vicinity.Region, vicinity
 	g.quarantine.Isolated = marks.Isolated
 	g.quarantine.OnQuarantine = g.logQuarantine
 	transport.Handle(peer.OpExchangeMarks, marks.HandleExchange)
@@ -82,7 +83,7 @@
 		return peerRelay{isRelay: true}
 	}
 	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds,
-		Region: g.settings.Location.Region, Log: g.log}
+		Region: vicinity.Region, Vicinity: vicinity, Log: g.log}
 	if within := g.settings.Keys.WithdrawWithin; within > 0 {
 		client.HoldRequests = min(peersync.AwaitWait, time.Duration(relayHoldShare*float64(within)))
 		client.MaxConfirmationAge = time.Duration(confirmSelfShare * float64(within))
@@ -137,6 +138,7 @@
 		MaxLinks:    maxSyncLinks,
 		IdleTimeout: syncIdleTimeout,
 		OnExchange:  g.countExchange,
+		Location:    g.settings.Location,
 	})
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -80,6 +80,14 @@
 	return nil
 }
 
+// DecodeFirst is like Decode for a message that other bytes may follow.
+func DecodeFirst(raw []byte, message any) error {
+	if _, err := decoder.UnmarshalFirst(raw, message); err != nil {
+		return &CodecError{Op: "decode", Cause: err}
+	}
+	return nil
+}
+
 // WriteFrame writes a message as a frame: its length, a big-endian uint32, followed by
 // its CBOR encoding. It returns *CodecError, *FrameSizeError for a message above
 // MaxFrameBytes, or the error of the writer.
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -95,6 +95,8 @@
 	OnSend func(bytes int)
 	// OnExchange, if set, is called concurrently after each request, made or served.
 	OnExchange func(Exchange)
+	// Location is where this instance runs, which Locate tells others.
+	Location model.Location
 	// MaxLinks is the number of connections from which no more are accepted from peers.
 	// Connections that this instance dials are not limited.
 	MaxLinks int
@@ -126,6 +128,8 @@
 	mu       sync.Mutex
 	links    map[model.InstanceID]*conn
 	handlers map[Op]RequestHandler
+	// locating holds the calls of Locate that wait for an answer, by address.
+	locating map[string][]chan model.Location
 }
 
 // conn is an authenticated connection to a peer.
@@ -157,6 +161,7 @@
 		socket:   &countingPacketConn{PacketConn: socket, onSend: o.OnSend},
 		links:    make(map[model.InstanceID]*conn),
 		handlers: make(map[Op]RequestHandler),
+		locating: make(map[string][]chan model.Location),
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.quic = &quic.Transport{Conn: t.socket}
@@ -219,7 +224,8 @@
 
 // Start starts accepting connections.
 func (t *Transport) Start() {
-	t.goroutines.Add(1)
+	t.goroutines.Add(2)
+	go t.answerLocate()
 	go func() {
 		defer t.goroutines.Done()
 		for {
--- a/internal/peersync/marks.go
+++ b/internal/peersync/marks.go
@@ -68,7 +68,9 @@
 	IsSeed bool
 	// Region is that of this instance; a seed in it is preferred.
 	Region model.Region
-	Log    *zap.Logger
+	// Vicinity, if set, finds the seed in the own region, which is asked before the others.
+	Vicinity *Vicinity
+	Log      *zap.Logger
 
 	run       uint64
 	startedAt time.Time
@@ -170,6 +172,13 @@
 	if len(seeds) == 1 {
 		return seeds[0], true
 	}
+	if addr, known := e.Vicinity.Near(ctx); known {
+		if s := seedAt(seeds, addr); s != nil {
+			if resp, err := s.call(ctx, 0); err == nil && !resp.Alone {
+				return s, true
+			}
+		}
+	}
 	type answer struct {
 		seed *seedMarks
 		resp marksResponse
@@ -206,3 +215,13 @@
 	}
 	return cmp.Or(far, alone), false
 }
+
+// seedAt returns the seed at an address, or nil.
+func seedAt(seeds []*seedMarks, addr string) *seedMarks {
+	for _, s := range seeds {
+		if s.addr == addr {
+			return s
+		}
+	}
+	return nil
+}
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -39,6 +39,9 @@
 	// nearStartWait is how long after its start a gateway follows only a relay of its region,
 	// which may have started at the same time and lists the targets first.
 	nearStartWait = 400 * time.Millisecond
+	// startPatience is how long after its start a gateway waits for a relay of its region that
+	// answers, but isn't ready: meanwhile the store is read.
+	startPatience = 5 * time.Second
 	// startPollInterval is the time between two looks at whether that list is complete.
 	startPollInterval = 10 * time.Millisecond
 	// lossTolerance is how long the changes may be missing after all relays said that they
@@ -126,7 +129,9 @@
 	Seeds []string
 	// Region is that of this instance; a relay in it is preferred.
 	Region model.Region
-	Log    *zap.Logger
+	// Vicinity, if set, finds the seed in the own region, which is asked before the others.
+	Vicinity *Vicinity
+	Log      *zap.Logger
 	// HoldRequests is how long a relay may hold a request without a change; zero means
 	// AwaitWait.
 	HoldRequests time.Duration
@@ -181,7 +186,7 @@
 func (c *RelayClient) Run(ctx context.Context) {
 	startedAt := time.Now()
 	for ctx.Err() == nil {
-		relay, found := c.nearestRelay(ctx)
+		relay, found := c.nearestRelay(ctx, time.Since(startedAt))
 		if time.Since(startedAt) < nearStartWait {
 			found = found && relay.near
 		}
@@ -190,7 +195,7 @@
 		}
 		c.setLost()
 		pause := c.idleInterval()
-		if time.Since(startedAt) < startWait {
+		if time.Since(startedAt) < nearStartWait {
 			pause = searchInterval
 		}
 		wait.For(ctx, pause)
@@ -212,55 +217,81 @@
 	if end == relaySlow {
 		return foundRelay{}, false
 	}
-	next, found = c.nearestRelay(ctx)
+	next, found = c.nearestRelay(ctx, startPatience)
 	if found || end != relayLostStore {
 		return next, found
 	}
 	for until := time.Now().Add(lossTolerance); time.Now().Before(until) && ctx.Err() == nil; {
 		wait.For(ctx, searchInterval)
-		if near, relaying := c.askRelay(ctx, last.addr); relaying {
-			return foundRelay{last.addr, near}, true
+		if a := c.askRelay(ctx, last.addr); a.relaying {
+			return a.foundRelay, true
 		}
 	}
-	return c.nearestRelay(ctx)
+	return c.nearestRelay(ctx, startPatience)
 }
 
 // nearestRelay returns the seed that follows the store and responds first, one in the own
-// region if any of them responds within searchTimeout.
-func (c *RelayClient) nearestRelay(ctx context.Context) (nearest foundRelay, found bool) {
-	relays := make(chan foundRelay, len(c.Seeds))
+// region if any of them responds within searchTimeout. The instance has been up for the given
+// time: soon after a start the others are not asked while the one in the region responds.
+func (c *RelayClient) nearestRelay(ctx context.Context, up time.Duration) (nearest foundRelay, found bool) {
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	answers := make(chan relayAnswer, len(c.Seeds))
 	var calls sync.WaitGroup
-	for _, addr := range c.Seeds {
-		calls.Go(func() {
-			if near, relaying := c.askRelay(ctx, addr); relaying {
-				relays <- foundRelay{addr, near}
+	// The slower calls go on, so that their connections stay open for a later search.
+	defer func() { go func() { calls.Wait(); cancel() }() }()
+	ask := func(addr string) { calls.Go(func() { answers <- c.askRelay(ctx, addr) }) }
+	asked, nearSeed := 0, ""
+	if near, known := c.Vicinity.Near(ctx); known {
+		nearSeed = near
+		ask(near)
+		select {
+		case a := <-answers:
+			if a.relaying || (a.responds && up < startPatience) {
+				return a.foundRelay, a.relaying
 			}
-		})
+		case <-time.After(nearHeadStart):
+			asked++
+		}
 	}
-	go func() { calls.Wait(); close(relays) }()
-	// The slower calls go on, so that their connections stay open for a later search.
-	for r := range relays {
-		if r.near {
-			return r, true
+	if up < nearStartWait && nearSeed != "" {
+		return foundRelay{}, false
+	}
+	for _, addr := range c.Seeds {
+		if addr != nearSeed {
+			ask(addr)
+			asked++
 		}
-		if !found {
-			nearest, found = r, true
+	}
+	for range asked {
+		a := <-answers
+		switch {
+		case a.relaying && a.near:
+			return a.foundRelay, true
+		case a.relaying && !found:
+			nearest, found = a.foundRelay, true
 		}
 	}
 	return nearest, found
 }
 
-// askRelay reports whether a seed responds and follows the store, and whether it runs in the
-// own region.
-func (c *RelayClient) askRelay(ctx context.Context, addr string) (near, relaying bool) {
+// relayAnswer is what a seed said to a search.
+type relayAnswer struct {
+	foundRelay
+	// responds is set if it responded, relaying if it follows the store too.
+	responds, relaying bool
+}
+
+// askRelay asks a seed whether it follows the store and where it runs.
+func (c *RelayClient) askRelay(ctx context.Context, addr string) relayAnswer {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
 	var remote replica.Delta
 	_, err := c.Transport.CallAddr(ctx, addr, peer.OpAwaitChange, awaitRequest{Versions: c.Replica.Versions(), Search: true}, &remote)
-	if err != nil || !remote.Versions.Current {
-		return false, false
+	if err != nil {
+		return relayAnswer{foundRelay: foundRelay{addr: addr}}
 	}
-	return remote.Location != nil && remote.Location.Region == c.Region, true
+	near := remote.Location != nil && remote.Location.Region == c.Region
+	return relayAnswer{foundRelay{addr, near}, true, remote.Versions.Current}
 }
 
 // searchNear searches for a relay in the own region at random intervals and passes the first
@@ -268,7 +299,7 @@
 func (c *RelayClient) searchNear(ctx context.Context, found chan<- foundRelay) {
 	for ctx.Err() == nil {
 		wait.For(ctx, returnInterval*3/4+rand.N(returnInterval/2))
-		if relay, _ := c.nearestRelay(ctx); relay.near {
+		if relay, _ := c.nearestRelay(ctx, startPatience); relay.near {
 			found <- relay
 			return
 		}
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -309,6 +309,22 @@
 	}
 }
 
+// Locate implements Locator.
+func (n nodeTransport) Locate(ctx context.Context, addr string) (model.Location, bool) {
+	n.mu.Lock()
+	to := n.nodes[addr]
+	silent := to == nil || to.silent
+	n.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return model.Location{}, false
+	}
+	distance := n.from.location.DistanceTo(to.location)
+	n.carry(nil, 0, distance)
+	n.carry(nil, 0, distance)
+	return to.location, true
+}
+
 func (n *relayNetwork) silence(addr string, silent bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -394,6 +410,9 @@
 		}
 	} else {
 		node.client = &RelayClient{Replica: node.replica, OnMerge: func() { n.countMerge(node) }, Transport: nodeTransport{n, node}, Seeds: seeds, Region: at.Region, Log: zap.NewNop()}
+		if at.Region != "" {
+			node.client.Vicinity = &Vicinity{Locator: nodeTransport{n, node}, Seeds: seeds, Region: at.Region}
+		}
 		if n.withdrawWithin > 0 {
 			node.client.HoldRequests, node.client.MaxConfirmationAge = n.withdrawWithin*12/100, n.withdrawWithin/2
 			routes.WatchWait = n.withdrawWithin * 18 / 100
@@ -837,3 +856,29 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestSeedOfTheOwnRegionIsAskedFirst guards against a fleet that starts and whose instances each
+// connect to all seeds, of which two are in other regions.
+func TestSeedOfTheOwnRegionIsAskedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newRelayStore(660)
+		n := &relayNetwork{nodes: make(map[string]*relayNode)}
+		n.startAt(ctx, store, "seed-far", model.Location{Region: "there"})
+		n.startAt(ctx, store, "seed-near", model.Location{Region: "here"})
+		time.Sleep(time.Second)
+		node := n.startAt(ctx, store, "node", model.Location{Region: "here"}, "seed-far", "seed-near")
+		time.Sleep(time.Minute)
+		// A question for the location and its answer.
+		if sent := n.sent[model.OtherRegion]; sent > 2*packetOverhead || !node.client.Relayed() {
+			t.Errorf("%d B between regions, relayed: %v", sent, node.client.Relayed())
+		}
+		n.silence("seed-near", true)
+		time.Sleep(AwaitWait + exchangeTimeout + searchTimeout)
+		if !node.client.Relayed() || n.sent[model.OtherRegion] < 500 {
+			t.Error("the relay of the other region is not followed")
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
