--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
@@ -29,6 +30,9 @@
 	// a target is chosen. A larger body is streamed; it is not sent again once an attempt
 	// has read from it.
 	maxBufferedBody = 512 << 10
+	// firstBodyBuffer is the size in bytes of the first buffer for a body, unless the body is
+	// smaller. It doubles as the body arrives.
+	firstBodyBuffer = 16 << 10
 	// maxReuseIdle is the longest idle time after which a connection is reused for a
 	// request. Targets close idle connections after 10 s or after the timeout that they
 	// announce.
@@ -63,6 +67,16 @@
 	ReportResponse(f quarantine.Fingerprint)
 }
 
+// Quotas grants requests of organisations; *peersync.Quotas implements it. Implementations
+// must be safe for concurrent use.
+type Quotas interface {
+	// Check returns *limit.QuotaExceededError if the quota is known to be used up, or nil.
+	Check(organisation model.OrganisationName) error
+	// Acquire takes a permit for one request. The error is *limit.QuotaExceededError,
+	// *limit.QuotaUnknownError or that of ctx.
+	Acquire(ctx context.Context, organisation model.OrganisationName, quota limit.Quota) (limit.QuotaPermit, error)
+}
+
 // Options are the dependencies and settings of a Dispatcher.
 type Options struct {
 	Routes      *route.Holder
@@ -71,6 +85,8 @@
 	Protocol    *upstream.Protocol
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
+	// Quotas grants requests of organisations that have a quota; nil grants all.
+	Quotas Quotas
 	// Regions are those that exist; homes elsewhere don't count. None means that they
 	// aren't known and all homes count.
 	Regions map[model.Region]bool
@@ -216,6 +232,8 @@
 		rule:              rule,
 		service:           table.Service(name),
 		state:             d.serviceStates.get(name),
+		contended:         table.Contended(name),
+		durations:         d.serviceStates.get(name).durations(rule, table.Contended(name)),
 		limits:            table.Limits,
 		revision:          table.Revision,
 		objectiveDeadline: r.ReceivedAt.Add(rule.Objective),
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -50,6 +50,8 @@
 	keys          keyIndex
 	hosts         map[string][]*Rule
 	services      map[model.ServiceName]Service
+	// contended holds the services for which requests of different priority compete.
+	contended map[model.ServiceName]bool
 }
 
 // NewTable validates a configuration and builds its table. It takes ownership of the
@@ -81,9 +83,31 @@
 	for _, rules := range t.hosts {
 		slices.SortStableFunc(rules, compareByPrefixLength)
 	}
+	t.contended = contendedServices(c)
 	return t, nil
 }
 
+// contendedServices returns the services to which requests of different priority go: by
+// their rules, or because organisations set it.
+func contendedServices(c Config) map[model.ServiceName]bool {
+	byOrganisation := slices.ContainsFunc(c.Organisations, func(o Organisation) bool { return o.Priority != nil })
+	priorities := make(map[model.ServiceName]int)
+	contended := make(map[model.ServiceName]bool)
+	for _, r := range c.Rules {
+		for _, b := range r.Backends {
+			known, seen := priorities[b.Service]
+			priorities[b.Service] = r.Priority
+			if byOrganisation || seen && known != r.Priority {
+				contended[b.Service] = true
+			}
+		}
+	}
+	return contended
+}
+
+// Contended reports whether requests of different priority compete for a service's targets.
+func (t *Table) Contended(name model.ServiceName) bool { return t.contended[name] }
+
 func compareByPrefixLength(a, b *Rule) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) }
 
 // validate returns a description of what is wrong with a rule, or "" if it is valid.
@@ -157,6 +181,16 @@
 // OrganisationOf returns the organisation that holds a key, or nil if none does.
 func (t *Table) OrganisationOf(key KeyDigest) *Organisation { return t.keys.find(key) }
 
+// OrganisationNamed returns the organisation with a name, or nil. It may have a Problem.
+func (t *Table) OrganisationNamed(name model.OrganisationName) *Organisation {
+	for i := range t.organisations {
+		if t.organisations[i].Name == name && name != "" {
+			return &t.organisations[i]
+		}
+	}
+	return nil
+}
+
 // Organisations returns the organisations of the configuration, those with a Problem
 // included. The slice must not be changed.
 func (t *Table) Organisations() []Organisation { return t.organisations }
