--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -36,6 +36,9 @@
 	// startWait is how long a gateway that starts waits for the list of a relay. Without one it
 	// lists the targets from the store, which takes about as long.
 	startWait = 800 * time.Millisecond
+	// maxStartWait is how long it waits while a relay of its region responds that isn't ready yet,
+	// such as when the whole fleet starts: lists of all gateways would fill the store's link.
+	maxStartWait = 2 * time.Second
 	// nearStartWait is how long after its start a gateway follows only a relay of its region,
 	// which may have started at the same time and lists the targets first.
 	nearStartWait = 400 * time.Millisecond
@@ -144,6 +147,8 @@
 	mu sync.Mutex
 	// listed is set once all targets of a relay were received.
 	listed bool
+	// nearStartingAt is when a relay of the own region responded last that wasn't ready.
+	nearStartingAt time.Time
 	// current is set while a relay that follows the store answers, and also while its
 	// replacement is looked for.
 	current bool
@@ -195,7 +200,7 @@
 		}
 		c.setLost()
 		pause := c.idleInterval()
-		if time.Since(startedAt) < nearStartWait {
+		if up := time.Since(startedAt); up < nearStartWait || (up < maxStartWait && c.isNearStarting()) {
 			pause = searchInterval
 		}
 		wait.For(ctx, pause)
@@ -291,6 +296,11 @@
 		return relayAnswer{foundRelay: foundRelay{addr: addr}}
 	}
 	near := remote.Location != nil && remote.Location.Region == c.Region
+	if near && !remote.Versions.Current {
+		c.mu.Lock()
+		c.nearStartingAt = time.Now()
+		c.mu.Unlock()
+	}
 	return relayAnswer{foundRelay{addr, near}, true, remote.Versions.Current}
 }
 
@@ -436,6 +446,13 @@
 	return c.current
 }
 
+// isNearStarting reports whether a relay of the own region responds, but isn't ready.
+func (c *RelayClient) isNearStarting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.nearStartingAt.IsZero() && time.Since(c.nearStartingAt) < searchTimeout+searchInterval
+}
+
 // hasListed reports whether all targets of a relay were received.
 func (c *RelayClient) hasListed() bool {
 	c.mu.Lock()
@@ -467,12 +484,14 @@
 	if w.evacuations {
 		return w.AwaitReturn(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, startWait)
-	defer cancel()
+	startedAt := time.Now()
 	for ctx.Err() == nil {
 		if w.client.hasListed() {
 			return true
 		}
+		if up := time.Since(startedAt); up >= maxStartWait || (up >= startWait && !w.client.isNearStarting()) {
+			return false
+		}
 		wait.For(ctx, startPollInterval)
 	}
 	return false
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -188,6 +188,8 @@
 type relayNetwork struct {
 	mu    sync.Mutex
 	nodes map[string]*relayNode
+	// relaysFrom is when relays are ready at the earliest.
+	relaysFrom time.Time
 	// batchDelay is that of the nodes' followers of the store.
 	batchDelay time.Duration
 	// linkBytes is what a node's link sends in a second; zero means any number.
@@ -337,6 +339,13 @@
 	node.merged++
 }
 
+// sentOver returns the bytes sent so far over a distance.
+func (n *relayNetwork) sentOver(d model.Distance) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent[d]
+}
+
 func (n *relayNetwork) setDelay(addr string, delay time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -401,7 +410,9 @@
 	routes.Consistency = replica.Strong
 	if len(seeds) == 0 {
 		node.server = &RelayServer{Replica: node.replica, Location: at}
-		node.replica.Current = func() bool { return node.replica.Routes.Holder.Current() != nil && !node.breaker.Open() }
+		node.replica.Current = func() bool {
+			return node.replica.Routes.Holder.Current() != nil && !node.breaker.Open() && !time.Now().Before(n.relaysFrom)
+		}
 		node.replica.Routes.OnChange, node.replica.Targets.OnChange = node.replica.NotifyChanged, node.replica.NotifyChanged
 		node.breaker.OnOpen = node.replica.NotifyChanged
 		routes.WatchWait, targets.WatchWait = RelayWatchWait, RelayWatchWait
@@ -715,14 +726,10 @@
 		n.setDelay("seed-near", 0)
 		check := func(what string, far bool) {
 			t.Helper()
-			n.mu.Lock()
-			before := n.sent[model.OtherRegion]
-			n.mu.Unlock()
+			before := n.sentOver(model.OtherRegion)
 			time.Sleep(10 * time.Second)
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			if followed := n.sent[model.OtherRegion]-before > 2000; followed != far {
-				t.Errorf("%s: %d B between regions in 10 s", what, n.sent[model.OtherRegion]-before)
+			if sent := n.sentOver(model.OtherRegion) - before; (sent > 2000) != far {
+				t.Errorf("%s: %d B between regions in 10 s", what, sent)
 			}
 		}
 		check("both relays respond", false)
@@ -849,8 +856,8 @@
 		if own, relay := node.replica.Versions(), n.nodes["seed-near"].replica.Versions(); own.Digest != relay.Digest {
 			t.Errorf("the instance holds %+v, the relay %+v", own, relay)
 		}
-		if lists, _ := store.takeCalls("node"); lists != 1 || n.sent[model.OtherRegion] > 3000 {
-			t.Errorf("%d lists from the store, %d B between regions", lists, n.sent[model.OtherRegion])
+		if lists, _ := store.takeCalls("node"); lists != 1 || n.sentOver(model.OtherRegion) > 3000 {
+			t.Errorf("%d lists from the store, %d B between regions", lists, n.sentOver(model.OtherRegion))
 		}
 		cancel()
 		time.Sleep(10 * time.Second)
@@ -870,15 +877,36 @@
 		node := n.startAt(ctx, store, "node", model.Location{Region: "here"}, "seed-far", "seed-near")
 		time.Sleep(time.Minute)
 		// A question for the location and its answer.
-		if sent := n.sent[model.OtherRegion]; sent > 2*packetOverhead || !node.client.Relayed() {
+		if sent := n.sentOver(model.OtherRegion); sent > 2*packetOverhead || !node.client.Relayed() {
 			t.Errorf("%d B between regions, relayed: %v", sent, node.client.Relayed())
 		}
 		n.silence("seed-near", true)
 		time.Sleep(AwaitWait + exchangeTimeout + searchTimeout)
-		if !node.client.Relayed() || n.sent[model.OtherRegion] < 500 {
+		if !node.client.Relayed() || n.sentOver(model.OtherRegion) < 500 {
 			t.Error("the relay of the other region is not followed")
 		}
 		cancel()
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestStartOfAFleetSparesTheStore guards against lists of all gateways that fill the store's
+// link, so that the relays, which started at the same time, get theirs late: while the relay
+// responds, its list is waited for.
+func TestStartOfAFleetSparesTheStore(t *testing.T) {
+	for readyAfter, lists := range map[time.Duration]int{startWait * 3 / 2: 1, maxStartWait * 3 / 2: 2} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			store := newRelayStore(660)
+			n := &relayNetwork{nodes: make(map[string]*relayNode), relaysFrom: time.Now().Add(readyAfter)}
+			n.startAt(ctx, store, "seed-near", model.Location{Region: "here"})
+			n.startAt(ctx, store, "node", model.Location{Region: "here"}, "seed-near")
+			time.Sleep(2 * maxStartWait)
+			if got, _ := store.takeCalls("node"); got != lists {
+				t.Errorf("the relay is ready after %v: %d lists from the store, want %d", readyAfter, got, lists)
+			}
+			cancel()
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
