--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -72,7 +72,8 @@
 	})
 	runLoop(lc, s.Run)
 	marks := peersync.NewMarkExchange(g.quarantine, transport, otherSeeds, isSeed, g.log)
-	marks.Region = g.settings.Location.Region
+	vicinity := &peersync.Vicinity{Locator: transport, Seeds: otherSeeds, Region: g.settings.Location.Region}
+	marks.Region, marks.Vicinity = vicinity.Region, vicinity
 	g.quarantine.Isolated = marks.Isolated
 	g.quarantine.OnQuarantine = g.logQuarantine
 	transport.Handle(peer.OpExchangeMarks, marks.HandleExchange)
@@ -87,7 +88,7 @@
 		return peerRelay{isRelay: true}
 	}
 	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds,
-		Region: g.settings.Location.Region, Demanded: g.dispatcher.Demanded(), Log: g.log}
+		Region: vicinity.Region, Vicinity: vicinity, Demanded: g.dispatcher.Demanded(), Log: g.log}
 	g.quotas.Nearest = client.LatestRelay
 	if within := g.settings.Keys.WithdrawWithin; within > 0 {
 		client.HoldRequests = min(peersync.AwaitWait, time.Duration(relayHoldShare*float64(within)))
@@ -165,6 +166,7 @@
 		MaxLinks:    cmp.Or(g.settings.CallerLimits.PeerLinks, callers.MaxPeerLinks(g.settings.Machine.MemoryMB, maxSyncLinks)),
 		IdleTimeout: syncIdleTimeout,
 		OnExchange:  g.countExchange,
+		Location:    g.settings.Location,
 	})
 }
 
