--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -122,7 +122,7 @@
 		f.d.Log.Info("target declined", f.logFields(zap.Object("target", candidateFields(c)), zap.Int("status", result.Status))...)
 		return outcome{retryable: f.mayResendBody(), reply: localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsDeclined, retryAfter: busyRetryAfter}}
 	}
-	f.mayHaveRun = true
+	f.mayHaveRun, f.permit = true, nil
 	return f.receiveResponse(ctx, cancel, c, result, deciding.startedAt)
 }
 
@@ -134,6 +134,7 @@
 		return outcome{retryable: f.mayResendBody(), budgetExempt: true, reply: reply}
 	}
 	f.deliveries++
+	f.permit = nil
 	if f.stream != nil {
 		switch bodyErr := f.stream.err(); {
 		case exceedsBodyLimit(bodyErr):
@@ -223,7 +224,14 @@
 		cancel()
 	} else {
 		response.ContentLength = result.ContentLength
-		response.Remainder = &trackedBody{ReadCloser: result.Body, onClose: func() { c.Endpoint.Load.End(); cancel() }}
+		response.OnBroken = func(err error) *httpserver.Response {
+			return f.sendLocalReply(f.unknownOutcomeReply(f.recordFailure(ctx, c, err).Reason))
+		}
+		response.Remainder = &trackedBody{ReadCloser: result.Body, onClose: func() {
+			c.Endpoint.Load.End()
+			cancel()
+			f.inbound.Account.EndExchange()
+		}}
 	}
 	f.observe(c, elapsed)
 	f.logResponse(c, response, elapsed)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -8,12 +8,14 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/httpserver"
+	"redwingpoint.org/redwingpoint/internal/limit"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
 	"redwingpoint.org/redwingpoint/internal/route"
@@ -29,6 +31,9 @@
 	// a target is chosen. A larger body is streamed; it is not sent again once an attempt
 	// has read from it.
 	maxBufferedBody = 512 << 10
+	// firstBodyBuffer is the size in bytes of the first buffer for a body, unless the body is
+	// smaller. It doubles as the body arrives.
+	firstBodyBuffer = 16 << 10
 	// maxReuseIdle is the longest idle time after which a connection is reused for a
 	// request. Targets close idle connections after 10 s or after the timeout that they
 	// announce.
@@ -63,6 +68,16 @@
 	ReportResponse(f quarantine.Fingerprint)
 }
 
+// Quotas grants requests of organisations; *peersync.Quotas implements it. Implementations
+// must be safe for concurrent use.
+type Quotas interface {
+	// Check returns *limit.QuotaExceededError if the quota is known to be used up, or nil.
+	Check(organisation model.OrganisationName) error
+	// Acquire takes a permit for one request. The error is *limit.QuotaExceededError,
+	// *limit.QuotaUnknownError or that of ctx.
+	Acquire(ctx context.Context, organisation model.OrganisationName, quota limit.Quota) (limit.QuotaPermit, error)
+}
+
 // Options are the dependencies and settings of a Dispatcher.
 type Options struct {
 	Routes      *route.Holder
@@ -71,6 +86,8 @@
 	Protocol    *upstream.Protocol
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
+	// Quotas grants requests of organisations that have a quota; nil grants all.
+	Quotas Quotas
 	// Regions are those that exist; homes elsewhere don't count. None means that they
 	// aren't known and all homes count.
 	Regions map[model.Region]bool
@@ -86,6 +103,9 @@
 type Dispatcher struct {
 	Options
 	serviceStates serviceStates
+	// demanded is closed when the first request arrives.
+	demanded   chan struct{}
+	demandOnce sync.Once
 	// shutdown is set once the shutdown has started.
 	shutdown atomic.Pointer[shutdownTimes]
 }
@@ -99,7 +119,7 @@
 
 // New returns a Dispatcher. The retry budget of each service starts empty.
 func New(o Options) *Dispatcher {
-	d := &Dispatcher{Options: o}
+	d := &Dispatcher{Options: o, demanded: make(chan struct{})}
 	d.serviceStates.burst = o.RetryBudget.Burst
 	d.SetRetryShare(o.RetryBudget.Share)
 	return d
@@ -109,6 +129,9 @@
 // retried.
 func (d *Dispatcher) SetRetryShare(share float64) { d.serviceStates.setRetryShare(share) }
 
+// Demanded returns a channel that is closed when the first request arrives.
+func (d *Dispatcher) Demanded() <-chan struct{} { return d.demanded }
+
 // BeginShutdown makes the dispatcher refuse requests that would be sent to a target after
 // lastStart and might be broken off at the end of the shutdown.
 func (d *Dispatcher) BeginShutdown(lastStart, end time.Time) {
@@ -126,6 +149,7 @@
 
 // Serve implements httpserver.Handler.
 func (d *Dispatcher) Serve(ctx context.Context, r *httpserver.Request) *httpserver.Response {
+	d.demandOnce.Do(func() { close(d.demanded) })
 	table := d.routes(ctx)
 	if table == nil {
 		return d.rejectUnrouted(r, localReply{status: http.StatusServiceUnavailable, cause: CauseNoRoutes, retryAfter: noRoutesRetryAfter})
--- a/internal/dispatch/second_run.go
+++ b/internal/dispatch/second_run.go
@@ -90,7 +90,10 @@
 	if err != nil || !candidates[0].TakesRequest() || !req.Homes.Allows(candidates[0].Endpoint.Target.Location.Region) || !candidates[0].HasSpareRoom() || candidates[0].Estimate.Duration > time.Until(f.deadline) {
 		return routing.Candidate{}, false
 	}
-	if firstReply(f.checkKey, f.checkQuarantine, f.checkShutdown) != nil {
+	// The first run has used the permit of the quota that the request holds.
+	f.permit = nil
+	acquire := func() *localReply { return f.acquirePermit(ctx) }
+	if firstReply(f.checkQuarantine, acquire, f.checkKey, f.checkShutdown) != nil {
 		return routing.Candidate{}, false
 	}
 	if !f.state.spendSecondRun() {
