A start on demand reads a list of one page

Cause: a gateway that starts under load lists the targets from the store at once.

Change: List takes a number of pages. On demand one page is read, some 500 targets; a longer list is left to the relays, as without demand.

Test: TestCallersThatWaitEndTheWaitForARelay with 500 and 501 targets.

--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -135,9 +135,9 @@
 	// Vicinity, if set, finds the seed in the own region, which is asked before the others.
 	Vicinity *Vicinity
 	Log      *zap.Logger
-	// Demanded, if set, is closed when the first request of a caller arrives. Then the start
-	// waits for no relay, because a list of the store is there sooner than a relay that has
-	// just started too.
+	// Demanded, if set, is closed when the first request of a caller arrives. Then a list of
+	// one page is read from the store, which is there sooner than that of a relay that has just
+	// started too.
 	Demanded <-chan struct{}
 	// HoldRequests is how long a relay may hold a request without a change; zero means
 	// AwaitWait.
@@ -500,25 +500,32 @@
 }
 
 // AwaitStart implements replica.Relay.
-func (w *relayWaiter) AwaitStart(ctx context.Context) bool {
+func (w *relayWaiter) AwaitStart(ctx context.Context, mayDemand bool) replica.StartState {
 	if w.evacuations {
-		return w.AwaitReturn(ctx)
+		if w.AwaitReturn(ctx) {
+			return replica.StartRelayed
+		}
+		return replica.StartUnaided
+	}
+	var demanded <-chan struct{}
+	if mayDemand {
+		demanded = w.client.Demanded
 	}
 	startedAt := time.Now()
 	for ctx.Err() == nil {
 		if w.client.hasListed() {
-			return true
+			return replica.StartRelayed
 		}
 		if up := time.Since(startedAt); up >= maxStartWait || (up >= startWait && !w.client.isNearStarting()) {
-			return false
+			return replica.StartUnaided
 		}
 		select {
-		case <-w.client.Demanded:
-			return false
+		case <-demanded:
+			return replica.StartDemanded
 		case <-time.After(startPollInterval):
 		}
 	}
-	return false
+	return replica.StartUnaided
 }
 
 // AwaitReturn implements replica.Relay.
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -34,9 +34,9 @@
 	// Await blocks while a peer relays the changes and the view holds them. It returns at
 	// once if no peer does.
 	Await(ctx context.Context) RelayState
-	// AwaitStart waits a short time until the view holds what a peer relays and reports whether
-	// it does. It is called once, before the first list.
-	AwaitStart(ctx context.Context) bool
+	// AwaitStart waits a short time until the view holds what a peer relays, or, if mayDemand
+	// is set, until somebody demands the objects. It is called before the first list.
+	AwaitStart(ctx context.Context, mayDemand bool) StartState
 	// AwaitReturn waits a short time for a peer that relays changes and reports whether
 	// there is one. It is called before all objects are listed after a loss of history.
 	AwaitReturn(ctx context.Context) bool
@@ -45,6 +45,19 @@
 	StrongReadFinished()
 }
 
+// StartState is the result of Relay.AwaitStart.
+type StartState uint8
+
+// States of a start.
+const (
+	// StartUnaided means that no peer relays the objects in time.
+	StartUnaided StartState = iota
+	// StartRelayed means that the view holds what a peer relays.
+	StartRelayed
+	// StartDemanded means that somebody waits for the objects.
+	StartDemanded
+)
+
 // RelayState is the state in which a Follower goes to the store.
 type RelayState struct {
 	// Relayed is set if a peer has relayed changes since the last call of Await.
@@ -128,12 +141,11 @@
 
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	var after uint64
 	var err error
-	started := f.StartFromRelay && f.Relay != nil && f.Relay.AwaitStart(ctx)
+	after, started := f.startFromRelay(ctx)
 	for ctx.Err() == nil {
 		if !started {
-			after, err = f.list(ctx)
+			after, err = f.list(ctx, 0)
 		}
 		started = false
 		for (err == nil || f.relayReturns(ctx, err)) && ctx.Err() == nil {
@@ -143,6 +155,26 @@
 	}
 }
 
+// startFromRelay reports whether the view is complete without a whole list of the store, and the
+// revision to watch from. If somebody demands the objects, it reads a list of one page: a store
+// that lists thousands of objects for each instance of a fleet that restarts is busy for longer
+// than the relays need.
+func (f *Follower) startFromRelay(ctx context.Context) (after uint64, started bool) {
+	if !f.StartFromRelay || f.Relay == nil {
+		return 0, false
+	}
+	state := f.Relay.AwaitStart(ctx, true)
+	if state == StartDemanded {
+		after, err := f.list(ctx, 1)
+		var tooLong *TooLongError
+		if !errors.As(err, &tooLong) {
+			return after, err == nil
+		}
+		state = f.Relay.AwaitStart(ctx, false)
+	}
+	return 0, state == StartRelayed
+}
+
 // relayReturns reports whether err is a loss of history that a relay makes up for: it has
 // listed the objects itself and sends the differences.
 func (f *Follower) relayReturns(ctx context.Context, err error) bool {
@@ -150,18 +182,23 @@
 	return errors.As(err, &gone) && f.Relay != nil && f.Relay.AwaitReturn(ctx)
 }
 
-// list reads all objects and returns the revision to watch from. After a failed call
-// it backs off before it returns the error.
-func (f *Follower) list(ctx context.Context) (uint64, error) {
+// list reads all objects, if there are no more than maxPages pages of them, and returns the
+// revision to watch from. After a failed call it backs off before it returns the error.
+func (f *Follower) list(ctx context.Context, maxPages int) (uint64, error) {
 	c, err := f.beginCall(ctx, responseTimeout)
 	if err != nil {
 		return 0, err
 	}
 	defer c.end()
 	startedAt := time.Now()
-	batch, err := f.Source.List(c.ctx, c.progress)
+	batch, err := f.Source.List(c.ctx, maxPages, c.progress)
 	err = c.cause(err)
 	f.Observer.CallFinished("list", time.Since(startedAt), len(batch.Objects), err)
+	var tooLong *TooLongError
+	if errors.As(err, &tooLong) {
+		f.handleSuccess()
+		return 0, err
+	}
 	if err != nil {
 		f.handleFailure(ctx, err)
 		return 0, err
@@ -194,7 +231,7 @@
 		watchWait, timeout = behindWatchWait, behindWatchWait+responseTimeout
 	}
 	if after <= f.goneRevision || f.listNext {
-		return f.list(ctx)
+		return f.list(ctx, 0)
 	}
 	c, err := f.beginCall(ctx, timeout)
 	if err != nil {
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -45,14 +45,22 @@
 // Source reads the objects of one kind. Implementations don't retry and are safe
 // for concurrent use. They call progress whenever a part of the response has arrived.
 type Source interface {
-	// List returns all objects at the store's latest revision.
-	List(ctx context.Context, progress func()) (Batch, error)
+	// List returns all objects at the store's latest revision. If there are more than maxPages
+	// pages of them, it stops and returns *TooLongError; zero means any number.
+	List(ctx context.Context, maxPages int, progress func()) (Batch, error)
 	// Watch returns the changes after a revision. Without a change it returns an
 	// empty batch after wait. It returns *HistoryGoneError if the store has discarded
 	// the history after that revision.
 	Watch(ctx context.Context, after uint64, wait time.Duration, consistency Consistency, progress func()) (Batch, error)
 }
 
+// TooLongError reports a list that was not read because it has more pages than asked for.
+type TooLongError struct{ Pages int }
+
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("the list has more than %d pages", e.Pages)
+}
+
 // HistoryGoneError reports that a watch can't resume at a revision and that the
 // objects must be listed again.
 type HistoryGoneError struct{ After uint64 }
