--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -11,6 +12,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"redwingpoint.org/redwingpoint/internal/callers"
 	"redwingpoint.org/redwingpoint/internal/events"
 	"redwingpoint.org/redwingpoint/internal/keys"
 	"redwingpoint.org/redwingpoint/internal/limit"
@@ -85,7 +87,8 @@
 		return peerRelay{isRelay: true}
 	}
 	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds,
-		Region: g.settings.Location.Region, Log: g.log}
+		Region: g.settings.Location.Region, Demanded: g.dispatcher.Demanded(), Log: g.log}
+	g.quotas.Nearest = client.LatestRelay
 	if within := g.settings.Keys.WithdrawWithin; within > 0 {
 		client.HoldRequests = min(peersync.AwaitWait, time.Duration(relayHoldShare*float64(within)))
 		client.MaxConfirmationAge = time.Duration(confirmSelfShare * float64(within))
@@ -159,7 +162,7 @@
 		Credentials: credentials,
 		Handler:     syncLinkHandler{},
 		Recorder:    events.Discard,
-		MaxLinks:    maxSyncLinks,
+		MaxLinks:    cmp.Or(g.settings.CallerLimits.PeerLinks, callers.MaxPeerLinks(g.settings.Machine.MemoryMB, maxSyncLinks)),
 		IdleTimeout: syncIdleTimeout,
 		OnExchange:  g.countExchange,
 	})
