Requests that may use other targets don't wait for the first one's turn

Cause: only the first waiting request of a service looked at the targets. One whose homes have no room held up all others of the service until it gave up. The measure of short room counted each first ranking twice, the second time after slots were kept.

Change: the first of each reach looks. Looks are counted where the Picker ranked.

--- a/internal/dispatch/scheduling.go
+++ b/internal/dispatch/scheduling.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -32,6 +33,7 @@
 		Work:      f.expectedDuration(),
 		Objective: f.objectiveDeadline,
 		Bytes:     int64(len(f.body)) + int64(len(f.bodyPrefix)),
+		Reach:     fmt.Sprint(f.homes().Regions()),
 	}
 	looks := 0
 	var latest *ranking
@@ -78,6 +80,7 @@
 	if ctx.Err() != nil || err != nil {
 		return ranked, schedule.Withdrawn
 	}
+	f.observeRoom(candidates)
 	f.keepReserve(candidates)
 	hasRoom := func(c routing.Candidate) bool { return c.Err != nil || c.Estimate.HasFreeSlot }
 	if slices.ContainsFunc(candidates, hasRoom) {
@@ -86,6 +89,13 @@
 	return nil, schedule.NoRoom
 }
 
+// observeRoom measures how short room is by a ranking of the Picker, before keepReserve.
+func (f *forwarder) observeRoom(candidates []routing.Candidate) {
+	if f.contended {
+		f.state.scheduler.Demand.Look(countFull(candidates), len(candidates))
+	}
+}
+
 // keepReserve marks the targets as full that have only slots free which are kept for more
 // urgent requests, and puts them behind the others.
 func (f *forwarder) keepReserve(candidates []routing.Candidate) {
@@ -93,7 +103,6 @@
 		return
 	}
 	kept := false
-	f.state.scheduler.Demand.Look(countFull(candidates), len(candidates))
 	for i := range candidates {
 		c := &candidates[i]
 		reserve := f.state.scheduler.Demand.Reserve(f.priority(), c.Report.Slots)
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -71,7 +71,9 @@
 		*first = nil
 		return known.candidates, known.err
 	}
-	return f.d.Picker.Pick(ctx, req)
+	candidates, err := f.d.Picker.Pick(ctx, req)
+	f.observeRoom(candidates)
+	return candidates, err
 }
 
 const (
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -40,6 +40,9 @@
 	Objective time.Time
 	// Bytes is the memory that the request holds while it waits.
 	Bytes int64
+	// Reach names the targets that the request may use. Requests of different reach don't
+	// wait for each other's turn.
+	Reach string
 }
 
 // latestStart returns the last time at which the job can start and end in time.
@@ -63,8 +66,8 @@
 func (*LateError) Error() string   { return "no room was found in time" }
 
 // Scheduler orders the requests of one service that wait for a slot: the most urgent first,
-// of these the one with the least slack. Only the first looks at the targets. The zero value
-// is ready to use. It is safe for concurrent use.
+// of these the one with the least slack. Only the first of each reach looks at the targets. The
+// zero value is ready to use. It is safe for concurrent use.
 type Scheduler struct {
 	Demand Demand
 
@@ -133,7 +136,18 @@
 func (s *Scheduler) hasPrecedents(w *waiter) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.waiting) > 0 && compare(s.waiting[0], w) <= 0
+	first := s.firstOf(w.job.Reach)
+	return first != nil && compare(first, w) <= 0
+}
+
+// firstOf returns the first waiter of a reach, or nil. The caller must hold s.mu.
+func (s *Scheduler) firstOf(reach string) *waiter {
+	for _, w := range s.waiting {
+		if w.job.Reach == reach {
+			return w
+		}
+	}
+	return nil
 }
 
 // enter adds a waiter. It returns *NoRoomError if its turn isn't expected in time or there is
@@ -142,7 +156,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, _ := slices.BinarySearchFunc(s.waiting, w, compare)
-	expected := time.Duration(at+1) * s.expectedInterval()
+	ahead := 0
+	for _, other := range s.waiting[:at] {
+		if other.job.Reach == w.job.Reach {
+			ahead++
+		}
+	}
+	expected := time.Duration(ahead+1) * s.expectedInterval()
 	if time.Until(w.until) < expected {
 		return &NoRoomError{RetryAfter: expected}
 	}
@@ -156,7 +176,7 @@
 	}
 	s.waiting = slices.Insert(s.waiting, at, w)
 	s.bytes += w.job.Bytes
-	if at == 0 {
+	if ahead == 0 {
 		w.turn <- struct{}{}
 	}
 	return nil
@@ -189,7 +209,7 @@
 func (s *Scheduler) isFirst(w *waiter) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.waiting) > 0 && s.waiting[0] == w
+	return s.firstOf(w.job.Reach) == w
 }
 
 // expectedInterval returns the expected time between two starts: the mean, or the time since
@@ -230,11 +250,11 @@
 	if !slices.Contains(s.waiting, w) {
 		return
 	}
-	first := s.waiting[0] == w
+	first := s.firstOf(w.job.Reach) == w
 	s.remove(w)
-	if first && len(s.waiting) > 0 {
+	if next := s.firstOf(w.job.Reach); first && next != nil {
 		select {
-		case s.waiting[0].turn <- struct{}{}:
+		case next.turn <- struct{}{}:
 		default:
 		}
 	}
