Play crowds that don't behave in the gateways' soak

Need: the soak's faults had no callers that stop halfway or read nothing.

Change: a fault of 80 connections of one of six kinds at one gateway, beside the other faults; the gateways of the soak run with limits of a machine of 92 MB and 512 descriptors. No crowd sends a whole request on a route, so the counts of runs stay exact.

--- a/internal/soak/gateway_process_test.go
+++ b/internal/soak/gateway_process_test.go
@@ -54,6 +54,7 @@
 peers: {listen: "%[2]s:8082", seeds: [%[4]s]}
 probes: {perSecond: %[5]d}
 grace: %[6]s
+machine: {memoryMB: 92, descriptors: 512}
 %[7]s`, g.index, g.ip, g.store.addr(), strings.Join(seeds, ","), probes, shutdownGrace, g.r.extraSettings)
 }
 
--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -251,7 +251,10 @@
 	misbehave := func(b platformtest.Behavior) func() {
 		return forDuration(func() { target.SetBehavior(b) }, func() { target.SetBehavior(platformtest.Succeeds) })
 	}
-	switch r.random.IntN(10) {
+	kind := r.random.IntN(len(crowds))
+	switch r.random.IntN(11) {
+	case 9:
+		return func() { g.runCrowd(kind, 2*duration) }
 	case 0:
 		return func() { g.restart(syscall.SIGKILL, duration/4) }
 	case 1:
