Keep requests at targets when a connection is closed for room

Cause: whether a connection may be closed was asked before it was closed, so a request that came in between would have been passed on and cut; and a connection whose half body stood behind a request at a target could be closed with it. Refusals for want of memory and after a panic counted as malformed input.

Change: closing asks again under the connection's lock and marks it, so that a request that comes later isn't accepted; a half body counts only if no other request is open. Refusals before a request was read have the cause callers-limited and a time to come back.

Figures: the new test and go test -race of httpserver, dispatch and callers pass.

--- a/internal/callers/budget.go
+++ b/internal/callers/budget.go
@@ -94,8 +94,8 @@
 	// MayClose reports whether the connection waits for its caller: it is idle, reads a head or
 	// a body, or writes a response. A connection whose request runs at a target doesn't.
 	MayClose() bool
-	// Abort closes the connection at once.
-	Abort()
+	// Abort closes the connection at once. It reports false if MayClose no longer holds.
+	Abort() bool
 	// Caller returns the caller's address.
 	Caller() string
 }
@@ -299,9 +299,12 @@
 	if victim == nil {
 		return false
 	}
+	refusal := Refusal{Limit: l, Closed: true, Caller: victim.holder.Caller(), Held: victim.held.Load(), Stalled: now - time.Duration(victim.progressAt.Load())}
+	if !victim.holder.Abort() {
+		return false
+	}
 	victim.aborted.Store(true)
-	b.notify(Refusal{Limit: l, Closed: true, Caller: victim.holder.Caller(), Held: victim.held.Load(), Stalled: now - time.Duration(victim.progressAt.Load())})
-	victim.holder.Abort()
+	b.notify(refusal)
 	delete(b.accounts, victim)
 	return true
 }
--- a/internal/callers/budget_test.go
+++ b/internal/callers/budget_test.go
@@ -16,7 +16,7 @@
 }
 
 func (h *holder) MayClose() bool { return !h.busy }
-func (h *holder) Abort()         { h.aborted = true }
+func (h *holder) Abort() bool    { h.aborted = true; return true }
 func (h *holder) Caller() string { return h.name }
 
 // open opens the account of a holder.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -160,8 +161,17 @@
 // Reject implements httpserver.Handler.
 func (d *Dispatcher) Reject(status int, cause error) *httpserver.Response {
 	d.Log.Info("request rejected", zap.Int("status", status), zap.String("error", inputProblem(cause)))
-	d.Metrics.countRefused("", CauseMalformed)
-	return plainTextResponse(status, nil)
+	reply := localReply{status: status, cause: CauseMalformed}
+	var noMemory httpserver.NoMemoryError
+	var panicked httpserver.PanicError
+	switch {
+	case errors.As(cause, &noMemory):
+		reply.cause, reply.retryAfter = CauseCallersLimited, callersRetryAfter
+	case errors.As(cause, &panicked):
+		reply.cause = CauseOutcomeUnknown
+	}
+	d.Metrics.countRefused("", reply.cause)
+	return d.buildLocalReply("", reply)
 }
 
 // rejectUnrouted logs and counts a request for which no route is known, or none that its
--- a/internal/dispatch/streamed_body_test.go
+++ b/internal/dispatch/streamed_body_test.go
@@ -217,7 +217,7 @@
 type heldConn struct{}
 
 func (heldConn) MayClose() bool { return false }
-func (heldConn) Abort()         {}
+func (heldConn) Abort() bool    { return false }
 func (heldConn) Caller() string { return "caller" }
 
 // TestFullBudgetRefusesBeforeAnyTarget guards against a refusal of a request that has run, and
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -133,14 +133,16 @@
 	}
 }
 
-// end abandons the body unless it was read to its end. A pending read fails.
-func (b *body) end() {
+// end abandons the body unless it was read to its end. A pending read fails. It reports whether
+// the body is abandoned.
+func (b *body) end() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.state == bodyOpen {
 		b.state = bodyAbandoned
 		b.conn.interruptRead()
 	}
+	return b.state == bodyAbandoned
 }
 
 // takeInput ends the body and waits until no read is pending, so that the connection may read
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -211,3 +211,42 @@
 		}
 	})
 }
+
+// TestAbortSparesRequestsAtTargets guards against closing a connection to make room while one of
+// its requests runs at a target, also if that came after it was chosen.
+func TestAbortSparesRequestsAtTargets(t *testing.T) {
+	for _, play := range []struct {
+		name, text string
+		mayClose   bool
+	}{
+		{"idle", "", true},
+		{"half a head", "GET / HT", true},
+		{"at a target", get("/"), false},
+		{"at a target, half a head behind it", get("/") + "GET / HT", false},
+		{"half a body", "POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n01", true},
+		{"at a target, half a body behind it", get("/") + "POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n01", false},
+	} {
+		t.Run(play.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := NewServer(handlerFunc{func(_ context.Context, r *Request) *Response {
+					if _, err := io.Copy(io.Discard, r.HTTP.Body); err == nil {
+						time.Sleep(time.Second)
+					}
+					return plainResponse(http.StatusOK, "")
+				}}, func() route.Limits { return route.Limits{} })
+				caller, raw := net.Pipe()
+				c := newConn(s, raw)
+				done := make(chan struct{})
+				go func() { defer close(done); c.serve() }()
+				go func() { _, _ = io.Copy(io.Discard, caller) }()
+				_, _ = io.WriteString(caller, play.text)
+				synctest.Wait()
+				if c.MayClose() != play.mayClose || c.Abort() != play.mayClose {
+					t.Errorf("the connection may close: %t, want %t", c.MayClose(), play.mayClose)
+				}
+				_ = caller.Close()
+				<-done
+			})
+		})
+	}
+}
