--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -97,6 +97,7 @@
 			route.NewHolder,
 			func() *routing.Table { return routing.NewInstanceTable(s.Instance, s.Location) },
 			func(set *metrics.Set) *peersync.Permits { return newPermits(s, log, set) },
+			newQuotas,
 			func(set *metrics.Set, permits *peersync.Permits) *upstream.Client {
 				client := newUpstreamClient(p, log, set, permits)
 				client.MaxConnections = cmp.Or(s.CallerLimits.TargetConnections, callers.MaxTargetConnections(s.Machine.Descriptors))
@@ -112,7 +113,7 @@
 	)
 }
 
-func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *dispatch.Dispatcher {
+func newDispatcher(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, client *upstream.Client, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits, quotas *peersync.Quotas) *dispatch.Dispatcher {
 	picker := routing.NewProbingPicker(table, client, routing.Monotonic, probes, permits)
 	picker.InStages = s.Probes.PerTarget < settings.UsualProbesPerTarget
 	return dispatch.New(dispatch.Options{
@@ -122,6 +123,7 @@
 		Protocol:    p.Protocol,
 		RetryBudget: dispatch.RetryBudget{Share: s.RetryBudget.Share, Burst: s.RetryBudget.Burst},
 		Quarantine:  marks,
+		Quotas:      quotas,
 		Regions:     knownRegions(s.Regions),
 
 		WithdrawKeysWithin: s.Keys.WithdrawWithin,
@@ -144,6 +146,7 @@
 	listener   net.Listener
 	quarantine *quarantine.Registry
 	permits    *peersync.Permits
+	quotas     *peersync.Quotas
 	// probes limits the load probes of targets.
 	probes *rate.Limiter
 	// breaker is shared by the followers of routes and targets.
@@ -162,10 +165,10 @@
 	targetsKnown atomic.Bool
 }
 
-func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits) *gateway {
+func newGateway(s *settings.Gateway, p Provider, log *zap.Logger, set *metrics.Set, routes *route.Holder, table *routing.Table, d *dispatch.Dispatcher, probes *rate.Limiter, marks *quarantine.Registry, permits *peersync.Permits, quotas *peersync.Quotas) *gateway {
 	return &gateway{
 		settings: s, provider: p, log: log, set: set, routes: routes, table: table, dispatcher: d, probes: probes,
-		quarantine: marks, permits: permits,
+		quarantine: marks, permits: permits, quotas: quotas,
 		server: httpserver.NewServer(d, d.Limits),
 	}
 }
@@ -176,7 +179,7 @@
 	g.limitCallers()
 	g.serveAuxiliary(lc, g.settings.ReadinessAddr, g.serveReadiness)
 	if g.settings.MetricsAddr != "" {
-		g.serveAuxiliary(lc, g.settings.MetricsAddr, g.serveMetrics)
+		g.serveAuxiliary(lc, g.settings.MetricsAddr, g.inspectionHandler().ServeHTTP)
 	}
 	local := &replica.Replica{
 		Routes:  &replica.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -38,6 +38,8 @@
 	OpAcquirePermit
 	// OpAcquireColdPermit asks a gateway that grants requests to cold targets for one of them.
 	OpAcquireColdPermit
+	// OpAcquireQuota asks a gateway that grants a share of organisations' quotas for requests.
+	OpAcquireQuota
 )
 
 // opNames are the names of the operations in metrics.
