Serve nothing from the buffer of a connection that has ended

Cause: when a connection was closed, its reader went on with the requests left in its buffer, once the writer had drained those before, and passed them to the dispatcher with a cancelled context.

Change: a request isn't served once its connection's context has ended.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -393,9 +393,10 @@
 		case <-streaming:
 		case <-c.ctx.Done():
 		}
-		if c.ctx.Err() != nil {
-			return nil
-		}
+	}
+	if c.ctx.Err() != nil {
+		// The connection has ended, and this request was in its buffer.
+		return nil
 	}
 	return c.server.handler.Serve(c.ctx, x.request)
 }
--- a/internal/httpserver/pipeline_test.go
+++ b/internal/httpserver/pipeline_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,3 +104,27 @@
 		}
 	}
 }
+
+// TestNothingIsServedAfterTheConnectionEnded guards against requests that are left in the read
+// buffer of a connection that was closed: they would be passed on without anybody to answer.
+func TestNothingIsServedAfterTheConnectionEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var served atomic.Int32
+		caller, closed := serveOnPipe(func(_ context.Context, r *Request) *Response {
+			served.Add(1)
+			if r.Path == "/first" {
+				time.Sleep(time.Second)
+				return nil
+			}
+			return plainResponse(http.StatusOK, "")
+		})
+		go func() { _, _ = io.Copy(io.Discard, caller) }()
+		_, _ = io.WriteString(caller, get("/first")+strings.Repeat(get("/"), 40))
+		<-closed
+		_ = caller.Close()
+		// The first, those that wait behind it, and one that is read beside them.
+		if n := served.Load(); n > maxPipelined+2 {
+			t.Errorf("%d of 41 requests are served", n)
+		}
+	})
+}
