--- a/internal/dispatch/second_run.go
+++ b/internal/dispatch/second_run.go
@@ -96,11 +96,11 @@
 	if firstReply(f.checkQuarantine, acquire, f.checkKey, f.checkShutdown) != nil {
 		return routing.Candidate{}, false
 	}
+	best := candidates[0]
 	if !f.state.spendSecondRun() {
 		f.d.Metrics.countRetryDenied(f.service.Name)
 		return routing.Candidate{}, false
 	}
-	best := candidates[0]
 	f.triedTargets = append(f.triedTargets, best.Endpoint.Target.ID)
 	f.deliveries++
 	f.mayHaveRun = true
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -127,6 +127,10 @@
 	// Region is that of this instance; a relay in it is preferred.
 	Region model.Region
 	Log    *zap.Logger
+	// Demanded, if set, is closed when the first request of a caller arrives. Then the start
+	// waits for no relay, because a list of the store is there sooner than a relay that has
+	// just started too.
+	Demanded <-chan struct{}
 	// HoldRequests is how long a relay may hold a request without a change; zero means
 	// AwaitWait.
 	HoldRequests time.Duration
@@ -145,6 +149,8 @@
 	// ended is closed when current is reset or the routes fall behind; nil while no follower
 	// waits for it.
 	ended chan struct{}
+	// relay is the address of the relay that is followed, or was last.
+	relay string
 	// latest is what the relay held at its last response.
 	latest replica.Versions
 	// routesAsOf is the store's latest revision up to which the routes of this instance are
@@ -277,6 +283,7 @@
 
 // follow receives the changes of a relay and returns why that ended.
 func (c *RelayClient) follow(ctx context.Context, relay foundRelay) followEnd {
+	c.setRelay(relay.addr)
 	c.Log.Info("changes come from a relay", zap.String("address", relay.addr), zap.Bool("own_region", relay.near))
 	nearer := make(chan foundRelay, 1)
 	if !relay.near {
@@ -369,6 +376,19 @@
 	return c.Replica.Evacuations == nil || c.latest.Evacuations.AsOf > 0
 }
 
+func (c *RelayClient) setRelay(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relay = addr
+}
+
+// LatestRelay returns the address of the relay that is followed, or was last, or "".
+func (c *RelayClient) LatestRelay() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relay
+}
+
 // setLost records that no relay follows the store for this instance.
 func (c *RelayClient) setLost() {
 	c.mu.Lock()
@@ -442,7 +462,11 @@
 		if w.client.hasListed() {
 			return true
 		}
-		wait.For(ctx, startPollInterval)
+		select {
+		case <-w.client.Demanded:
+			return false
+		case <-time.After(startPollInterval):
+		}
 	}
 	return false
 }
