--- a/internal/peer/exchange_test.go
+++ b/internal/peer/exchange_test.go
@@ -19,9 +19,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		ends[id], _ = startTransport(t, 137+n, c)
+		ends[id], _ = newTransport(t, 137+n, c)
 		reported := make(chan Exchange, 1)
 		ends[id].options.OnExchange = func(e Exchange) { reported <- e }
+		ends[id].Start()
 		reports[id] = reported
 	}
 	var response string
--- a/internal/routing/cold_test.go
+++ b/internal/routing/cold_test.go
@@ -115,7 +115,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p, prober, table := newTestPicker(testTarget{"1", prahaA, idle(2)})
 		best(t, p, coldRequest())
-		prober.unresponsive["1"] = true
+		prober.setUnresponsive("1", true)
 		time.Sleep(2 * roundReuseTime)
 		if got := best(t, p, coldRequest()); got.Err == nil {
 			t.Error("a silent target has a load report")
@@ -128,7 +128,7 @@
 		if _, err := p.Pick(t.Context(), previewRequest); err != nil {
 			t.Errorf("%v for a service without a limit of cold targets", err)
 		}
-		prober.unresponsive["1"] = false
+		prober.setUnresponsive("1", false)
 		time.Sleep(probeTimeout)
 		e := best(t, p, coldRequest()).Endpoint
 		table.SetEvacuated(evacuated("praha-a"))
--- a/internal/routing/probing_picker_test.go
+++ b/internal/routing/probing_picker_test.go
@@ -46,6 +46,13 @@
 	return report, nil
 }
 
+// setUnresponsive makes later probes of a target get no response, or one again.
+func (p *fakeProber) setUnresponsive(id model.TargetID, unresponsive bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unresponsive[id] = unresponsive
+}
+
 func idle(slots int) LoadReport { return LoadReport{Slots: slots, Pace: NormalPace, Healthy: true} }
 
 func busy(running, slots int) LoadReport {
