Keep a whole slot only of requests that take much longer than urgent ones

Cause: at least one slot of each target was kept for any share of more urgent work: half of the room where targets have two slots.

Change: the reserve is the urgent share in whole slots, and at least one only for requests that take twice as long as the urgent ones or more: a slot that a short request takes is free again before an urgent one has lost much.

--- a/internal/schedule/demand.go
+++ b/internal/schedule/demand.go
@@ -30,6 +30,9 @@
 	// for an order among kinds to matter. Below it, slots kept free and turns cost the largest
 	// kind more than the others can gain.
 	competingShare = 0.1
+	// longWorkFactor is the multiple of the urgent requests' work from which a less urgent one
+	// blocks a slot for long.
+	longWorkFactor = 2
 	// minOffered is the decayed number of requests of a kind below which it isn't judged.
 	minOffered = 4
 )
@@ -90,25 +93,31 @@
 }
 
 // Reserve returns how many of a target's slots a request must leave free: the share of the
-// demand that is more urgent, up to maxReservedShare, and one at least. It is 0 without such
-// demand, while room isn't short, and for a kind that is being starved.
+// demand that is more urgent, up to maxReservedShare, in whole slots, and one at least for a
+// request that takes much longer than the urgent ones: a slot that a short one takes is free
+// again soon. It is 0 while room isn't short, and for a kind that is being starved.
 func (d *Demand) Reserve(priority, slots int) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	own := d.kind(priority)
-	var urgent, total, offered, served float64
+	var urgent, urgentOffered, total, offered, served float64
 	for p, k := range d.byPriority {
 		total += k.work
 		offered += k.offered
 		served += k.served
 		if p < priority {
 			urgent += k.work
+			urgentOffered += k.offered
 		}
 	}
 	if urgent < minUrgentWork || d.fullShare < shortShare || own.isStarved(offered, served) {
 		return 0
 	}
-	return max(1, int(float64(slots)*min(urgent/total, maxReservedShare)))
+	reserve := int(float64(slots) * min(urgent/total, maxReservedShare))
+	if own.meanWork() >= longWorkFactor*urgent/urgentOffered {
+		reserve = max(1, reserve)
+	}
+	return reserve
 }
 
 // minUrgentWork is the decayed work in slot-seconds below which more urgent demand has ceased.
@@ -126,6 +135,14 @@
 	return d.kind(priority).isStarved(offered, served)
 }
 
+// meanWork returns the mean work of a request in slot-seconds.
+func (k *kindDemand) meanWork() float64 {
+	if k.offered == 0 {
+		return 0
+	}
+	return k.work / k.offered
+}
+
 func (k *kindDemand) isStarved(offered, served float64) bool {
 	return k.offered >= minOffered && k.served/k.offered < fairShare*served/offered
 }
