--- a/internal/dispatch/scheduling.go
+++ b/internal/dispatch/scheduling.go
@@ -26,12 +26,14 @@
 
 // awaitRoom waits until a target has a slot for the request, in the order of the service's
 // scheduler. It returns the reply to a request for which no room is expected in time, or the
-// ranking by which a target has room or the request doesn't wait for one.
+// ranking by which a target has room or the request doesn't wait for one; nil if it has waited
+// in vain and a late response is what is left.
 func (f *forwarder) awaitRoom(ctx context.Context, lastFailure localReply) (*ranking, *localReply) {
 	job := schedule.Job{
 		Priority:  f.priority(),
 		Work:      f.expectedDuration(),
 		Objective: f.objectiveDeadline,
+		MinWait:   f.rule.Objective / waitDivisor,
 		Bytes:     int64(len(f.body)) + int64(len(f.bodyPrefix)),
 		Reach:     fmt.Sprint(f.homes().Regions()),
 	}
@@ -43,19 +45,13 @@
 		return outcome
 	})
 	var noRoom *schedule.NoRoomError
-	var late *schedule.LateError
-	reply := localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsFull}
-	switch {
-	case errors.As(err, &noRoom):
-		reply.retryAfter = min(max(noRoom.RetryAfter, minRetryAfter), maxRoomRetryAfter)
-	case errors.As(err, &late):
-		reply.retryAfter = f.adviseRetryAfter()
-	default:
+	if !errors.As(err, &noRoom) {
 		if looks > 1 {
 			f.d.Metrics.countScheduled(f.service.Name, job.Priority, "deferred")
 		}
 		return latest, nil
 	}
+	reply := localReply{status: http.StatusServiceUnavailable, cause: CauseTargetsFull, retryAfter: min(max(noRoom.RetryAfter, minRetryAfter), maxRoomRetryAfter)}
 	f.d.Metrics.countScheduled(f.service.Name, job.Priority, "no room")
 	f.d.Log.Info("no room", f.logFields(zap.Int("priority", job.Priority), zap.Duration("work", job.Work), zap.Int("asks", looks),
 		zap.Int("waiting", f.state.scheduler.Waiting()), zap.Error(err))...)
@@ -96,10 +92,20 @@
 	}
 }
 
+// competes reports whether requests of other priorities have a notable share of the service's
+// work, so that an order among them matters.
+func (f *forwarder) competes() bool { return f.contended && f.state.scheduler.Demand.Competes() }
+
+// countDemand counts a request that isn't scheduled.
+func (f *forwarder) countDemand() {
+	f.state.scheduler.Demand.Offer(f.priority(), f.expectedDuration())
+	f.state.scheduler.Demand.Serve(f.priority())
+}
+
 // keepReserve marks the targets as full that have only slots free which are kept for more
 // urgent requests, and puts them behind the others.
 func (f *forwarder) keepReserve(candidates []routing.Candidate) {
-	if !f.contended {
+	if !f.competes() {
 		return
 	}
 	kept := false
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -16,17 +16,19 @@
 // selectTarget returns the best target that has not been tried, or the reply if there is
 // none. While no target is expected to respond in time, it ranks the targets again every
 // repickInterval until a part of the latency objective has passed: slots become free and
-// paces change within milliseconds. Where requests of different priority compete for the
+// paces change within milliseconds. Where requests of different priority notably compete for the
 // service's targets, it first waits for room in their order.
 func (f *forwarder) selectTarget(ctx context.Context, lastFailure localReply) (routing.Candidate, *localReply) {
+	waitUntil := time.Now().Add(f.rule.Objective / waitDivisor)
 	var first *ranking
-	if f.contended {
+	if f.competes() {
 		var reply *localReply
 		if first, reply = f.awaitRoom(ctx, lastFailure); reply != nil {
 			return routing.Candidate{}, reply
 		}
+	} else if f.contended {
+		f.countDemand()
 	}
-	waitUntil := time.Now().Add(f.rule.Objective / waitDivisor)
 	var candidates []routing.Candidate
 	for rounds := 1; ; rounds++ {
 		req := f.pickRequest()
--- a/internal/schedule/demand.go
+++ b/internal/schedule/demand.go
@@ -26,6 +26,10 @@
 	shortShare = 0.2
 	// lookWeight is the weight of one look in the mean share of full targets.
 	lookWeight = 0.1
+	// competingShare is the least share of the work that the kinds beside the largest must have
+	// for an order among kinds to matter. Below it, slots kept free and turns cost the largest
+	// kind more than the others can gain.
+	competingShare = 0.1
 	// minOffered is the decayed number of requests of a kind below which it isn't judged.
 	minOffered = 4
 )
@@ -63,6 +67,18 @@
 	d.kind(priority).served++
 }
 
+// Competes reports whether several kinds have a notable share of the work.
+func (d *Demand) Competes() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var total, largest float64
+	for _, k := range d.byPriority {
+		total += k.work
+		largest = max(largest, k.work)
+	}
+	return total-largest >= competingShare*total && total > largest
+}
+
 // Look counts a look at the loads of targets, of which some were full.
 func (d *Demand) Look(full, seen int) {
 	if seen == 0 {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -38,6 +38,8 @@
 	Work time.Duration
 	// Objective is the time after which a response loses most of its value.
 	Objective time.Time
+	// MinWait is how long the request waits for room even if it has less slack.
+	MinWait time.Duration
 	// Bytes is the memory that the request holds while it waits.
 	Bytes int64
 	// Reach names the targets that the request may use. Requests of different reach don't
@@ -113,15 +115,15 @@
 
 // Run calls try until its outcome isn't NoRoom. It tries at once unless requests with
 // precedence wait, and then whenever the request is the first. It returns *NoRoomError at once
-// if the turn isn't expected in time, *LateError when half of the slack has passed, or the
-// context's error.
+// if others go first and the turn isn't expected in time, *LateError when half of the slack and
+// MinWait have passed, or the context's error.
 func (s *Scheduler) Run(ctx context.Context, job Job, try func() Outcome) error {
 	s.Demand.Offer(job.Priority, job.Work)
 	w := &waiter{job: job, rank: job.Priority, turn: make(chan struct{}, 1), evicted: make(chan struct{})}
 	if s.Demand.Starved(job.Priority) {
 		w.rank = 0
 	}
-	w.until = time.Now().Add(time.Duration(patience * float64(time.Until(job.latestStart()))))
+	w.until = time.Now().Add(max(job.MinWait, time.Duration(patience*float64(time.Until(job.latestStart())))))
 	if !s.hasPrecedents(w) && s.try(w, try) {
 		return nil
 	}
@@ -163,7 +165,7 @@
 		}
 	}
 	expected := time.Duration(ahead+1) * s.expectedInterval()
-	if time.Until(w.until) < expected {
+	if time.Until(w.until) <= 0 || ahead > 0 && time.Until(w.until) < expected {
 		return &NoRoomError{RetryAfter: expected}
 	}
 	for len(s.waiting) >= maxWaiting || len(s.waiting) > 0 && s.bytes+w.job.Bytes > maxWaitingBytes {
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -82,3 +82,23 @@
 		}
 	})
 }
+
+// TestAFewUrgentRequestsCallForNoOrder guards against slots kept free, and turns, in a service
+// whose work is nearly all of one kind: they cost that kind more than the others gain.
+func TestAFewUrgentRequestsCallForNoOrder(t *testing.T) {
+	for _, c := range []struct {
+		urgent int
+		want   bool
+	}{{0, false}, {3, false}, {30, true}} {
+		var d Demand
+		for range 100 {
+			d.Offer(2, 100*time.Millisecond)
+		}
+		for range c.urgent {
+			d.Offer(0, 100*time.Millisecond)
+		}
+		if got := d.Competes(); got != c.want {
+			t.Errorf("%d urgent requests beside 100: competes %t, want %t", c.urgent, got, c.want)
+		}
+	}
+}
