Replace answers that promise "not run" for a request that has run

Seen: a target ran an order and failed it with a 503 of its own, without stating that the order had not run.

Cause: "not run" was looked for only in what targets state. Any other answer was passed on as it came, also one whose status tells callers that nothing ran. 408, 421 and 429 had the same fault, in all classes, and a 429 decided over a second run that succeeded. Ruled out: the gateway sent the order to a second target (each request ID arrived once).

Change: such an answer counts as a failure of its target. An idempotent request is sent again within the retry budget; others get a 502 of the gateway's own, without signature and Retry-After.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -197,7 +197,8 @@
 }
 
 // receiveResponse reads the response body, or its first responsePrefixBytes, and returns
-// the outcome. A server error of an idempotent request is retried if the response body was
+// the outcome. A response whose status promises callers that the request was not run is
+// replaced: the target didn't state that. A server error of an idempotent request is retried if the response body was
 // read completely, the request body can be sent again and the retry budget allows it.
 func (f *forwarder) receiveResponse(ctx context.Context, cancel context.CancelFunc, c routing.Candidate, result *upstream.Response, startedAt time.Time) outcome {
 	body, complete, err := readPrefix(result.Body, result.ContentLength)
@@ -210,8 +211,15 @@
 		f.d.Quarantine.ReportResponse(f.fingerprint())
 	}
 	elapsed := time.Since(startedAt)
-	failed := result.Status >= http.StatusInternalServerError
+	failed := result.Status >= minServerError || promisesNotRun(result.Status)
 	c.Endpoint.Load.Reliability.Observe(!failed, routing.Monotonic())
+	if promisesNotRun(result.Status) {
+		_ = result.Body.Close()
+		c.Endpoint.Load.End()
+		f.d.Log.Info("target failed with the status of a refusal", f.logFields(zap.Object("target", candidateFields(c)),
+			zap.Int("status", result.Status), zap.Duration("took", elapsed))...)
+		return f.failedOutcome()
+	}
 	response := &httpserver.Response{Status: result.Status, Header: result.Header, Body: body}
 	if complete {
 		_ = result.Body.Close()
@@ -238,6 +246,22 @@
 	return outcome{response: response}
 }
 
+// failedOutcome returns the outcome of an attempt whose target ran the request and failed.
+func (f *forwarder) failedOutcome() outcome {
+	retryable := f.rule.Class == model.Idempotent && f.mayResendBody()
+	return outcome{retryable: retryable, reply: localReply{status: http.StatusBadGateway, cause: CauseTargetsFailed}}
+}
+
+// promisesNotRun reports whether a status tells callers that the request was not run and
+// never will be, so that they may send any request again.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // trackedBody is the remaining body of a response. It calls onClose when it is closed.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/dispatch/second_run.go
+++ b/internal/dispatch/second_run.go
@@ -34,7 +34,7 @@
 
 // succeeded reports whether the target answered with anything but a refusal or a failure.
 func (e *exchange) succeeded() bool {
-	return e.err == nil && !e.result.Shed && e.result.Status < minServerError
+	return e.err == nil && !e.result.Shed && e.result.Status < minServerError && !promisesNotRun(e.result.Status)
 }
 
 // minServerError is the lowest status code of a server's failure.
--- a/internal/dispatch/second_run_test.go
+++ b/internal/dispatch/second_run_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -19,9 +20,11 @@
 
 // timedUpstream answers each run after its target's time, unless it is broken off before.
 type timedUpstream struct {
-	mu        sync.Mutex
-	takes     map[model.TargetID]time.Duration
-	failing   map[model.TargetID]bool
+	mu      sync.Mutex
+	takes   map[model.TargetID]time.Duration
+	failing map[model.TargetID]bool
+	// statuses are those of the targets' responses, other than 200.
+	statuses  map[model.TargetID]int
 	runs      []model.TargetID
 	cancelled int
 }
@@ -43,7 +46,7 @@
 	if failing {
 		return nil, &upstream.CallError{Target: id, Reason: upstream.ConnectionLost, Sent: true, Cause: io.ErrUnexpectedEOF}
 	}
-	return &upstream.Response{Status: http.StatusOK, Header: http.Header{"By": {string(id)}}, Body: io.NopCloser(strings.NewReader("ok"))}, nil
+	return &upstream.Response{Status: cmp.Or(u.statuses[id], http.StatusOK), Header: http.Header{"By": {string(id)}}, Body: io.NopCloser(strings.NewReader("ok"))}, nil
 }
 
 func (u *timedUpstream) HasEnded(context.Context, *routing.Endpoint) bool { return false }
@@ -53,7 +56,7 @@
 // durations.
 func newContendedFixture(t *testing.T, class model.Class, takes ...time.Duration) (*fixture, *timedUpstream) {
 	f := newFixture(t, class, make([]http.HandlerFunc, len(takes))...)
-	u := &timedUpstream{takes: make(map[model.TargetID]time.Duration), failing: make(map[model.TargetID]bool)}
+	u := &timedUpstream{takes: make(map[model.TargetID]time.Duration), failing: make(map[model.TargetID]bool), statuses: make(map[model.TargetID]int)}
 	for i, e := range f.picker.endpoints {
 		u.takes[e.Target.ID] = takes[i]
 	}
