Treat responses with an invalid status line as failures of their target

Seen: a target in trouble sent an answer whose status was 000, and the client got it as an answer (MIXED, the users' report).

Cause: responses were checked for whose they are, not for being responses. That was left to net/http, whose parser takes any three characters that convert to a number from 0 on: 000, 001, 099, 600 and 999 were passed on as sent, "+20" as 20, and 101 to requests that asked for no other protocol. Ruled out: the gateway made up the status.

Change: internal/responsehead validates the bytes of a head before net/http reads them. A malformed head is an unknown outcome (reason "malformed"). The health checks of full instances, which took 000 and 101 for healthy, use it too. Observations of full instances know the reasons "foreign" and "malformed"; the former would have indexed out of range.

--- a/internal/health/probe/http.go
+++ b/internal/health/probe/http.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 
 	"redwingpoint.org/redwingpoint/internal/health"
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/responsehead"
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
@@ -16,13 +18,14 @@
 
 // NewHTTP returns an HTTP prober.
 func NewHTTP() *HTTP {
-	return &HTTP{transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	dial := responsehead.Dialer(new(net.Dialer).DialContext)
+	return &HTTP{transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}
 }
 
 // Probe implements health.Prober. Any error counts as health.ProbeFailed.
 func (p *HTTP) Probe(ctx context.Context, target model.Target) health.ProbeResult {
 	url := "http://" + target.Addr.String() + upstream.HealthPath
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(responsehead.WithRequest(ctx), http.MethodGet, url, nil)
 	if err != nil {
 		return health.ProbeFailed
 	}
--- a/internal/health/probe/http_test.go
+++ b/internal/health/probe/http_test.go
@@ -1,6 +1,7 @@
 package probe
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -11,6 +12,18 @@
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
+// rawResponse returns a handler that writes the bytes of its response itself.
+func rawResponse(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	}
+}
+
 func TestProbeReadsHealthEndpoint(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -20,6 +33,8 @@
 		{"healthy", func(http.ResponseWriter, *http.Request) {}, health.ProbeOK},
 		{"unhealthy", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, health.ProbeFailed},
 		{"draining", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(upstream.HeaderDraining, "true") }, health.ProbeDraining},
+		{"status 000", rawResponse("HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n"), health.ProbeFailed},
+		{"status 101", rawResponse("HTTP/1.1 101 Switching Protocols\r\n\r\n"), health.ProbeFailed},
 		{"broken", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, health.ProbeFailed},
 	}
 	for _, test := range tests {
--- a/internal/reverseproxy/exchange.go
+++ b/internal/reverseproxy/exchange.go
@@ -79,11 +79,13 @@
 }
 
 var outcomeByReason = [...]health.Outcome{
-	upstream.Unreachable:    health.Unreachable,
-	upstream.NotCommitted:   health.Cancelled,
-	upstream.ConnectionLost: health.ConnectionLost,
-	upstream.TimedOut:       health.TimedOut,
-	upstream.Cancelled:      health.Cancelled,
+	upstream.Unreachable:       health.Unreachable,
+	upstream.NotCommitted:      health.Cancelled,
+	upstream.ConnectionLost:    health.ConnectionLost,
+	upstream.TimedOut:          health.TimedOut,
+	upstream.Cancelled:         health.Cancelled,
+	upstream.InvalidResponse:   health.ServerError,
+	upstream.MalformedResponse: health.ServerError,
 }
 
 // recordFailure ends an exchange for which no response header was received.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -115,6 +115,7 @@
 	startedAt := c.elapsed()
 	recentlyVerified := startedAt-cn.verifiedAt <= maxVerifiedAge
 	cn.trackedConn.written.Store(false)
+	cn.trackedConn.Begin()
 	resp, err := cn.http.RoundTrip(newRequest(ctx, p.host, call))
 	if err != nil {
 		cn.close()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"redwingpoint.org/redwingpoint/internal/responsehead"
 )
 
 // Dialer opens a connection to a target. It must be safe for concurrent use.
@@ -58,7 +60,7 @@
 
 // trackedConn is a network connection that reports writes and its closing.
 type trackedConn struct {
-	net.Conn
+	*responsehead.Conn
 	// written is set once the current exchange has tried to write a byte.
 	written atomic.Bool
 	// onWrite, if set before the exchange starts, is called with the number of bytes of
@@ -111,7 +113,7 @@
 			}
 			slot := ctx.Value(trackedConnKey{}).(**trackedConn)
 			open.Add(1)
-			*slot = &trackedConn{Conn: raw, open: open}
+			*slot = &trackedConn{Conn: responsehead.NewConn(raw), open: open}
 			return *slot, nil
 		},
 		DisableCompression:     true,
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/model"
+	"redwingpoint.org/redwingpoint/internal/responsehead"
 )
 
 type targetID = model.TargetID
@@ -34,11 +35,14 @@
 	// InvalidResponse means that the response is not the target's response to this
 	// request.
 	InvalidResponse
+	// MalformedResponse means that what the target sent is no response of HTTP/1.1.
+	MalformedResponse
 )
 
 var reasonNames = [...]string{
 	Unreachable: "unreachable", NotCommitted: "not committed", ConnectionLost: "broken",
 	TimedOut: "timed out", Cancelled: "cancelled", InvalidResponse: "foreign",
+	MalformedResponse: "malformed",
 }
 
 // String returns the name of r.
@@ -82,11 +86,14 @@
 // whether the connection was verified within maxVerifiedAge.
 func newCallError(ctx context.Context, target model.TargetID, cn *conn, recentlyVerified bool, cause error) *CallError {
 	e := &CallError{Target: target, Reason: ConnectionLost, Sent: cn.trackedConn.written.Load(), Reused: cn.reused, Cause: cause}
+	var malformed *responsehead.MalformedError
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.Reason = TimedOut
 	case ctx.Err() != nil:
 		e.Reason = Cancelled
+	case errors.As(cause, &malformed):
+		e.Reason = MalformedResponse
 	default:
 		e.Crashed = e.Sent && recentlyVerified && connectionLost(cause)
 	}
