Don't take a response that was reset during the upload for whole

Seen: a target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: a kernel tells a reset only once, to the call that meets it first. If that is a write, the read finds the end of the connection, which is how a response without a length ends. Ruled out: net/http ends the body without an error when its writer closes the connection.

Change: at the end of the input a connection interrupts and awaits the pending write and returns its error if that is a reset. No time is waited, and the order of the two goroutines doesn't matter. An end before the reset (EPIPE) still ends the response.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/responsehead"
@@ -71,6 +76,36 @@
 	// open counts the client's open connections; Close leaves it once.
 	open   *atomic.Int64
 	closed atomic.Bool
+	// writing is held during each write. writeFailure is the error of the first one that
+	// failed.
+	writing      sync.Mutex
+	writeFailure error
+}
+
+// Read implements net.Conn. At the end of the input it returns the error of a write that met
+// a reset.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		if reset := c.resetByPeer(); reset != nil {
+			return n, reset
+		}
+	}
+	return n, err
+}
+
+// resetByPeer returns the error of a write that a reset of the connection ended, or nil. Of
+// all pending calls, a kernel tells only one of the reset; for the others the connection just
+// ends. A write that is pending is interrupted, since the exchange ends with the input.
+func (c *trackedConn) resetByPeer() error {
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	// EPIPE means that the peer ended the connection before it reset it.
+	if c.writeFailure == nil || errors.Is(c.writeFailure, os.ErrDeadlineExceeded) || errors.Is(c.writeFailure, syscall.EPIPE) {
+		return nil
+	}
+	return c.writeFailure
 }
 
 // Close implements net.Conn.
@@ -87,7 +122,12 @@
 // Write implements net.Conn.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.written.Store(true)
+	c.writing.Lock()
 	n, err := c.Conn.Write(p)
+	if err != nil && c.writeFailure == nil {
+		c.writeFailure = err
+	}
+	c.writing.Unlock()
 	if n > 0 && c.onWrite != nil {
 		c.onWrite(n)
 	}
