Treat responses with invalid field names as failures of their target

Seen: a target in trouble sent an answer in whose head the name of a field held a blank.

Cause: net/http keeps names with blanks, inside or before the colon, and so doesn't know them: with "Content-Length :" or "Transfer-Encoding :" it reads the body until the connection ends. It also ignores Transfer-Encoding in HTTP/1.0, with the same effect. Names with control bytes it rejects; that is tested now.

Change: the validator of response heads checks each name, also in informational responses, and Transfer-Encoding in HTTP/1.0. Both clients of the platform's store use it too: they took documents with such heads.

--- a/internal/responsehead/validator.go
+++ b/internal/responsehead/validator.go
@@ -2,6 +2,8 @@
 // than RFC 9112 allows.
 package responsehead
 
+import "strings"
+
 // MalformedError reports a response head that breaks RFC 9112. Its text holds none of the
 // bytes received.
 type MalformedError struct{ Problem string }
@@ -10,7 +12,12 @@
 
 var (
 	errStatusLine = &MalformedError{Problem: "invalid status line"}
-	errLineEnd    = &MalformedError{Problem: "carriage return without line feed"}
+	errFieldName  = &MalformedError{Problem: "invalid field name"}
+	errFolded     = &MalformedError{Problem: "continuation of no field"}
+	// errFraming means Transfer-Encoding in a response of HTTP/1.0, which RFC 9112, section
+	// 6.1, takes for faulty framing.
+	errFraming = &MalformedError{Problem: "Transfer-Encoding in HTTP/1.0"}
+	errLineEnd = &MalformedError{Problem: "carriage return without line feed"}
 	// errSwitched means status 101, since no request asks for another protocol.
 	errSwitched = &MalformedError{Problem: "change of protocol without request"}
 )
@@ -22,7 +29,8 @@
 	inStatusLine state = iota
 	inReason
 	atLineStart
-	inLine
+	inName
+	inValue
 	inLastLineEnd
 	inBody
 )
@@ -42,8 +50,11 @@
 // use.
 type Validator struct {
 	state state
-	// position is the number of bytes of the status line so far, up to statusEnd.
+	// position is the number of bytes of the status line so far, up to statusEnd. Later it is
+	// the number of those of the name so far that match transferEncoding, or -1.
 	position int
+	// legacy is set if the response is of HTTP/1.0. hasField is set after the first field.
+	legacy, hasField bool
 	// informational is set if the status is 1xx, so that another head follows.
 	informational bool
 	// switched is set if the status may be 101.
@@ -70,19 +81,14 @@
 	switch v.state {
 	case inStatusLine:
 		return v.nextOfStatusLine(b)
-	case inReason, inLine:
+	case inReason, inValue:
 		if b == '\n' {
 			v.state = atLineStart
 		}
 	case atLineStart:
-		switch b {
-		case '\r':
-			v.state = inLastLineEnd
-		case '\n':
-			v.endHead()
-		default:
-			v.state = inLine
-		}
+		return v.nextOfLine(b)
+	case inName:
+		return v.nextOfName(b)
 	case inLastLineEnd:
 		if b != '\n' {
 			return errLineEnd
@@ -99,6 +105,7 @@
 	switch at := v.position; at {
 	case minorVersion:
 		valid = isDigit(b)
+		v.legacy = b == '0'
 	case firstDigit - 1:
 		valid = b == ' '
 	case firstDigit:
@@ -127,6 +134,49 @@
 	return nil
 }
 
+// nextOfLine validates the first byte of a line after the status line.
+func (v *Validator) nextOfLine(b byte) error {
+	switch b {
+	case '\r':
+		v.state = inLastLineEnd
+	case '\n':
+		v.endHead()
+	case ' ', '\t':
+		if !v.hasField {
+			return errFolded
+		}
+		v.state = inValue
+	case ':':
+		return errFieldName
+	default:
+		v.state, v.hasField, v.position = inName, true, 0
+		return v.nextOfName(b)
+	}
+	return nil
+}
+
+// transferEncoding is the name of that field in lower case.
+const transferEncoding = "transfer-encoding"
+
+// nextOfName validates one byte of a field's name or the colon after it. A name is a token,
+// with no white space before the colon.
+func (v *Validator) nextOfName(b byte) error {
+	switch {
+	case b == ':':
+		if v.legacy && v.position == len(transferEncoding) {
+			return errFraming
+		}
+		v.state = inValue
+	case !isTokenByte(b):
+		return errFieldName
+	case v.position >= 0 && v.position < len(transferEncoding) && b|0x20 == transferEncoding[v.position]:
+		v.position++
+	default:
+		v.position = -1
+	}
+	return nil
+}
+
 // endHead expects the body, or another head after that of an informational response.
 func (v *Validator) endHead() {
 	if v.informational {
@@ -137,3 +187,8 @@
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// isTokenByte reports whether b may stand in a token of RFC 9110, section 5.6.2.
+func isTokenByte(b byte) bool {
+	return 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || isDigit(b) || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
--- a/internal/responsehead/validator_test.go
+++ b/internal/responsehead/validator_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -32,12 +34,38 @@
 	}
 }
 
+// TestFields checks which lines may follow a status line.
+func TestFields(t *testing.T) {
+	for _, fields := range []string{
+		"", "A: b\r\n", "A:\r\n", "!#$%&'*+-.^_`|~09azAZ: \x00\r\n", "A: b\r\n folded\r\n\tand again\r\nC: d\r\n", "A: b\n",
+		"Transfer-Encoding: chunked\r\n", "Transfer-Encodings: a\r\n",
+	} {
+		if err := new(Validator).Validate([]byte("HTTP/1.1 200 OK\r\n" + fields + "\r\n")); err != nil {
+			t.Errorf("%q: %v", fields, err)
+		}
+	}
+	for _, fields := range []string{
+		"A : b\r\n", "A b: c\r\n", "A\t: b\r\n", ": b\r\n", " A: b\r\n", "\tA: b\r\n", "A\x00: b\r\n", "A\x1f: b\r\n", "A\x7f: b\r\n", "\x80: b\r\n",
+		"A\r\n", "A\n", "A: b\r\n\rC: d\r\n", "A(: b\r\n", "\"A\": b\r\n",
+	} {
+		if err := new(Validator).Validate([]byte("HTTP/1.1 200 OK\r\n" + fields + "\r\n")); err == nil {
+			t.Errorf("%q was accepted", fields)
+		}
+	}
+	for fields, valid := range map[string]bool{"TRANSFER-encoding: chunked\r\n": false, "Transfer-Encodin: a\r\n": true, "Transfer-Encodings: a\r\n": true} {
+		if err := new(Validator).Validate([]byte("HTTP/1.0 200 OK\r\n" + fields + "\r\n")); (err == nil) != valid {
+			t.Errorf("HTTP/1.0, %q: %v", fields, err)
+		}
+	}
+}
+
 // FuzzValidator checks that the division of a response into reads doesn't matter, that what
 // the validator accepts net/http reads as a response in the allowed range, and that the
 // validator finds the same end of the head.
 func FuzzValidator(f *testing.F) {
 	f.Add([]byte(head), 3)
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n"+head), 20)
+	f.Add([]byte(strings.Replace(head, ":", " :", 1)), 30)
 	f.Add([]byte(strings.Replace(head, "200", "000", 1)), 12)
 	f.Fuzz(func(t *testing.T, response []byte, cut int) {
 		whole := new(Validator)
@@ -63,6 +91,11 @@
 			if parsed.StatusCode < 100 || parsed.StatusCode > 599 || parsed.StatusCode == http.StatusSwitchingProtocols || parsed.ProtoMajor != 1 {
 				t.Fatalf("accepted %s %d", parsed.Proto, parsed.StatusCode)
 			}
+			for name := range parsed.Header {
+				if !httpguts.ValidHeaderFieldName(name) {
+					t.Fatalf("accepted field %q", name)
+				}
+			}
 			if parsed.StatusCode >= 200 {
 				return
 			}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -13,6 +14,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"redwingpoint.org/redwingpoint/internal/responsehead"
 )
 
 // Client is an HTTP client of the Object API and the instance list. Each method
@@ -90,7 +93,8 @@
 		o.OnAvailability = func(bool) {}
 	}
 	if o.Transport == nil {
-		o.Transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
+		dial := responsehead.Dialer(new(net.Dialer).DialContext)
+		o.Transport = &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
 	}
 	return o
 }
@@ -268,7 +272,7 @@
 // exchange sends a request and reads the response. It sets sent once it has a
 // connection: from then on a write may take effect.
 func (c *Client) exchange(ctx context.Context, r request, sent *atomic.Bool) (*response, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+r.wait)
+	ctx, cancel := context.WithTimeout(responsehead.WithRequest(ctx), c.timeout+r.wait)
 	defer cancel()
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -246,3 +246,25 @@
 		}
 	}
 }
+
+// TestMalformedResponseStatesNothing guards against a target in trouble whose response is none
+// by the protocol: neither its load report nor what it states about itself counts.
+func TestMalformedResponseStatesNothing(t *testing.T) {
+	target := newRawTarget(t, func(c net.Conn, _, _ int) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX Bad: a\r\nLoad: 1\r\nLimit: 2\r\nContent-Length: 0\r\n\r\n")
+		return false
+	})
+	c := NewClientWithProtocol(&Protocol{
+		NotRun:         func(int, http.Header) bool { return false },
+		ParseLoad:      func(h http.Header) (routing.LoadReport, bool) { return routing.LoadReport{}, h.Get("Load") != "" },
+		ParseStatement: func(_ int, h http.Header) routing.Statement { return routing.Statement{Limited: h.Get("Limit") != ""} },
+	})
+	_, err := c.Probe(t.Context(), target.endpoint, "/health")
+	var failed *CallError
+	if !errors.As(err, &failed) || failed.Reason != MalformedResponse || !failed.Sent || failed.Crashed {
+		t.Errorf("got %+v", err)
+	}
+	if stated, _ := target.endpoint.Load.Statement(); stated.Limited {
+		t.Errorf("statement %+v", stated)
+	}
+}
