Bound what targets' bytes add to logs and events

The memory of a gateway holds, but its log took what came.

Cause: net/http logs what arrives on an idle connection, up to 4 KB each time, and its errors quote lines of a head of up to 64 KB. Both were logged; full instances also keep the errors as details of events, and didn't redirect the standard library's log.

Change: bytes that arrive while no request is open end the connection before net/http reads them. Texts of causes have at most 256 bytes, and so do messages of the standard library's log, in both roles. The transports of health checks and of the platform's store bound heads by 64 KB.

--- a/cmd/redwingpoint/gateway.go
+++ b/cmd/redwingpoint/gateway.go
@@ -54,7 +54,7 @@
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	log := sink.Logger(zap.InfoLevel).With(zap.String("instance", string(gatewaySettings.Instance)))
-	defer zap.RedirectStdLog(log)()
+	defer logsink.RedirectStdLog(log)()
 	provider, err := platform.NewProvider(gatewaySettings)
 	if err != nil {
 		return err
--- a/cmd/redwingpoint/serve.go
+++ b/cmd/redwingpoint/serve.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/daemon"
+	"redwingpoint.org/redwingpoint/internal/logsink"
 	"redwingpoint.org/redwingpoint/internal/settings"
 )
 
@@ -56,6 +57,7 @@
 	// is none, and the default action of SIGHUP would end the process.
 	signal.Ignore(syscall.SIGHUP)
 	log = log.With(zap.String("instance", string(instanceSettings.Instance)))
+	defer logsink.RedirectStdLog(log)()
 	app := daemon.New(instanceSettings, log, fx.Supply(logConfig.Level))
 	if err := app.Start(ctx); err != nil {
 		return eris.Wrap(err, "start")
--- a/internal/health/probe/http.go
+++ b/internal/health/probe/http.go
@@ -18,8 +18,9 @@
 
 // NewHTTP returns an HTTP prober.
 func NewHTTP() *HTTP {
-	dial := responsehead.Dialer(new(net.Dialer).DialContext)
-	return &HTTP{transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}
+	transport := responsehead.NewTransport(new(net.Dialer).DialContext)
+	transport.DisableKeepAlives = true
+	return &HTTP{transport: transport}
 }
 
 // Probe implements health.Prober. Any error counts as health.ProbeFailed.
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -77,6 +77,24 @@
 	return c.Core.Check(e, checked)
 }
 
+// maxStdLogMessage is the length in bytes of a message of the standard library's logger.
+const maxStdLogMessage = 256
+
+// RedirectStdLog makes the standard library's logger write to log, and returns a function that
+// undoes it. Its messages are cut, since they may quote what peers send.
+func RedirectStdLog(log *zap.Logger) (undo func()) {
+	return zap.RedirectStdLog(log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core { return shortMessages{c} })))
+}
+
+// shortMessages is a zapcore.Core that cuts messages to maxStdLogMessage.
+type shortMessages struct{ zapcore.Core }
+
+// Check implements zapcore.Core.
+func (c shortMessages) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	e.Message = e.Message[:min(len(e.Message), maxStdLogMessage)]
+	return c.Core.Check(e, checked)
+}
+
 // Write implements io.Writer. It buffers a copy of the line, or drops the line if the
 // buffer is full. The error is always nil.
 func (s *Sink) Write(line []byte) (int, error) {
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"log"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -66,3 +68,19 @@
 		}
 	})
 }
+
+// TestStdLogIsStructuredAndCut guards against messages of net/http that quote what a peer has
+// sent.
+func TestStdLogIsStructuredAndCut(t *testing.T) {
+	out := new(bytes.Buffer)
+	s := New(out)
+	undo := RedirectStdLog(s.Logger(zap.InfoLevel))
+	log.Printf("starting with %q", strings.Repeat("\x00\n", 5000))
+	log.Printf("short")
+	undo()
+	s.Close()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 2 || len(lines[0]) > 2*maxStdLogMessage || !json.Valid([]byte(lines[0])) || !strings.Contains(lines[1], `"short"`) {
+		t.Errorf("%d lines: %.600s", len(lines), out)
+	}
+}
--- a/internal/misuse/gateway_test.go
+++ b/internal/misuse/gateway_test.go
@@ -47,6 +47,10 @@
 
 	unsafeHost = "once.example"
 	safeHost   = "safe.example"
+	// endlessHost and endlessSafeHost have routes to a service without targets, until
+	// startEndlessTarget.
+	endlessHost     = "endless.example"
+	endlessSafeHost = "endless-safe.example"
 )
 
 // gateway is a gateway's process with a store and one target. Callers reach it at callers,
@@ -57,6 +61,7 @@
 	command                        *exec.Cmd
 	exited                         chan struct{}
 	log                            string
+	store                          *platformtest.Store
 	nextID                         atomic.Int64
 	// mostDescriptors is the largest number of open descriptors that was seen.
 	mostDescriptors atomic.Int64
@@ -101,14 +106,15 @@
 	t.Cleanup(func() { close(release) })
 	target.Address = targetServer.Listener.Addr().String()
 	store.Put(platform.TargetsKind, target.ID, target.Registration("service", "ready"))
-	rule := func(name, host string, idempotent bool) platformtest.Rule {
-		return platformtest.Rule{Name: name, Host: host, Prefix: "/", Idempotent: idempotent, Service: "service", Objective: time.Second, Timeout: ruleTimeout, MaxAttempts: 2}
+	rule := func(name, host, service string, idempotent bool) platformtest.Rule {
+		return platformtest.Rule{Name: name, Host: host, Prefix: "/", Idempotent: idempotent, Service: service, Objective: time.Second, Timeout: ruleTimeout, MaxAttempts: 2}
 	}
-	document := platformtest.Routes(1, []string{"service"}, rule("once", unsafeHost, false), rule("safe", safeHost, true))
+	document := platformtest.Routes(1, []string{"service", "endless"}, rule("once", unsafeHost, "service", false), rule("safe", safeHost, "service", true),
+		rule("endless-once", endlessHost, "endless", false), rule("endless-safe", endlessSafeHost, "endless", true))
 	store.Put(platform.RoutesKind, "main", platformtest.WithLimits(document, platformtest.Limits{HeaderBytes: headLimit, BodyBytes: bodyLimit, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}))
 
 	ip := standin.LoopbackIP(loopback)
-	g := &gateway{t: t, callers: ip + ":8080", ready: ip + ":8081", metrics: ip + ":8083", peers: ip + ":8082", exited: make(chan struct{}), log: filepath.Join(t.TempDir(), "log")}
+	g := &gateway{t: t, store: store, callers: ip + ":8080", ready: ip + ":8081", metrics: ip + ":8083", peers: ip + ":8082", exited: make(chan struct{}), log: filepath.Join(t.TempDir(), "log")}
 	path := filepath.Join(t.TempDir(), "gateway.yaml")
 	settings := fmt.Sprintf(`instance: misuse
 location: {region: praha, failureDomain: praha-a}
--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -3,27 +3,41 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 )
 
+// UnsolicitedError reports bytes that arrived while no request was open.
+type UnsolicitedError struct{}
+
+func (UnsolicitedError) Error() string { return "bytes arrived without a request" }
+
 // Conn is a connection on which requests are sent one after the other. Its Read fails with
-// *MalformedError if the head of a response is malformed, in place of returning it. Read may
-// be called by one goroutine at a time, the other methods by any.
+// *MalformedError if the head of a response is malformed, and with UnsolicitedError if bytes
+// arrive before Begin or after End, in place of returning them. Read may be called by one
+// goroutine at a time, the other methods by any.
 type Conn struct {
 	net.Conn
-	// begun counts the requests.
+	// begun counts the requests, open is set while one is.
 	begun atomic.Uint64
+	open  atomic.Bool
 	// validator is that of the response to request number validated. Only Read uses them.
 	validator Validator
 	validated uint64
 }
 
-// NewConn returns a Conn that reads from c.
+// NewConn returns a Conn that reads from c and has no request open.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
 // Begin says that a request will be sent, so that the next byte begins a response.
-func (c *Conn) Begin() { c.begun.Add(1) }
+func (c *Conn) Begin() {
+	c.begun.Add(1)
+	c.open.Store(true)
+}
+
+// End says that the response was read whole, as far as the caller is concerned.
+func (c *Conn) End() { c.open.Store(false) }
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -31,6 +45,9 @@
 	if n == 0 {
 		return n, err
 	}
+	if !c.open.Load() {
+		return 0, UnsolicitedError{}
+	}
 	if begun := c.begun.Load(); begun != c.validated {
 		c.validator, c.validated = Validator{}, begun
 	}
@@ -40,22 +57,26 @@
 	return n, err
 }
 
-// DialFunc opens a connection for an http.Transport.
-type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+// maxHeadBytes is the largest head in bytes that a transport of NewTransport accepts.
+const maxHeadBytes = 64 << 10
 
-// Dialer returns a DialFunc whose connections are Conns. The requests sent on them need a
+// NewTransport returns a transport over Conns that are opened by dial. Its requests need a
 // context from WithRequest.
-func Dialer(dial DialFunc) DialFunc {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		raw, err := dial(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(raw), nil
+func NewTransport(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			raw, err := dial(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return NewConn(raw), nil
+		},
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
-// WithRequest returns the context of a request that an http.Transport sends on a Conn.
+// WithRequest returns the context of a request that a transport of NewTransport sends.
 func WithRequest(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
--- a/internal/responsehead/validator.go
+++ b/internal/responsehead/validator.go
@@ -1,5 +1,6 @@
 // Package responsehead validates the heads of HTTP/1.1 responses where net/http accepts more
-// than RFC 9112 allows.
+// than RFC 9112 allows, and tells the bytes of a response from those that no request has
+// asked for.
 package responsehead
 
 import "strings"
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -93,8 +93,9 @@
 		o.OnAvailability = func(bool) {}
 	}
 	if o.Transport == nil {
-		dial := responsehead.Dialer(new(net.Dialer).DialContext)
-		o.Transport = &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
+		transport := responsehead.NewTransport(new(net.Dialer).DialContext)
+		transport.MaxIdleConnsPerHost = maxIdleConns
+		o.Transport = transport
 	}
 	return o
 }
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -268,3 +271,52 @@
 		t.Errorf("statement %+v", stated)
 	}
 }
+
+// TestUnsolicitedBytesEndTheConnection guards against a target that sends bytes after a
+// whole response: they belong to no later request, and the log must not hold them.
+func TestUnsolicitedBytesEndTheConnection(t *testing.T) {
+	var logged bytes.Buffer
+	log.SetOutput(&logged)
+	defer log.SetOutput(os.Stderr)
+	sent := make(chan struct{}, 2)
+	target := newRawTarget(t, func(c net.Conn, conn, _ int) bool {
+		if !respondOK(c) || conn > 1 {
+			return conn > 1
+		}
+		time.AfterFunc(20*time.Millisecond, func() {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond")
+			sent <- struct{}{}
+		})
+		return true
+	})
+	c := NewClient()
+	mustDo(t, c, target.call())
+	<-sent
+	for c.ConnectionCount() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	mustDo(t, c, target.call())
+	if got := target.conns.Load(); got != 2 {
+		t.Errorf("%d connections", got)
+	}
+	log.SetOutput(os.Stderr)
+	if logged.Len() > 0 {
+		t.Errorf("logged %q", logged.String())
+	}
+}
+
+// TestErrorsHoldLittleOfWhatTargetsSend guards against a faulty target whose long lines are
+// quoted in errors, which are logged and kept as events.
+func TestErrorsHoldLittleOfWhatTargetsSend(t *testing.T) {
+	long := strings.Repeat("long", 10_000)
+	for _, field := range []string{"Content-Length: " + long, "Transfer-Encoding: " + long, long, "Target: " + long + "\r\nContent-Length: 0"} {
+		target := newRawTarget(t, func(c net.Conn, _, _ int) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\n")
+			return false
+		})
+		c := NewClientWithProtocol(&Protocol{TargetID: "Target", NotRun: defaultProtocol.NotRun, ParseLoad: defaultProtocol.ParseLoad})
+		if _, err := c.Probe(t.Context(), target.endpoint, "/health"); err == nil || len(err.Error()) > 400 {
+			t.Errorf("%.20s: error of %d bytes", field, len(err.Error()))
+		}
+	}
+}
--- a/internal/upstream/errors.go
+++ b/internal/upstream/errors.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"syscall"
 	"time"
 
@@ -82,10 +83,34 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Cause }
 
+// maxCauseBytes is the length in bytes of the text of a cause. net/http quotes what the target
+// sent, and these texts are logged and kept as events.
+const maxCauseBytes = 256
+
+// shortenedError is an error whose text is cut.
+type shortenedError struct {
+	text  string
+	cause error
+}
+
+func (e *shortenedError) Error() string { return e.text }
+
+// Unwrap returns the error with the whole text.
+func (e *shortenedError) Unwrap() error { return e.cause }
+
+// shorten returns an error that has at most maxCauseBytes of the text of err.
+func shorten(err error) error {
+	text := err.Error()
+	if len(text) <= maxCauseBytes {
+		return err
+	}
+	return &shortenedError{text: strings.Clone(text[:maxCauseBytes]), cause: err}
+}
+
 // newCallError returns the error of an exchange that failed on cn. recentlyVerified tells
 // whether the connection was verified within maxVerifiedAge.
 func newCallError(ctx context.Context, target model.TargetID, cn *conn, recentlyVerified bool, cause error) *CallError {
-	e := &CallError{Target: target, Reason: ConnectionLost, Sent: cn.trackedConn.written.Load(), Reused: cn.reused, Cause: cause}
+	e := &CallError{Target: target, Reason: ConnectionLost, Sent: cn.trackedConn.written.Load(), Reused: cn.reused, Cause: shorten(cause)}
 	var malformed *responsehead.MalformedError
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -70,6 +70,7 @@
 
 // put returns a connection to the pool after a complete response.
 func (p *pool) put(c *conn) {
+	c.trackedConn.End()
 	c.verifiedAt = p.client.elapsed()
 	if p.size.Load() >= maxIdle {
 		c.close()
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/model"
@@ -19,7 +20,11 @@
 	maxProbeBody = 4 << 10
 )
 
-// WrongTargetError reports that another target responds at the address of Want.
+// maxNameBytes is the largest part in bytes of a target's name that an error holds.
+const maxNameBytes = 64
+
+// WrongTargetError reports that another target responds at the address of Want. Got is the
+// beginning of its name.
 type WrongTargetError struct {
 	Want model.TargetID
 	Got  string
@@ -54,7 +59,7 @@
 		return routing.LoadReport{}, err
 	}
 	if name := response.Header.Get(c.protocol.TargetID); name != "" && name != string(e.Target.ID) {
-		return routing.LoadReport{}, &WrongTargetError{Want: e.Target.ID, Got: name}
+		return routing.LoadReport{}, &WrongTargetError{Want: e.Target.ID, Got: strings.Clone(name[:min(len(name), maxNameBytes)])}
 	}
 	c.recordHealth(e, response.Header, askedAt)
 	report, ok := c.protocol.ParseLoad(response.Header)
