Bound the responses of the platform that an instance reads

Cause: the client of the Object API read a body whole, whatever its length, for as long as a call may take. Found while looking for the cause of the report of bytes without end wherever answers are read; gateways have a bound of their own.

Change: a body beyond 64 MiB is a ResponseTooLargeError, which makes the call unavailable or, for a write, its outcome unknown.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -59,6 +59,9 @@
 	defaultBurst           = 20
 	// maxIdleConns is the number of idle connections that the default transport keeps.
 	maxIdleConns = 64
+	// maxResponseBytes is the largest response body in bytes that is read. A list holds all
+	// objects below a prefix.
+	maxResponseBytes = 64 << 20
 )
 
 // NewClient returns a client of the platform at o.BaseURL.
@@ -290,10 +293,13 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(body) > maxResponseBytes {
+		return nil, ResponseTooLargeError{}
+	}
 	return &response{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"sync"
@@ -295,3 +296,26 @@
 		}
 	})
 }
+
+// TestResponseWithoutEndIsAnError guards against a platform whose response doesn't end before
+// the call's time is up: it must not be kept.
+func TestResponseWithoutEndIsAnError(t *testing.T) {
+	var sent atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		block := make([]byte, 1<<20)
+		for {
+			n, err := w.Write(block)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}))
+	client := store.NewClient(store.ClientOptions{BaseURL: server.URL, CallTimeout: time.Minute})
+	_, err := client.List(t.Context(), "config/")
+	server.Close()
+	var tooLarge store.ResponseTooLargeError
+	if !errors.As(err, &tooLarge) || sent.Load() > 96<<20 {
+		t.Errorf("%v after %d bytes", err, sent.Load())
+	}
+}
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -63,6 +63,11 @@
 	return fmt.Sprintf("object %q: %d bytes exceed %d", e.Key, e.Bytes, MaxObjectBytes)
 }
 
+// ResponseTooLargeError reports a response whose body is larger than any list.
+type ResponseTooLargeError struct{}
+
+func (ResponseTooLargeError) Error() string { return "response body is too large" }
+
 // CursorGoneError reports a watch cursor that is too old for the server.
 type CursorGoneError struct{ After Version }
 
