Follow a store that returns from an older copy

Cause: the order of what is known was that of revisions. After a return the store gives them out again: an entry of a high revision hid later ones, and a watch that succeeded at a revision given out again hid what lay between.

Change: a Position is an era and a revision, compared as a whole, in place of each revision of the store. A later era makes a follower list anew, ends stale watches of other kinds and replaces lists of peers as a whole; a response of an earlier era changes nothing. Messages between gateways keep their fields; a store without eras has the positions that were its revisions.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -183,10 +183,11 @@
 	}
 	local := &replica.Replica{
 		Routes:  &replica.Routes{Decode: g.provider.DecodeRoutes, Holder: g.routes, Observer: g},
-		Targets: &replica.Targets{Decode: g.provider.DecodeTarget, Table: g.table, Observer: g},
+		Targets: &replica.Targets{Decode: g.provider.DecodeTarget, Table: g.table, Observer: g, ReturnGrace: removalGrace},
 	}
+	g.registerReturnGauges(local.Targets)
 	if g.settings.EvacuationTimeout > 0 {
-		local.Evacuations = &replica.Evacuations{Decode: g.provider.DecodeEvacuation, Table: g.table, Observer: g}
+		local.Evacuations = &replica.Evacuations{Decode: g.provider.DecodeEvacuation, Table: g.table, Observer: g, ReturnGrace: removalGrace}
 	}
 	relay := g.startPeerSync(lc, local)
 	routes := g.newFollower("routes", g.provider.Routes, local.Routes, relay)
@@ -241,6 +242,13 @@
 	}
 }
 
+// registerReturnGauges registers the gauges that tell of returns of the store from an older copy.
+func (g *gateway) registerReturnGauges(targets *replica.Targets) {
+	g.set.NewGauge("redwingpoint_store_era", func() float64 { return float64(targets.Era()) })
+	g.set.NewGauge("redwingpoint_targets_kept", func() float64 { kept, _ := targets.Exceptions(); return float64(kept) })
+	g.set.NewGauge("redwingpoint_targets_withheld", func() float64 { _, withheld := targets.Exceptions(); return float64(withheld) })
+}
+
 // registerGauges registers the gauges, whose values are read at every scrape.
 func (g *gateway) registerGauges() {
 	g.set.NewGauge("redwingpoint_gateway_ready", func() float64 {
--- a/internal/daemon/gateway_evacuations.go
+++ b/internal/daemon/gateway_evacuations.go
@@ -36,14 +36,14 @@
 }
 
 // EvacuationStarted implements replica.EvacuationObserver.
-func (g *gateway) EvacuationStarted(d model.FailureDomain, revision, asOf uint64, from route.Source) {
-	g.log.Warn("evacuation in force", zap.String("domain", string(d)), zap.Uint64("revision", revision),
-		zap.Uint64("as_of", asOf), zap.String("learnt_from", string(from)))
+func (g *gateway) EvacuationStarted(d model.FailureDomain, revision, asOf replica.Position, from route.Source) {
+	g.log.Warn("evacuation in force", zap.String("domain", string(d)), revision.Field("revision"),
+		asOf.Field("as_of"), zap.String("learnt_from", string(from)))
 }
 
 // EvacuationEnded implements replica.EvacuationObserver.
-func (g *gateway) EvacuationEnded(d model.FailureDomain, asOf uint64, from route.Source) {
-	g.log.Warn("evacuation ended", zap.String("domain", string(d)), zap.Uint64("as_of", asOf), zap.String("learnt_from", string(from)))
+func (g *gateway) EvacuationEnded(d model.FailureDomain, asOf replica.Position, from route.Source) {
+	g.log.Warn("evacuation ended", zap.String("domain", string(d)), asOf.Field("as_of"), zap.String("learnt_from", string(from)))
 }
 
 // EvacuationRejected implements replica.EvacuationObserver.
--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -97,9 +97,9 @@
 func (g *gateway) RoutesRejected(err error) { g.log.Error("routes rejected", zap.Error(err)) }
 
 // TargetUpdated implements replica.TargetObserver.
-func (g *gateway) TargetUpdated(t model.Target, revision uint64) {
+func (g *gateway) TargetUpdated(t model.Target, revision replica.Position) {
 	g.log.Info("target learnt", zap.String("target", string(t.ID)), zap.String("service", string(t.Service)),
-		zap.String("domain", string(t.Location.FailureDomain)), zap.Bool("leaving", t.Leaving), zap.Uint64("revision", revision))
+		zap.String("domain", string(t.Location.FailureDomain)), zap.Bool("leaving", t.Leaving), revision.Field("revision"))
 }
 
 // TargetRemoved implements replica.TargetObserver.
@@ -112,6 +112,12 @@
 	g.log.Warn("target entry rejected", zap.String("name", name), zap.Error(err))
 }
 
+// StoreReturned implements replica.TargetObserver.
+func (g *gateway) StoreReturned(r replica.Return) {
+	g.log.Warn("store returned from an older copy", r.Before.Field("before"), r.After.Field("after"),
+		zap.Int("targets_kept", r.Kept), zap.Int("targets_withheld", r.Withheld))
+}
+
 // newUpstreamClient returns a client that logs and counts what targets state about
 // themselves and reports withdrawn limits.
 func newUpstreamClient(p Provider, log *zap.Logger, set *metrics.Set, permits *peersync.Permits) *upstream.Client {
--- a/internal/peersync/evacuations_test.go
+++ b/internal/peersync/evacuations_test.go
@@ -35,13 +35,13 @@
 func (nodeObserver) SetEvacuated(map[model.FailureDomain]bool) {}
 func (nodeObserver) EvacuationRejected(string, error)          {}
 
-func (o nodeObserver) EvacuationStarted(d model.FailureDomain, _, _ uint64, _ route.Source) {
+func (o nodeObserver) EvacuationStarted(d model.FailureDomain, _, _ replica.Position, _ route.Source) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.node.evacuated[d] = time.Now()
 }
 
-func (o nodeObserver) EvacuationEnded(d model.FailureDomain, _ uint64, _ route.Source) {
+func (o nodeObserver) EvacuationEnded(d model.FailureDomain, _ replica.Position, _ route.Source) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.node.returned[d] = time.Now()
@@ -120,8 +120,9 @@
 // nopEvacuations implements replica.EvacuationObserver.
 type nopEvacuations struct{}
 
-func (nopEvacuations) EvacuationStarted(model.FailureDomain, uint64, uint64, route.Source) {}
-func (nopEvacuations) EvacuationEnded(model.FailureDomain, uint64, route.Source)           {}
+func (nopEvacuations) EvacuationStarted(model.FailureDomain, replica.Position, replica.Position, route.Source) {
+}
+func (nopEvacuations) EvacuationEnded(model.FailureDomain, replica.Position, route.Source) {}
 func (nopEvacuations) EvacuationRejected(string, error)                                    {}
 
 // TestEvacuationOutlivesRestartsWithoutStore restarts all gateways but one, seeds included,
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -163,9 +163,9 @@
 	relay string
 	// latest is what the relay held at its last response.
 	latest replica.Versions
-	// routesAsOf is the store's latest revision up to which the routes of this instance are
+	// routesAsOf is the store's latest position up to which the routes of this instance are
 	// known to be in force.
-	routesAsOf uint64
+	routesAsOf replica.Position
 	// soughtRoutes is the revision of the relay's routes for which the store was read last.
 	// absentRoutes is one that a strong read has looked for: if it isn't in force, it can't
 	// be applied, and must not be read forever.
@@ -340,14 +340,14 @@
 			c.Log.Info("relay doesn't respond", zap.String("address", relay.addr), zap.Error(err))
 			return relaySilent
 		case !remote.Versions.Current:
-			c.Log.Info("relay has lost the store", zap.String("address", relay.addr), zap.Uint64("as_of", remote.Versions.AsOf))
+			c.Log.Info("relay has lost the store", zap.String("address", relay.addr), remote.Versions.AsOf.Field("as_of"))
 			return relayLostStore
 		case !remote.More:
 			behindSince = time.Time{}
 		case behindSince.IsZero():
 			behindSince = time.Now()
 		case time.Since(behindSince) > catchUpTimeout:
-			c.Log.Warn("relay is too slow", zap.String("address", relay.addr), zap.Uint64("as_of", remote.Versions.AsOf))
+			c.Log.Warn("relay is too slow", zap.String("address", relay.addr), remote.Versions.AsOf.Field("as_of"))
 			return relaySlow
 		}
 		c.accept(remote)
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"strconv"
 	"sync"
 	"testing"
@@ -23,9 +24,9 @@
 // relayStore is a store with routes and targets and one counter of revisions.
 type relayStore struct {
 	mu       sync.Mutex
-	revision uint64
+	revision replica.Position
 	// floor is the revision up to which the history is gone.
-	floor   uint64
+	floor   replica.Position
 	objects map[string]map[string]replica.Object
 	changed chan struct{}
 	downFor func(node, kind string) bool
@@ -66,6 +67,57 @@
 	s.changed = make(chan struct{})
 }
 
+// relayCopy is the state of a relayStore at some time.
+type relayCopy struct {
+	revision replica.Position
+	objects  map[string]map[string]replica.Object
+}
+
+func (s *relayStore) copy() relayCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := relayCopy{revision: s.revision, objects: make(map[string]map[string]replica.Object)}
+	for kind, objects := range s.objects {
+		c.objects[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// restore makes the store return from an older copy and returns the latest states that it lost.
+func (s *relayStore) restore(c relayCopy) (lost relayCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost.objects = make(map[string]map[string]replica.Object)
+	era := s.revision.Era() + 1
+	for kind, objects := range s.objects {
+		lost.objects[kind] = make(map[string]replica.Object)
+		restored := make(map[string]replica.Object)
+		for name, o := range objects {
+			if o.Revision.Revision() != c.objects[kind][name].Revision.Revision() || string(o.Value) != string(c.objects[kind][name].Value) {
+				lost.objects[kind][name] = o
+			}
+		}
+		for name, o := range c.objects[kind] {
+			o.Revision = inEra(era, o.Revision)
+			restored[name] = o
+		}
+		s.objects[kind] = restored
+	}
+	s.revision, s.floor = inEra(era, c.revision), 0
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return lost
+}
+
+// inEra returns the position of the same revision in an era.
+func inEra(era uint64, p replica.Position) replica.Position {
+	moved, err := replica.NewPosition(era, p.Revision())
+	if err != nil {
+		panic(err)
+	}
+	return moved
+}
+
 func (s *relayStore) loseHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,7 +143,7 @@
 }
 
 // changesAfter returns the objects changed after a revision. s.mu must be held.
-func (s relaySource) changesAfter(after uint64, deleted bool) replica.Batch {
+func (s relaySource) changesAfter(after replica.Position, deleted bool) replica.Batch {
 	batch := replica.Batch{AsOf: s.revision}
 	for _, o := range s.objects[s.kind] {
 		if o.Revision > after && (deleted || !o.Deleted) {
@@ -118,7 +170,7 @@
 // pageObjects is the number of objects in a page of the store.
 const pageObjects = 500
 
-func (s relaySource) Watch(ctx context.Context, after uint64, wait time.Duration, c replica.Consistency, _ func()) (replica.Batch, error) {
+func (s relaySource) Watch(ctx context.Context, after replica.Position, wait time.Duration, c replica.Consistency, _ func()) (replica.Batch, error) {
 	s.mu.Lock()
 	s.calls[s.node+" watch"]++
 	refused := s.strongRefused && s.node == "node"
@@ -133,7 +185,9 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		down, gone, batch, changed := s.downFor(s.node, s.kind), after < s.floor, s.changesAfter(after, true), s.changed
+		// A store knows the revision alone.
+		from := inEra(s.revision.Era(), after)
+		down, gone, batch, changed := s.downFor(s.node, s.kind), from < s.floor || from > s.revision, s.changesAfter(from, true), s.changed
 		s.mu.Unlock()
 		switch {
 		case down:
--- a/internal/peersync/sync.go
+++ b/internal/peersync/sync.go
@@ -135,6 +135,6 @@
 	}
 	s.Replica.Merge(state)
 	s.Log.Info("learnt from peer", zap.String("peer", string(from)), zap.Uint64("routes", uint64(state.Versions.Routes)),
-		zap.Uint64("as_of", state.Versions.AsOf), zap.Int("targets", len(state.Entries())))
+		state.Versions.AsOf.Field("as_of"), zap.Int("targets", len(state.Entries())))
 	s.OnMerge()
 }
--- a/internal/peersync/sync_test.go
+++ b/internal/peersync/sync_test.go
@@ -45,9 +45,10 @@
 type nopObserver struct{}
 
 func (nopObserver) SetTargets(model.ServiceName, []model.Target) {}
-func (nopObserver) TargetUpdated(model.Target, uint64)           {}
+func (nopObserver) TargetUpdated(model.Target, replica.Position) {}
 func (nopObserver) TargetRemoved(model.TargetID, bool)           {}
 func (nopObserver) TargetRejected(string, error)                 {}
+func (nopObserver) StoreReturned(replica.Return)                 {}
 func (nopObserver) RoutesApplied(*route.Table)                   {}
 func (nopObserver) RoutesRejected(error)                         {}
 
@@ -148,8 +149,8 @@
 		if bytes := exchangeBytes(t, seed, asker); bytes > equalBytes {
 			t.Errorf("with %d equal targets an exchange takes %d bytes", targets, bytes)
 		}
-		for i := range uint64(10) {
-			change := replica.Object{Name: "target-" + strconv.FormatUint(i, 10), Revision: 10 + i, Deleted: i%2 == 0}
+		for i := range replica.Position(10) {
+			change := replica.Object{Name: "target-" + i.String(), Revision: 10 + i, Deleted: i%2 == 0}
 			seed.Replica.Targets.Update(replica.Batch{AsOf: 10 + i, Objects: []replica.Object{change}}, time.Time{})
 		}
 		if bytes := exchangeBytes(t, seed, asker); bytes > differentBytes {
@@ -199,7 +200,7 @@
 		seed.Replica.Targets.Replace(replica.Batch{AsOf: 9, Objects: []replica.Object{object("a"), object("b")}}, time.Time{})
 		asker.Replica.Targets.Replace(replica.Batch{AsOf: 9, Objects: []replica.Object{object("a"), object("b"), object("c")}}, time.Time{})
 		go func() {
-			for revision := uint64(10); revision < 14; revision++ {
+			for revision := replica.Position(10); revision < 14; revision++ {
 				time.Sleep(time.Second)
 				seed.Replica.Targets.Update(replica.Batch{AsOf: revision}, time.Time{})
 			}
--- a/internal/replica/call_test.go
+++ b/internal/replica/call_test.go
@@ -37,7 +37,7 @@
 	return Batch{AsOf: 1}, s.transfer(ctx, progress)
 }
 
-func (s *partialSource) Watch(ctx context.Context, after uint64, _ time.Duration, _ Consistency, progress func()) (Batch, error) {
+func (s *partialSource) Watch(ctx context.Context, after Position, _ time.Duration, _ Consistency, progress func()) (Batch, error) {
 	if after >= s.batch.AsOf {
 		<-ctx.Done()
 		return Batch{}, ctx.Err()
--- a/internal/replica/convergence_test.go
+++ b/internal/replica/convergence_test.go
@@ -25,7 +25,7 @@
 		sender.Targets.partEntries = 3
 		receiver, out := newReplica()
 		stored := make(map[string]Object)
-		revision := uint64(1)
+		revision := Position(1)
 		list := func() Batch {
 			batch := Batch{AsOf: revision}
 			for _, o := range stored {
--- a/internal/replica/evacuations.go
+++ b/internal/replica/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -24,8 +25,8 @@
 type EvacuationObserver interface {
 	// EvacuationStarted reports a failure domain to evacuate, EvacuationEnded one that takes
 	// requests again. The state reflects the store's revision asOf.
-	EvacuationStarted(d model.FailureDomain, revision, asOf uint64, from route.Source)
-	EvacuationEnded(d model.FailureDomain, asOf uint64, from route.Source)
+	EvacuationStarted(d model.FailureDomain, revision, asOf Position, from route.Source)
+	EvacuationEnded(d model.FailureDomain, asOf Position, from route.Source)
 	// EvacuationRejected reports an object that can't be decoded, once for each name.
 	EvacuationRejected(name string, err error)
 }
@@ -33,7 +34,7 @@
 // EvacuationsVersion identifies the evacuations that an instance holds.
 type EvacuationsVersion struct {
 	// AsOf is the store's revision that the evacuations reflect, or 0 if none was ever read.
-	AsOf uint64 `cbor:"1,keyasint,omitempty"`
+	AsOf Position `cbor:"1,keyasint,omitempty"`
 	// Digest is a hash of the failure domains and the revisions of their entries.
 	Digest uint64 `cbor:"2,keyasint,omitempty"`
 	// Followed is set if the instance follows evacuations at all.
@@ -43,7 +44,7 @@
 // Evacuation is a failure domain to evacuate and the revision of its entry in the store.
 type Evacuation struct {
 	Domain   model.FailureDomain `cbor:"1,keyasint"`
-	Revision uint64              `cbor:"2,keyasint"`
+	Revision Position            `cbor:"2,keyasint"`
 }
 
 // EvacuationList is the complete list of evacuations as of a revision of the store.
@@ -52,18 +53,23 @@
 }
 
 // Evacuations keeps an EvacuationTable up to date. The state held never goes back to that of
-// an older revision of the store. It is safe for concurrent use.
+// an earlier position of the store. It is safe for concurrent use.
 type Evacuations struct {
 	Decode   EvacuationDecoder
 	Table    EvacuationTable
 	Observer EvacuationObserver
 	// OnChange, if set, is called after a change, with the lock of Evacuations held.
 	OnChange func()
+	// ReturnGrace is how long evacuations stay in force that the store lacks after it returned
+	// from an older copy.
+	ReturnGrace time.Duration
 
 	mu sync.Mutex
-	// revisions holds the revision of the entry of each evacuated failure domain.
-	revisions map[model.FailureDomain]uint64
-	asOf      uint64
+	// revisions holds the position of the entry of each evacuated failure domain.
+	revisions map[model.FailureDomain]Position
+	asOf      Position
+	// kept holds those of revisions that stay for ReturnGrace.
+	kept map[model.FailureDomain]Position
 	// rejected holds the names of the objects that were reported as rejected.
 	rejected    map[string]bool
 	confirmedAt time.Time
@@ -77,7 +83,7 @@
 	if snapshot.AsOf < e.asOf {
 		return
 	}
-	listed := make(map[model.FailureDomain]uint64)
+	listed := make(map[model.FailureDomain]Position)
 	for _, o := range snapshot.Objects {
 		domain, err := e.Decode(o)
 		if err != nil {
@@ -87,6 +93,7 @@
 		listed[domain] = o.Revision
 	}
 	e.confirm(snapshot.Strong)
+	e.keepUnlisted(listed, snapshot.AsOf)
 	e.set(listed, snapshot.AsOf, route.FromStore)
 }
 
@@ -94,7 +101,10 @@
 func (e *Evacuations) Update(changes Batch, _ time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	next := make(map[model.FailureDomain]uint64, len(e.revisions))
+	if changes.AsOf.Era() < e.asOf.Era() {
+		return
+	}
+	next := make(map[model.FailureDomain]Position, len(e.revisions))
 	for domain, revision := range e.revisions {
 		next[domain] = revision
 	}
@@ -107,7 +117,7 @@
 
 // apply applies one change. A watch that lags behind what a peer told repeats older ones,
 // which the state held already reflects.
-func (e *Evacuations) apply(o Object, next map[model.FailureDomain]uint64) {
+func (e *Evacuations) apply(o Object, next map[model.FailureDomain]Position) {
 	domain, err := e.Decode(o)
 	if err != nil {
 		e.reject(o.Name, err)
@@ -134,7 +144,7 @@
 }
 
 // set replaces the state held by one that is as new or newer. The caller must hold e.mu.
-func (e *Evacuations) set(next map[model.FailureDomain]uint64, asOf uint64, from route.Source) {
+func (e *Evacuations) set(next map[model.FailureDomain]Position, asOf Position, from route.Source) {
 	old := e.revisions
 	e.revisions, e.asOf = next, asOf
 	changed := false
@@ -244,7 +254,7 @@
 	case theirs.Digest == own.Digest:
 		e.asOf = theirs.AsOf
 	case d.Evacuations != nil:
-		next := make(map[model.FailureDomain]uint64, len(d.Evacuations.List))
+		next := make(map[model.FailureDomain]Position, len(d.Evacuations.List))
 		for _, entry := range d.Evacuations.List {
 			next[entry.Domain] = entry.Revision
 		}
@@ -252,6 +262,39 @@
 		if d.Versions.Current {
 			from = route.FromRelay
 		}
+		e.keepUnlisted(next, theirs.AsOf)
 		e.set(next, theirs.AsOf, from)
 	}
 }
+
+// keepUnlisted adds to a list as of a position the evacuations that stay in force although it
+// lacks them: all that are held if it is the first list of a later era, and those kept from
+// then on. The caller must hold e.mu.
+func (e *Evacuations) keepUnlisted(listed map[model.FailureDomain]Position, asOf Position) {
+	if e.asOf > 0 && asOf.Era() > e.asOf.Era() {
+		e.kept = maps.Clone(e.revisions)
+		time.AfterFunc(e.ReturnGrace, func() { e.dropKept(asOf.Era()) })
+	}
+	for domain, position := range e.kept {
+		if _, found := listed[domain]; !found && e.revisions[domain] == position {
+			listed[domain] = position
+		}
+	}
+}
+
+// dropKept ends the evacuations that were kept and not written again, unless the store has
+// returned once more.
+func (e *Evacuations) dropKept(era uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.asOf.Era() != era {
+		return
+	}
+	next := maps.Clone(e.revisions)
+	maps.DeleteFunc(next, func(domain model.FailureDomain, position Position) bool {
+		kept, found := e.kept[domain]
+		return found && kept == position
+	})
+	e.kept = nil
+	e.set(next, e.asOf, route.FromStore)
+}
--- a/internal/replica/evacuations_test.go
+++ b/internal/replica/evacuations_test.go
@@ -17,9 +17,9 @@
 }
 
 func (l *evacuationLog) SetEvacuated(domains map[model.FailureDomain]bool) { l.in = domains }
-func (l *evacuationLog) EvacuationStarted(model.FailureDomain, uint64, uint64, route.Source) {
+func (l *evacuationLog) EvacuationStarted(model.FailureDomain, Position, Position, route.Source) {
 }
-func (l *evacuationLog) EvacuationEnded(model.FailureDomain, uint64, route.Source) {}
+func (l *evacuationLog) EvacuationEnded(model.FailureDomain, Position, route.Source) {}
 func (l *evacuationLog) EvacuationRejected(name string, _ error) {
 	l.rejected = append(l.rejected, name)
 }
@@ -74,7 +74,7 @@
 	e, log := newEvacuations()
 	local := &Replica{Routes: &Routes{Holder: route.NewHolder(), Observer: nopObserver{}}, Targets: &Targets{Observer: nopObserver{}}, Evacuations: e}
 	e.Replace(Batch{AsOf: 5, Objects: []Object{object("a", 3, "{}")}}, removeAtOnce)
-	peer := func(asOf uint64, objects ...Object) *Replica {
+	peer := func(asOf Position, objects ...Object) *Replica {
 		held, _ := newEvacuations()
 		held.Replace(Batch{AsOf: asOf, Objects: objects}, removeAtOnce)
 		return &Replica{Routes: local.Routes, Targets: &Targets{Observer: nopObserver{}}, Evacuations: held}
--- a/internal/replica/floor_test.go
+++ b/internal/replica/floor_test.go
@@ -21,10 +21,10 @@
 	lag time.Duration
 
 	mu       sync.Mutex
-	revision uint64
+	revision Position
 	events   []laggingEvent
 	// historyFrom is the revision from which on watches can resume.
-	historyFrom uint64
+	historyFrom Position
 	// calls counts the calls of each consistency, lists as strong ones.
 	calls map[Consistency]int
 }
@@ -73,7 +73,7 @@
 
 // state returns the changes of a kind after a revision that a read of the given consistency
 // shows.
-func (s *laggingStore) state(kind string, after uint64, c Consistency) (batch Batch, gone bool) {
+func (s *laggingStore) state(kind string, after Position, c Consistency) (batch Batch, gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	until := time.Now()
@@ -120,7 +120,7 @@
 	return batch, ctx.Err()
 }
 
-func (s laggingSource) Watch(ctx context.Context, after uint64, wait time.Duration, c Consistency, _ func()) (Batch, error) {
+func (s laggingSource) Watch(ctx context.Context, after Position, wait time.Duration, c Consistency, _ func()) (Batch, error) {
 	s.count(c)
 	pause.For(ctx, storeLatency)
 	until := time.Now().Add(wait)
@@ -262,7 +262,7 @@
 // TestFloorTellsWhichViewsMayBeOld raises a floor by strong watches with and without changes
 // of other kinds in their range.
 func TestFloorTellsWhichViewsMayBeOld(t *testing.T) {
-	changes := func(asOf uint64, revisions ...uint64) Batch {
+	changes := func(asOf Position, revisions ...Position) Batch {
 		b := Batch{AsOf: asOf}
 		for _, r := range revisions {
 			b.Objects = append(b.Objects, Object{Name: "main", Revision: r})
@@ -271,9 +271,9 @@
 	}
 	var f Floor
 	for i, step := range []struct {
-		after   uint64
+		after   Position
 		batch   Batch
-		current uint64
+		current Position
 	}{
 		{0, changes(10), 10},
 		{10, changes(12, 11, 12), 10},
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -62,8 +62,8 @@
 type RelayState struct {
 	// Relayed is set if a peer has relayed changes since the last call of Await.
 	Relayed bool
-	// AsOf is the store's revision that the view reflects by what was relayed, or 0.
-	AsOf uint64
+	// AsOf is the store's position that the view reflects by what was relayed, or 0.
+	AsOf Position
 	// Behind is set if a peer that is still current knows a change that the view lacks and
 	// that has not been looked for yet. The cheaper reads are tried first then.
 	Behind bool
@@ -132,11 +132,13 @@
 	// requireStrong is set after a failure until a strong watch has succeeded.
 	requireStrong bool
 	removeAfter   time.Time
-	// goneRevision is a revision from which no watch can resume, since the store has
-	// discarded the history after it; 0 after a list.
-	goneRevision uint64
+	// goneAfter is a position from which no watch can resume, since the store has discarded
+	// the history after it; 0 after a list.
+	goneAfter Position
 	// listNext is set if the next call must be a list.
 	listNext bool
+	// known is the latest position that a response has shown.
+	known Position
 }
 
 // Run follows the source until ctx ends.
@@ -159,7 +161,7 @@
 // revision to watch from. If somebody demands the objects, it reads a list of one page: a store
 // that lists thousands of objects for each instance of a fleet that restarts is busy for longer
 // than the relays need.
-func (f *Follower) startFromRelay(ctx context.Context) (after uint64, started bool) {
+func (f *Follower) startFromRelay(ctx context.Context) (after Position, started bool) {
 	if !f.StartFromRelay || f.Relay == nil {
 		return 0, false
 	}
@@ -183,8 +185,8 @@
 }
 
 // list reads all objects, if there are no more than maxPages pages of them, and returns the
-// revision to watch from. After a failed call it backs off before it returns the error.
-func (f *Follower) list(ctx context.Context, maxPages int) (uint64, error) {
+// position to watch from. After a failed call it backs off before it returns the error.
+func (f *Follower) list(ctx context.Context, maxPages int) (Position, error) {
 	c, err := f.beginCall(ctx, responseTimeout)
 	if err != nil {
 		return 0, err
@@ -199,12 +201,15 @@
 		f.handleSuccess()
 		return 0, err
 	}
+	if known := max(f.known, f.Floor.latest()); err == nil && batch.AsOf.Era() < known.Era() {
+		err = &EarlierEraError{Known: known, AsOf: batch.AsOf}
+	}
 	if err != nil {
 		f.handleFailure(ctx, err)
 		return 0, err
 	}
 	f.handleSuccess()
-	f.goneRevision, f.listNext = 0, false
+	f.goneAfter, f.listNext = 0, false
 	batch.Strong, batch.BeganAt = true, startedAt
 	f.Floor.raise(0, Batch{AsOf: batch.AsOf})
 	f.View.Replace(batch, f.removeAfter)
@@ -219,18 +224,18 @@
 	}
 }
 
-// watch makes one watch call and returns the revision to continue from. Only a loss of
+// watch makes one watch call and returns the position to continue from. Only a loss of
 // history or the end of ctx is returned as an error; other failures are retried
-// from the same revision. After a failure, watches ask for an immediate response until
+// from the same position. After a failure, watches ask for an immediate response until
 // a strong one has succeeded.
-func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
+func (f *Follower) watch(ctx context.Context, after Position) (Position, error) {
 	watchWait, timeout := f.WatchWait, f.WatchWait+responseTimeout
 	relay := f.awaitRelay(ctx)
 	if relay.Relayed {
 		after = max(after, relay.AsOf)
 		watchWait, timeout = behindWatchWait, behindWatchWait+responseTimeout
 	}
-	if after <= f.goneRevision || f.listNext {
+	if after <= f.goneAfter || f.listNext {
 		return f.list(ctx, 0)
 	}
 	c, err := f.beginCall(ctx, timeout)
@@ -254,7 +259,7 @@
 	switch {
 	case errors.As(err, &gone):
 		f.handleSuccess()
-		f.goneRevision = max(f.goneRevision, after)
+		f.goneAfter = max(f.goneAfter, after)
 		return 0, err
 	case errors.As(err, &behind):
 		f.requireStrong = true
@@ -262,6 +267,15 @@
 	case err != nil:
 		f.handleFailure(ctx, err)
 		return after, nil
+	case batch.AsOf.Era() > after.Era():
+		f.known = max(f.known, batch.AsOf)
+		// What changed between the two positions is unknown.
+		c.end()
+		f.handleSuccess()
+		return f.list(ctx, 0)
+	case batch.AsOf.Era() < after.Era():
+		f.rejectEarlierEra(ctx, &EarlierEraError{Known: after, AsOf: batch.AsOf}, consistency)
+		return after, nil
 	}
 	batch.BeganAt = startedAt
 	if consistency == Strong {
@@ -281,9 +295,20 @@
 	return max(after, batch.AsOf), nil
 }
 
+// rejectEarlierEra handles a response of an earlier era than is known. Stale reads may give one
+// for as long as they lag; a strong read that does counts as failed.
+func (f *Follower) rejectEarlierEra(ctx context.Context, err error, consistency Consistency) {
+	if consistency == Strong {
+		f.handleFailure(ctx, err)
+		return
+	}
+	f.handleSuccess()
+	f.requireStrong = true
+}
+
 // raiseFloor records a strong watch. The floor takes the changes of kinds that are watched
 // strongly as no reason to read the others.
-func (f *Follower) raiseFloor(after uint64, batch Batch) {
+func (f *Follower) raiseFloor(after Position, batch Batch) {
 	if f.Consistency != Strong {
 		after, batch = 0, Batch{AsOf: batch.AsOf}
 	}
--- a/internal/replica/follower_test.go
+++ b/internal/replica/follower_test.go
@@ -37,9 +37,10 @@
 
 type nopObserver struct{}
 
-func (nopObserver) TargetUpdated(model.Target, uint64)             {}
+func (nopObserver) TargetUpdated(model.Target, Position)           {}
 func (nopObserver) TargetRemoved(model.TargetID, bool)             {}
 func (nopObserver) TargetRejected(string, error)                   {}
+func (nopObserver) StoreReturned(Return)                           {}
 func (nopObserver) RoutesApplied(*route.Table)                     {}
 func (nopObserver) RoutesRejected(error)                           {}
 func (nopObserver) CallFinished(string, time.Duration, int, error) {}
@@ -56,7 +57,7 @@
 	return model.Target{ID: model.TargetID(o.Name), Service: model.ServiceName(o.Value)}, nil
 }
 
-func object(name string, revision uint64, service string) Object {
+func object(name string, revision Position, service string) Object {
 	return Object{Name: name, Revision: revision, Value: []byte(service)}
 }
 
@@ -118,7 +119,7 @@
 type scriptedSource struct {
 	lists, watches []response
 	requested      []Consistency
-	revisions      []uint64
+	revisions      []Position
 	times          []time.Time
 }
 
@@ -126,7 +127,7 @@
 	return nextResponse(ctx, &s.lists)
 }
 
-func (s *scriptedSource) Watch(ctx context.Context, after uint64, _ time.Duration, consistency Consistency, _ func()) (Batch, error) {
+func (s *scriptedSource) Watch(ctx context.Context, after Position, _ time.Duration, consistency Consistency, _ func()) (Batch, error) {
 	s.requested = append(s.requested, consistency)
 	s.revisions = append(s.revisions, after)
 	s.times = append(s.times, time.Now())
@@ -268,7 +269,7 @@
 	return s.respond(ctx)
 }
 
-func (s *unavailableSource) Watch(ctx context.Context, _ uint64, wait time.Duration, _ Consistency, _ func()) (Batch, error) {
+func (s *unavailableSource) Watch(ctx context.Context, _ Position, wait time.Duration, _ Consistency, _ func()) (Batch, error) {
 	batch, err := s.respond(ctx)
 	if err == nil {
 		pause.For(ctx, wait)
--- a/internal/replica/packed.go
+++ b/internal/replica/packed.go
@@ -23,7 +23,7 @@
 	Places   []model.Location    `cbor:"2,keyasint,omitempty"`
 	// FirstStart and FirstRevision are what the entries' starts and revisions count from.
 	FirstStart    int64         `cbor:"3,keyasint,omitempty"`
-	FirstRevision uint64        `cbor:"4,keyasint,omitempty"`
+	FirstRevision Position      `cbor:"4,keyasint,omitempty"`
 	Entries       []packedEntry `cbor:"5,keyasint,omitempty"`
 }
 
@@ -114,7 +114,7 @@
 		p.Entries = append(p.Entries, TargetEntry{
 			Name:       e.Name,
 			ColdMillis: e.Cold,
-			Revision:   form.FirstRevision + uint64(e.Revision),
+			Revision:   form.FirstRevision + Position(e.Revision),
 			Target: model.Target{
 				ID:          e.ID,
 				Service:     form.Services[e.Service],
--- a/internal/replica/packed_test.go
+++ b/internal/replica/packed_test.go
@@ -63,7 +63,7 @@
 	receiver, out := newReplica()
 	receiver.Merge(roundTrip(t, sender.DeltaFor(receiver.Versions())))
 	var changes Batch
-	for i := range uint64(count) {
+	for i := range Position(count) {
 		changes.Objects = append(changes.Objects, object(fmt.Sprintf("i-%08x", i), 51+i, "ready"))
 	}
 	changes.Objects[count-2].Value = []byte("leaving")
--- a/internal/replica/parts.go
+++ b/internal/replica/parts.go
@@ -11,7 +11,7 @@
 
 // part is what a relay sends to the instances whose lists reflect one revision.
 type part struct {
-	asOf    uint64
+	asOf    Position
 	entries *PackedEntries
 	removed []byte
 	more    bool
@@ -40,7 +40,7 @@
 
 // partAfter returns the part that follows a revision. It is kept until the entries change,
 // because the peers of a relay ask for the same ones. The caller must hold t.mu.
-func (t *Targets) partAfter(revision uint64) (*part, error) {
+func (t *Targets) partAfter(revision Position) (*part, error) {
 	if p := t.parts[revision]; p != nil {
 		return p, nil
 	}
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	if t.parts == nil {
-		t.parts = make(map[uint64]*part)
+		t.parts = make(map[Position]*part)
 	}
 	t.parts[revision] = p
 	return p, nil
@@ -73,7 +73,7 @@
 // them, those of the same revision as the last one, and the later ones that are leaving. The
 // revision is the one that a list reflects with them, asOf with all of them; more is set if
 // others remain.
-func firstPart(changed []TargetEntry, size int, asOf uint64) (first []TargetEntry, revision uint64, more bool) {
+func firstPart(changed []TargetEntry, size int, asOf Position) (first []TargetEntry, revision Position, more bool) {
 	end := min(size, len(changed))
 	for end > 0 && end < len(changed) && changed[end].Revision == changed[end-1].Revision {
 		end++
--- a/internal/replica/removals.go
+++ b/internal/replica/removals.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"slices"
+
+	"redwingpoint.org/redwingpoint/internal/model"
 )
 
 // maxRemovals is the number of removals that are kept for peers: those of some minutes
@@ -12,14 +14,15 @@
 // removal is an entry that was removed.
 type removal struct {
 	// revision is the store's revision from which on lists lack the entry.
-	revision uint64
+	revision Position
 	name     string
+	process  model.ProcessID
 }
 
-// advance raises the revision that the entries reflect. Removals are known from the first
-// list on. The caller must hold t.mu.
-func (t *Targets) advance(asOf uint64) {
-	if t.asOf == 0 {
+// advance raises the position that the entries reflect. Removals are known from the first
+// list of an era on. The caller must hold t.mu.
+func (t *Targets) advance(asOf Position) {
+	if t.asOf == 0 || asOf.Era() > t.asOf.Era() {
 		t.removalsSince = asOf
 	}
 	if asOf > t.asOf {
@@ -28,7 +31,7 @@
 }
 
 // recordRemoval keeps a removal for peers. The caller must hold t.mu.
-func (t *Targets) recordRemoval(name string, revision uint64) {
+func (t *Targets) recordRemoval(name string, process model.ProcessID, revision Position) {
 	if len(t.removals) >= maxRemovals {
 		dropped := t.removals[:maxRemovals/2]
 		for _, r := range dropped {
@@ -36,12 +39,12 @@
 		}
 		t.removals = slices.Delete(t.removals, 0, len(dropped))
 	}
-	t.removals = append(t.removals, removal{revision: revision, name: name})
+	t.removals = append(t.removals, removal{revision: revision, name: name, process: process})
 }
 
 // removedSince returns the name hashes of the entries that were removed after a revision
 // and haven't been added again. The caller must hold t.mu.
-func (t *Targets) removedSince(revision uint64) (hashes []byte) {
+func (t *Targets) removedSince(revision Position) (hashes []byte) {
 	for _, r := range t.removals {
 		if r.revision > revision && t.entries[r.name] == nil {
 			hashes = binary.BigEndian.AppendUint32(hashes, nameHash(r.name))
@@ -49,3 +52,8 @@
 	}
 	return hashes
 }
+
+// wasRemoved reports whether a removal of the process is known. The caller must hold t.mu.
+func (t *Targets) wasRemoved(process model.ProcessID) bool {
+	return slices.ContainsFunc(t.removals, func(r removal) bool { return r.process == process })
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -17,9 +17,9 @@
 type Versions struct {
 	// Routes is the revision in force, or 0 without routes.
 	Routes model.Revision `cbor:"1,keyasint,omitempty"`
-	// AsOf is the store's revision that the targets reflect, or 0 if they were never
+	// AsOf is the store's position that the targets reflect, or 0 if they were never
 	// listed.
-	AsOf uint64 `cbor:"2,keyasint,omitempty"`
+	AsOf Position `cbor:"2,keyasint,omitempty"`
 	// Digest is a hash of the names and revisions of the targets.
 	Digest uint64 `cbor:"3,keyasint,omitempty"`
 	// Key 4 is reserved: older builds send it.
@@ -27,9 +27,9 @@
 	// AcceptsRemovals is set if Delta.Removed may replace Delta.NameHashes in a response.
 	// It is not set by older builds, nor by an instance that has to compare all names.
 	AcceptsRemovals bool `cbor:"5,keyasint,omitempty"`
-	// RoutesAsOf is the store's revision that the routes reflect, or 0 if they were never
+	// RoutesAsOf is the store's position that the routes reflect, or 0 if they were never
 	// read from the store.
-	RoutesAsOf uint64 `cbor:"6,keyasint,omitempty"`
+	RoutesAsOf Position `cbor:"6,keyasint,omitempty"`
 	// Current is set while the instance follows the store closely enough to relay its
 	// changes to others.
 	Current bool `cbor:"7,keyasint,omitempty"`
@@ -66,9 +66,9 @@
 	// NameHashes holds the name hashes of all entries. It is empty if the other's list
 	// is equal or at least as new, or if Since is set.
 	NameHashes []byte `cbor:"4,keyasint,omitempty"`
-	// Since is the revision of the other's list from which Targets and Removed lead to the
+	// Since is the position of the other's list from which Targets and Removed lead to the
 	// sender's list, or 0 if NameHashes tells what was removed.
-	Since uint64 `cbor:"5,keyasint,omitempty"`
+	Since Position `cbor:"5,keyasint,omitempty"`
 	// Removed holds the name hashes of the entries removed after Since.
 	Removed []byte `cbor:"6,keyasint,omitempty"`
 	// Packed, if set, holds the changed entries in place of Targets.
@@ -107,7 +107,7 @@
 // TargetEntry is a target with its name and revision in the store.
 type TargetEntry struct {
 	Name     string       `cbor:"1,keyasint"`
-	Revision uint64       `cbor:"2,keyasint"`
+	Revision Position     `cbor:"2,keyasint"`
 	Target   model.Target `cbor:"3,keyasint"`
 	// ColdMillis is how long the target is still cold by its entry, at the time of sending or
 	// earlier.
@@ -167,7 +167,7 @@
 // Versions returns the versions of the routes and targets held.
 func (r *Replica) Versions() Versions {
 	v := r.Targets.versions()
-	v.RoutesAsOf = r.Routes.asOf.Load()
+	v.RoutesAsOf = r.Routes.position()
 	if t := r.Routes.Holder.Current(); t != nil {
 		v.Routes = t.Revision
 	}
@@ -242,10 +242,10 @@
 }
 
 // entryHash returns the hash of an entry in the digest.
-func entryHash(name string, revision uint64) uint64 {
+func entryHash(name string, revision Position) uint64 {
 	h := xxhash.New()
 	_, _ = h.WriteString(name)
-	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, revision))
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(revision)))
 	return h.Sum64()
 }
 
@@ -291,12 +291,17 @@
 	if !d.HasTargets() || d.Since > t.asOf || sinceNone && t.asOf > 0 {
 		return
 	}
+	var removeAfter time.Time
+	if end := t.beginEra(d.Versions.AsOf); end != nil {
+		defer end()
+		removeAfter = t.keepUntil(removeAfter)
+	}
 	t.advance(d.Versions.AsOf)
 	affected := make(serviceSet)
 	if d.Since > 0 {
 		t.mergeRemovals(d.Removed, affected)
 	} else {
-		t.deleteUnlisted(d, affected)
+		t.removeUnlisted(d, removeAfter, affected)
 	}
 	for _, e := range d.Entries() {
 		t.upsert(e.received(), affected)
@@ -318,13 +323,13 @@
 	}
 }
 
-// deleteUnlisted deletes the entries that the list of a delta lacks. The caller must hold
-// t.mu.
-func (t *Targets) deleteUnlisted(d Delta, affected serviceSet) {
+// removeUnlisted removes the entries that the list of a delta lacks, at removeAfter or at once
+// if that has passed. The caller must hold t.mu.
+func (t *Targets) removeUnlisted(d Delta, removeAfter time.Time, affected serviceSet) {
 	listed := decodeNameHashes(d.NameHashes)
 	for name := range t.entries {
 		if !listed[nameHash(name)] {
-			t.deleteEntry(name, t.asOf, false, affected)
+			t.scheduleRemoval(name, removeAfter, affected)
 		}
 	}
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -180,8 +180,8 @@
 	a.Targets.Replace(list, removeAtOnce)
 	b, _ := newReplica()
 	b.Merge(roundTrip(t, a.DeltaFor(b.Versions())))
-	for i := range uint64(maxRemovals + 1) {
-		removed := Object{Name: strconv.FormatUint(i, 10), Revision: 51 + i, Deleted: true}
+	for i := range Position(maxRemovals + 1) {
+		removed := Object{Name: i.String(), Revision: 51 + i, Deleted: true}
 		a.Targets.Update(Batch{AsOf: 51 + i, Objects: []Object{removed}}, removeAtOnce)
 	}
 	delta := a.DeltaFor(b.Versions())
--- a/internal/replica/routes.go
+++ b/internal/replica/routes.go
@@ -26,10 +26,13 @@
 	// OnChange, if set, is called after another configuration is in force.
 	OnChange func()
 
-	// asOf is the store's revision that the last list or watch reflected.
+	// asOf is the store's latest Position that a list or watch reflected.
 	asOf atomic.Uint64
 }
 
+// position returns the store's latest position that the routes reflect.
+func (r *Routes) position() Position { return Position(r.asOf.Load()) }
+
 // Replace implements View.
 func (r *Routes) Replace(snapshot Batch, removeAfter time.Time) { r.Update(snapshot, removeAfter) }
 
@@ -43,7 +46,7 @@
 	if changes.Strong {
 		r.Holder.Confirm(route.FromStore, changes.BeganAt)
 	}
-	r.asOf.Store(max(r.asOf.Load(), changes.AsOf))
+	r.asOf.Store(uint64(max(r.position(), changes.AsOf)))
 }
 
 func (r *Routes) decodeAndApply(o Object) {
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -12,8 +12,9 @@
 
 // Object is one object of the store, or its deletion.
 type Object struct {
-	Name     string
-	Revision uint64
+	Name string
+	// Revision is the position of the object's last change, in the era of the response.
+	Revision Position
 	Deleted  bool
 	// Value is the encoded object; it is empty if Deleted is set.
 	Value []byte
@@ -22,8 +23,8 @@
 // Batch is the result of a list or watch call.
 type Batch struct {
 	Objects []Object
-	// AsOf is the store's revision that the batch reflects; the next watch starts there.
-	AsOf uint64
+	// AsOf is the store's position that the batch reflects; the next watch starts there.
+	AsOf Position
 	// Strong is set by the follower if the batch shows all writes that the store had
 	// acknowledged before the call.
 	Strong bool
@@ -46,12 +47,13 @@
 // for concurrent use. They call progress whenever a part of the response has arrived.
 type Source interface {
 	// List returns all objects at the store's latest revision. If there are more than maxPages
-	// pages of them, it stops and returns *TooLongError; zero means any number.
+	// pages of them, it stops and returns *TooLongError; zero means any number. It returns
+	// *EraChangedError if the store returned from an older copy between two pages.
 	List(ctx context.Context, maxPages int, progress func()) (Batch, error)
-	// Watch returns the changes after a revision. Without a change it returns an
+	// Watch returns the changes after a position. Without a change it returns an
 	// empty batch after wait. It returns *HistoryGoneError if the store has discarded
-	// the history after that revision.
-	Watch(ctx context.Context, after uint64, wait time.Duration, consistency Consistency, progress func()) (Batch, error)
+	// the history after that position. The batch may be of another era.
+	Watch(ctx context.Context, after Position, wait time.Duration, consistency Consistency, progress func()) (Batch, error)
 }
 
 // TooLongError reports a list that was not read because it has more pages than asked for.
@@ -63,8 +65,22 @@
 
 // HistoryGoneError reports that a watch can't resume at a revision and that the
 // objects must be listed again.
-type HistoryGoneError struct{ After uint64 }
+type HistoryGoneError struct{ After Position }
 
 func (e *HistoryGoneError) Error() string {
-	return fmt.Sprintf("the store has discarded its history after revision %d", e.After)
+	return fmt.Sprintf("the store has discarded its history after revision %v", e.After)
+}
+
+// EraChangedError reports a list whose pages are of different eras.
+type EraChangedError struct{ Before, After uint64 }
+
+func (e *EraChangedError) Error() string {
+	return fmt.Sprintf("the store went from era %d to %d during the list", e.Before, e.After)
+}
+
+// EarlierEraError reports a response of an earlier era than that of a position known before.
+type EarlierEraError struct{ Known, AsOf Position }
+
+func (e *EarlierEraError) Error() string {
+	return fmt.Sprintf("response as of %v of an earlier era than %v", e.AsOf, e.Known)
 }
--- a/internal/replica/targets.go
+++ b/internal/replica/targets.go
@@ -22,11 +22,13 @@
 // called with the lock of Targets held and must not call back.
 type TargetObserver interface {
 	// TargetUpdated reports a new target, or one that starts or stops leaving.
-	TargetUpdated(t model.Target, revision uint64)
+	TargetUpdated(t model.Target, revision Position)
 	// TargetRemoved reports a removal; expired is set if it was deferred after an outage.
 	TargetRemoved(id model.TargetID, expired bool)
 	// TargetRejected reports an object that can't be decoded.
 	TargetRejected(name string, err error)
+	// StoreReturned reports the first list after the store returned from an older copy.
+	StoreReturned(r Return)
 }
 
 // Targets keeps a TargetTable up to date. Entries that may be missing only because
@@ -39,44 +41,65 @@
 	// OnChange, if set, is called after a change of the entries, with the lock of Targets
 	// held.
 	OnChange func()
+	// ReturnGrace is how long entries stay that the store lacks after it returned from an
+	// older copy.
+	ReturnGrace time.Duration
 
 	// partEntries, if set, replaces maxPartEntries in tests.
 	partEntries int
 
 	mu      sync.Mutex
 	entries map[string]*entry
-	// asOf is the store's revision that the entries reflect.
-	asOf uint64
+	// asOf is the store's position that the entries reflect.
+	asOf Position
+	// returning is set while the first list of an era is applied.
+	returning bool
 	// incomplete is set while the entries are those up to asOf alone, of a list that a relay
 	// sends in parts.
 	incomplete bool
 	// mergedAsOf is the revision of the list last merged from a peer, or 0 after a
 	// full list from the store. New entries up to this revision are ignored: a watch
 	// that lags behind the peer's list would add entries that are deleted by now.
-	mergedAsOf uint64
+	mergedAsOf Position
 	// digest is the sum of the hashes of all entries.
 	digest uint64
 	// removals lists the latest removals, the oldest first. It has all of them since
 	// removalsSince.
 	removals      []removal
-	removalsSince uint64
+	removalsSince Position
 	// parts holds the parts sent since the last change, by the revision that they follow.
-	parts map[uint64]*part
+	parts map[Position]*part
 }
 
 type entry struct {
 	target   model.Target
-	revision uint64
+	revision Position
 	// hash is the entry's part of Targets.digest.
 	hash uint64
 	// removal is the timer of the entry's pending removal, or nil.
 	removal *time.Timer
+	// withheld is set if the entry's target gets no requests although the store lists it.
+	withheld bool
+}
+
+// shown returns the target as the table gets it.
+func (e *entry) shown() model.Target {
+	target := e.target
+	target.Leaving = target.Leaving || e.withheld
+	return target
 }
 
 // Replace implements View.
 func (t *Targets) Replace(snapshot Batch, removeAfter time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if snapshot.AsOf.Era() < t.asOf.Era() {
+		return
+	}
+	if end := t.beginEra(snapshot.AsOf); end != nil {
+		defer end()
+		removeAfter = t.keepUntil(removeAfter)
+	}
 	t.advance(snapshot.AsOf)
 	t.mergedAsOf, t.incomplete = 0, false
 	listed := make(map[string]bool, len(snapshot.Objects))
@@ -104,6 +127,9 @@
 func (t *Targets) Update(changes Batch, removeAfter time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if changes.AsOf.Era() < t.asOf.Era() {
+		return
+	}
 	if changes.AsOf > t.asOf {
 		t.incomplete = false
 	}
@@ -153,11 +179,14 @@
 	}
 	t.parts = nil
 	added := &entry{target: e.Target, revision: e.Revision, hash: entryHash(e.Name, e.Revision)}
+	if t.returning {
+		t.compareWithKnown(added, old)
+	}
 	t.entries[e.Name] = added
 	t.digest += added.hash
 	affected[e.Target.Service] = true
-	if old == nil || old.target.Leaving != e.Target.Leaving {
-		t.Observer.TargetUpdated(e.Target, e.Revision)
+	if shown := added.shown(); old == nil || old.shown().Leaving != shown.Leaving {
+		t.Observer.TargetUpdated(shown, e.Revision)
 	}
 }
 
@@ -199,7 +228,7 @@
 }
 
 // deleteEntry removes an entry, if it exists, as of a revision of the store.
-func (t *Targets) deleteEntry(name string, revision uint64, expired bool, affected serviceSet) {
+func (t *Targets) deleteEntry(name string, revision Position, expired bool, affected serviceSet) {
 	e := t.entries[name]
 	if e == nil {
 		return
@@ -208,7 +237,7 @@
 	delete(t.entries, name)
 	t.parts = nil
 	t.digest -= e.hash
-	t.recordRemoval(name, revision)
+	t.recordRemoval(name, e.target.Process(), revision)
 	affected[e.target.Service] = true
 	t.Observer.TargetRemoved(e.target.ID, expired)
 }
@@ -227,7 +256,7 @@
 	var list []model.Target
 	for _, e := range t.entries {
 		if e.target.Service == service {
-			list = append(list, e.target)
+			list = append(list, e.shown())
 		}
 	}
 	slices.SortFunc(list, func(a, b model.Target) int { return cmp.Compare(a.ID, b.ID) })
