Fetch routes that the store has lost from the relay

Cause: an instance that starts after the store returned from an older copy read the older routes, and its relay only tells that newer ones exist. A strong read that doesn't have them ended the search.

Change: where the store has lost the routes of which a relay told, they are fetched from the relay, once for each revision. That is known at once if the own list isn't older than what the relay's routes reflect.

Evidence: TestStartingInstanceGetsRoutesThatTheStoreLost has the newer routes a second after the start; before it kept the older ones for as long as the store did.

--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -169,7 +169,8 @@
 	// soughtRoutes is the revision of the relay's routes for which the store was read last.
 	// absentRoutes is one that a strong read has looked for: if it isn't in force, it can't
 	// be applied, and must not be read forever.
-	soughtRoutes, absentRoutes model.Revision
+	// fetchedRoutes is one that was asked of the relay since then.
+	soughtRoutes, absentRoutes, fetchedRoutes model.Revision
 }
 
 // foundRelay is a seed that relays changes.
@@ -351,6 +352,7 @@
 			return relaySlow
 		}
 		c.accept(remote)
+		c.fetchAbsentRoutes(ctx, relay.addr)
 		if len(nearer) > 0 {
 			return relayReplaced
 		}
@@ -381,6 +383,32 @@
 	return remote, nil
 }
 
+// fetchAbsentRoutes asks a relay, once for each revision, for routes that are newer than the own
+// ones and that the store has lost: a strong read that began after the relay told of them
+// doesn't have them, or one whose position isn't before that of the relay's.
+func (c *RelayClient) fetchAbsentRoutes(ctx context.Context, relay string) {
+	own := c.Replica.Versions()
+	c.mu.Lock()
+	absent := c.latest.Routes
+	lost := absent == c.absentRoutes || (own.RoutesAsOf > 0 && own.RoutesAsOf >= c.latest.RoutesAsOf)
+	wanted := absent > own.Routes && lost && absent != c.fetchedRoutes
+	if wanted {
+		c.fetchedRoutes = absent
+	}
+	c.mu.Unlock()
+	if !wanted {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	var remote replica.Delta
+	if _, err := c.Transport.CallAddr(ctx, relay, peer.OpFetchState, own, &remote); err != nil {
+		c.Log.Info("relay didn't send its routes", zap.String("address", relay), zap.Error(err))
+		return
+	}
+	c.Replica.Merge(remote)
+}
+
 // confirm passes on the relay's confirmation of routes that are in force here or were before.
 // The relay got the request after it was sent and held it, so that the confirmation is as old as
 // it says at the end of that time; what the response needed is added to the age.
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -323,7 +323,7 @@
 }
 
 // CallAddr implements Transport.
-func (n nodeTransport) CallAddr(ctx context.Context, addr string, _ peer.Op, body, response any) (model.InstanceID, error) {
+func (n nodeTransport) CallAddr(ctx context.Context, addr string, op peer.Op, body, response any) (model.InstanceID, error) {
 	n.mu.Lock()
 	to := n.nodes[addr]
 	silent := to == nil || to.silent
@@ -341,7 +341,11 @@
 	distance := n.from.location.DistanceTo(to.location)
 	go func() {
 		n.carry(nil, len(raw), distance)
-		out, err := to.server.HandleAwaitChange("asker", raw)
+		handle := to.server.HandleAwaitChange
+		if op == peer.OpFetchState {
+			handle = (&Syncer{Replica: to.replica}).HandleFetchState
+		}
+		out, err := handle("asker", raw)
 		if err == nil {
 			out, err = peer.Encode(out)
 		}
--- a/internal/peersync/store_return_test.go
+++ b/internal/peersync/store_return_test.go
@@ -160,3 +160,23 @@
 		})
 	}
 }
+
+// TestStartingInstanceGetsRoutesThatTheStoreLost guards against an instance that starts after
+// the store returned from an older copy: it must not serve by the older routes until they are
+// written again, where its relay knows newer ones.
+func TestStartingInstanceGetsRoutesThatTheStoreLost(t *testing.T) {
+	relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, _ *relayNode) {
+		older := store.copy()
+		store.put("routes", "main", "7")
+		time.Sleep(2 * time.Second)
+		store.restore(older)
+		time.Sleep(2 * time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		node := n.start(ctx, store, "late", "seed-1", "seed-2")
+		time.Sleep(time.Second)
+		if got := node.replica.Versions().Routes; got != 7 {
+			t.Errorf("routes %d, want 7", got)
+		}
+	})
+}
