Let the soak play the store's return from an older copy

The store is away for a moment, returns from a copy of some age, and what it lost is written again later, beside the other faults.

--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -67,6 +67,8 @@
 	targets  []*proxiedTarget
 	// extraSettings are further lines of the gateways' settings.
 	extraSettings string
+	// returning is held while the store returns from an older copy.
+	returning sync.Mutex
 	// routeVersion is the version of the routes in the store.
 	routeVersion int
 	nextID       atomic.Int64
@@ -252,7 +254,9 @@
 		return forDuration(func() { target.SetBehavior(b) }, func() { target.SetBehavior(platformtest.Succeeds) })
 	}
 	kind := r.random.IntN(len(crowds))
-	switch r.random.IntN(11) {
+	switch r.random.IntN(12) {
+	case 10:
+		return func() { r.returnStore(duration, duration/3, duration/2) }
 	case 9:
 		return func() { g.runCrowd(kind, 2*duration) }
 	case 0:
@@ -278,6 +282,23 @@
 	}
 }
 
+// returnStore lets the store be away for a moment and return from a copy of some age. What was
+// lost is written again after a further time. It does nothing while another return is played.
+func (r *gatewayRun) returnStore(age, away, again time.Duration) {
+	if !r.returning.TryLock() {
+		return
+	}
+	defer r.returning.Unlock()
+	older := r.store.Copy()
+	time.Sleep(age)
+	r.store.SetUnavailable(true)
+	time.Sleep(away)
+	lost := r.store.Restore(older)
+	r.store.SetUnavailable(false)
+	time.Sleep(again)
+	r.store.WriteAgain(lost)
+}
+
 // waitRecovered waits until every gateway serves idempotent and other requests by the
 // newest routes. It fails the test after recoveryTimeout.
 func (r *gatewayRun) waitRecovered() {
