Tell the end of a response body to each later read

Cause: who reads a fixed number of bytes ahead doesn't see an end that comes together with the last of them. The body had given its connection back by then, and the next read found it closed. Ruled out: the target or the chunk reader ends the body early (one byte less arrives whole).

Change: a response body keeps the error that ended it and returns it from each later read.

--- a/internal/upstream/response_body.go
+++ b/internal/upstream/response_body.go
@@ -15,10 +15,17 @@
 	target   targetID
 	reusable bool
 	done     bool
+	// end is the error that ended the body, or nil before its end.
+	end error
 }
 
-// Read implements io.Reader. A body that ends early gives a *CallError.
+// Read implements io.Reader. A body that ends early gives a *CallError. Reads after the end
+// give the same error again: who reads a fixed number of bytes may not see one that comes
+// together with the last of them.
 func (b *responseBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
 	n, err := b.body.Read(p)
 	switch {
 	case err == io.EOF:
@@ -27,6 +34,7 @@
 		b.finish(false)
 		err = newCallError(b.ctx, b.target, b.conn, true, err)
 	}
+	b.end = err
 	return n, err
 }
 
