Let an answer without end give way to the answers behind it

Cause: an answer with others behind it is read whole before it is sent, up to 1 MiB, and was streamed beyond that. Once a part of it is sent, only closing the connection ends it early.

Change: beyond 1 MiB an answer that may be replaced, because its request may be repeated, and that announces no length of up to 64 MiB, is replaced by a 502.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -235,6 +235,11 @@
 		response.OnBroken = func(err error) *httpserver.Response {
 			return f.sendLocalReply(f.unknownOutcomeReply(f.recordFailure(ctx, c, err).Reason))
 		}
+		if f.rule.Class == model.Idempotent {
+			response.OnTooLong = func() *httpserver.Response {
+				return f.sendLocalReply(localReply{status: http.StatusBadGateway, cause: CauseResponseTooLong})
+			}
+		}
 		response.Remainder = &trackedBody{ReadCloser: result.Body, onClose: func() {
 			c.Endpoint.Load.End()
 			cancel()
--- a/internal/dispatch/cause.go
+++ b/internal/dispatch/cause.go
@@ -27,9 +27,12 @@
 	CauseOutcomeUnknown     Cause = "outcome-unknown"
 	CauseTargetsFailed      Cause = "targets-failed"
 	CauseTimedOut           Cause = "timed-out"
-	CauseBodyLate           Cause = "body-late"
-	CauseBodyTooLarge       Cause = "body-too-large"
-	CauseBodyBroken         Cause = "body-broken"
+	// CauseResponseTooLong means that the response would have kept those to requests that the
+	// caller had sent behind it from arriving, perhaps for good.
+	CauseResponseTooLong Cause = "response-too-long"
+	CauseBodyLate        Cause = "body-late"
+	CauseBodyTooLarge    Cause = "body-too-large"
+	CauseBodyBroken      Cause = "body-broken"
 	// CauseTargetsLimited means that all targets left have exhausted the limits that they
 	// stated or have asked for a pause.
 	CauseTargetsLimited Cause = "targets-limited"
--- a/internal/httpserver/pipeline_test.go
+++ b/internal/httpserver/pipeline_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -128,3 +129,83 @@
 		}
 	})
 }
+
+// endlessBody yields bytes until it is closed, or fails after many as a request does at its
+// deadline.
+type endlessBody struct {
+	closed atomic.Bool
+	read   int
+}
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	if b.read += len(p); b.closed.Load() || b.read > 8*maxSecuredBytes {
+		return 0, net.ErrClosed
+	}
+	return len(p), nil
+}
+
+func (b *endlessBody) Close() error {
+	b.closed.Store(true)
+	return nil
+}
+
+// TestEndlessAnswerGivesWayToThoseBehindIt guards against a body without end to the first of
+// some pipelined requests: the whole answers to the others were lost with the connection.
+func TestEndlessAnswerGivesWayToThoseBehindIt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		length int64
+	}{{"no length", -1}, {"a length without end", 1e14}} {
+		synctest.Test(t, func(t *testing.T) {
+			body := new(endlessBody)
+			caller, _ := serveOnPipe(func(_ context.Context, r *Request) *Response {
+				if r.Path != "/endless" {
+					return plainResponse(http.StatusOK, r.Path)
+				}
+				time.Sleep(time.Second)
+				return &Response{Status: http.StatusOK, Header: http.Header{}, Remainder: body, ContentLength: c.length,
+					OnTooLong: func() *Response { return plainResponse(http.StatusBadGateway, "too long") }}
+			})
+			defer func() { _ = caller.Close() }()
+			_, _ = io.WriteString(caller, get("/endless")+get("/2")+get("/3"))
+			r := bufio.NewReader(caller)
+			for _, want := range []string{"too long", "/2", "/3"} {
+				if _, got := receive(t, r); got != want {
+					t.Errorf("%s: response %q, want %q", c.name, got, want)
+				}
+			}
+			if !body.closed.Load() {
+				t.Errorf("%s: the endless body is still open", c.name)
+			}
+		})
+	}
+}
+
+// TestLongAnswerThatEndsArrivesBeforeThoseBehindIt checks that answers that can't be read whole
+// arrive if they announce a length or if nothing can take their place.
+func TestLongAnswerThatEndsArrivesBeforeThoseBehindIt(t *testing.T) {
+	long := strings.Repeat("long", maxSecuredBytes)
+	for name, response := range map[string]*Response{
+		"announced":       {ContentLength: int64(len(long)), OnTooLong: func() *Response { return plainResponse(http.StatusBadGateway, "too long") }},
+		"not replaceable": {ContentLength: -1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			caller, _ := serveOnPipe(func(_ context.Context, r *Request) *Response {
+				if r.Path != "/long" {
+					return plainResponse(http.StatusOK, r.Path)
+				}
+				time.Sleep(time.Second)
+				response.Status, response.Header, response.Remainder = http.StatusOK, http.Header{}, io.NopCloser(strings.NewReader(long))
+				return response
+			})
+			defer func() { _ = caller.Close() }()
+			_, _ = io.WriteString(caller, get("/long")+get("/2"))
+			r := bufio.NewReader(caller)
+			for _, want := range []string{long, "/2"} {
+				if _, got := receive(t, r); got != want {
+					t.Errorf("%s: %d bytes, want %d", name, len(got), len(want))
+				}
+			}
+		})
+	}
+}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -50,6 +50,10 @@
 	// OnBroken, if set, returns the response that takes the place of this one if reading
 	// Remainder fails before anything was sent.
 	OnBroken func(err error) *Response
+	// OnTooLong, if set, returns the response that takes the place of this one if it is too long
+	// to be read whole while requests behind it on the connection are served, and has no
+	// announced length by which it ends.
+	OnTooLong func() *Response
 	// OnWritten, if set, is called once the response was written or writing failed; err is
 	// nil after success.
 	OnWritten func(err error)
--- a/internal/httpserver/write.go
+++ b/internal/httpserver/write.go
@@ -67,9 +67,14 @@
 // requests behind it are served already.
 const maxSecuredBytes = 1 << 20
 
+// maxStreamedBytes is the longest response in bytes by its announced length that is sent
+// before requests behind it that are served already, without having been read whole.
+const maxStreamedBytes = 64 << 20
+
 // secure keeps a response that breaks off from taking others with it that are served already,
 // since it can only end by closing the connection. It is read whole, so that another can take
-// its place; beyond maxSecuredBytes it is sent as it is, and further requests are held back.
+// its place. Beyond maxSecuredBytes it gives way to those behind it if it may not end and can be
+// replaced; else it is sent as it is, and further requests are held back.
 func (c *conn) secure(r *Response) *Response {
 	buffered := bytes.NewBuffer(r.Body)
 	n, err := io.CopyN(buffered, r.Remainder, maxSecuredBytes)
@@ -78,6 +83,10 @@
 	case err == io.EOF && (r.ContentLength < 0 || int64(len(r.Body)) == r.ContentLength):
 		_ = r.Remainder.Close()
 		r.Remainder = nil
+	case err == nil && n == maxSecuredBytes && r.OnTooLong != nil && !r.endsSoon():
+		other := r.OnTooLong()
+		r.discard()
+		return other
 	case err == nil && n == maxSecuredBytes:
 		c.beginStreaming(true)
 	case r.OnBroken != nil:
@@ -91,6 +100,12 @@
 	return r
 }
 
+// endsSoon reports whether the announced length lets a response end that is longer than
+// maxSecuredBytes.
+func (r *Response) endsSoon() bool {
+	return r.ContentLength >= 0 && r.ContentLength <= maxStreamedBytes
+}
+
 // discard releases a response that can't be sent.
 func (r *Response) discard() {
 	if r.Remainder != nil {
