Let a little now and then not count as progress of a caller

Cause: a connection without progress for a second may be closed for a new one, and any byte was progress. Idle connections of ordinary callers were closed for the crowd instead.

Change: progress is a response of a target, or 1 KiB that moves within a second. Which connection is closed is decided as before.

--- a/internal/callers/budget.go
+++ b/internal/callers/budget.go
@@ -1,6 +1,7 @@
 // Package callers bounds what a process holds for its callers: memory, connections, and the
 // exchanges with targets on their behalf. Each connection has an Account. When a limit is
-// near, the connection that has held most for longest without progress is closed.
+// near, the connection that has held most for longest without progress is closed. Progress is a
+// response of a target, or a rate of bytes.
 package callers
 
 import (
@@ -13,6 +14,10 @@
 	// minStall is how long a connection must have made no progress before it may be closed for
 	// others: a lost packet is repeated within that time.
 	minStall = time.Second
+	// progressBytes is the number of bytes that must move within progressSpan to count as
+	// progress: callers that send or read a few bytes now and then hold a connection for little.
+	progressBytes = 1 << 10
+	progressSpan  = time.Second
 	// smallHolding is the number of bytes that an ordinary connection holds at the most. The
 	// connections that hold more leave a part of the memory free, so that ordinary requests are
 	// served beside a crowd of large ones.
@@ -109,7 +114,10 @@
 	exchanges atomic.Int64
 	// progressAt is the time of the last progress in nanoseconds since the budget's epoch.
 	progressAt atomic.Int64
-	aborted    atomic.Bool
+	// moved is the number of bytes that have moved since movedSince, which is a time like
+	// progressAt.
+	moved, movedSince atomic.Int64
+	aborted           atomic.Bool
 }
 
 // Open returns the account of a new connection. If there are too many, it closes the one that
@@ -160,13 +168,34 @@
 	return a.held.Load()
 }
 
-// Progress records that the connection has received or sent something.
+// Progress records that a target has responded to a request of the connection.
 func (a *Account) Progress() {
 	if a != nil {
 		a.progressAt.Store(int64(time.Since(a.budget.epoch)))
 	}
 }
 
+// Moved records that the connection has received or sent n bytes. They are progress once they
+// are progressBytes within progressSpan. Concurrent calls may lose some of them.
+func (a *Account) Moved(n int) {
+	if a == nil {
+		return
+	}
+	now := int64(time.Since(a.budget.epoch))
+	moved := int64(n)
+	if now-a.movedSince.Load() <= int64(progressSpan) {
+		moved = a.moved.Add(moved)
+	} else {
+		a.movedSince.Store(now)
+		a.moved.Store(moved)
+	}
+	if moved >= progressBytes {
+		a.progressAt.Store(now)
+		a.movedSince.Store(now)
+		a.moved.Store(0)
+	}
+}
+
 // Reserve adds n bytes to what the connection holds. It reports false, and adds nothing, if
 // there is no memory for them.
 func (a *Account) Reserve(n int64) bool {
--- a/internal/callers/budget_test.go
+++ b/internal/callers/budget_test.go
@@ -185,3 +185,54 @@
 		_ = c.Close()
 	}
 }
+
+// TestSlowCrowdMakesRoom guards against callers that send a few bytes now and then: each of them
+// made progress, so that no new connection was taken. Ordinary uploads, also slow ones, and
+// callers that targets serve keep their connections.
+func TestSlowCrowdMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(Limits{Connections: 40})
+		type member struct {
+			holder
+			moves int
+			every time.Duration
+			// served is set if targets respond to its requests.
+			served bool
+			from   time.Time
+		}
+		var crowd []*member
+		ordinary := []*member{
+			{holder: holder{name: "1 MB/s"}, moves: 10_000, every: 10 * time.Millisecond},
+			{holder: holder{name: "64 KB/s"}, moves: 1300, every: 20 * time.Millisecond},
+			{holder: holder{name: "served"}, moves: 200, every: 700 * time.Millisecond, served: true},
+		}
+		for n := range 37 {
+			crowd = append(crowd, &member{holder: holder{name: "slow"}, moves: 80, every: 700 * time.Millisecond, from: time.Now().Add(time.Duration(n) * 19 * time.Millisecond)})
+		}
+		all := append(ordinary, crowd...)
+		accounts := make(map[*member]*Account)
+		for _, m := range all {
+			accounts[m] = open(t, b, &m.holder)
+		}
+		next := make(map[*member]time.Time)
+		for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+			for _, m := range all {
+				if now := time.Now(); !m.aborted && !now.Before(m.from) && !now.Before(next[m]) {
+					next[m] = now.Add(m.every)
+					accounts[m].Moved(m.moves)
+					if m.served {
+						accounts[m].Progress()
+					}
+				}
+			}
+			if time.Since(until.Add(-20*time.Second)) > 2*minStall && time.Now().UnixMilli()%500 == 0 {
+				open(t, b, &holder{name: "new"})
+			}
+		}
+		for _, m := range ordinary {
+			if m.aborted {
+				t.Errorf("the connection of %s was closed", m.name)
+			}
+		}
+	})
+}
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -281,6 +281,7 @@
 // logResponse logs and counts a response that is passed on to the caller.
 func (f *forwarder) logResponse(c routing.Candidate, response *httpserver.Response, elapsed time.Duration) {
 	held := time.Since(f.inbound.ReceivedAt)
+	f.inbound.Account.Progress()
 	f.d.Metrics.observeResponse(f.service.Name, f.rule.Class, response.Status, held)
 	f.d.Log.Info("request answered", f.logFields(zap.String("by", string(c.Endpoint.Target.ID)), zap.Int("status", response.Status),
 		zap.Duration("took", elapsed), zap.Duration("held", held), zap.Bool("late", time.Now().After(f.objectiveDeadline)))...)
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -98,7 +98,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.raw.Read(p)
 	if n > 0 {
-		c.account.Progress()
+		c.account.Moved(n)
 	}
 	return n, err
 }
@@ -110,7 +110,7 @@
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n, err := c.raw.Write(p)
 	if n > 0 {
-		c.account.Progress()
+		c.account.Moved(n)
 	}
 	return n, err
 }
