Give each connection at the readiness address the time to be read

Two failures in a row take an instance out of rotation.

Cause: 16 connections were kept, and the oldest closed for a further one, at the rate at which connections are accepted: a check was closed before its request was read.

--- a/internal/callers/budget_test.go
+++ b/internal/callers/budget_test.go
@@ -156,9 +156,10 @@
 	}
 }
 
-// TestListenerClosesTheOldest guards against connections to the readiness address that stay
-// open: a new one always finds a place.
-func TestListenerClosesTheOldest(t *testing.T) {
+// TestListenerClosesTheOneSilentForLongest guards against connections to the readiness address
+// that stay open: a new one always finds a place, but not that of one which has just been
+// accepted or has sent something.
+func TestListenerClosesTheOneSilentForLongest(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -166,7 +167,8 @@
 	l := NewListener(inner, 2)
 	defer func() { _ = l.Close() }()
 	var accepted []net.Conn
-	for range 3 {
+	startedAt := time.Now()
+	for n := range 4 {
 		caller, err := net.Dial("tcp", inner.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -177,9 +179,22 @@
 			t.Fatal(err)
 		}
 		accepted = append(accepted, c)
+		if n == 1 {
+			if _, err := caller.Write([]byte("x")); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := accepted[n].Read(make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+		}
 	}
-	if _, err := accepted[0].Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
-		t.Errorf("the oldest connection: %v", err)
+	if took := time.Since(startedAt); took < minHold {
+		t.Errorf("connections were closed %v after they were accepted", took)
+	}
+	for _, n := range []int{0, 1} {
+		if _, err := accepted[n].Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+			t.Errorf("connection %d: %v", n, err)
+		}
 	}
 	for _, c := range accepted {
 		_ = c.Close()
--- a/internal/daemon/gateway_callers.go
+++ b/internal/daemon/gateway_callers.go
@@ -25,7 +25,7 @@
 	refusalLogRate = 5
 	// auxiliaryConnections is how many connections each of the addresses for readiness and
 	// metrics keeps open. A check needs one.
-	auxiliaryConnections = 16
+	auxiliaryConnections = 64
 	// auxiliaryHeadBytes is the largest request head in bytes at these addresses; net/http
 	// allows 4 KiB more.
 	auxiliaryHeadBytes = 4 << 10
--- a/internal/misuse/slow_test.go
+++ b/internal/misuse/slow_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -17,6 +18,8 @@
 	slowPause = 700 * time.Millisecond
 	// newConnectionLimit is the longest time without an answer on new connections.
 	newConnectionLimit = 3 * time.Second
+	// readinessCrowd is the number of callers that connect anew to the readiness address.
+	readinessCrowd = 500
 )
 
 // sendSlowly sends a text in four pieces, one every slowPause, awaits a response and begins
@@ -80,3 +83,41 @@
 	crowd.Wait()
 	g.check()
 }
+
+// TestReadinessCheckAmongNewConnections guards against callers that connect anew to the
+// readiness address as soon as they are cut off, beside which checks failed.
+func TestReadinessCheckAmongNewConnections(t *testing.T) {
+	g := startGateway(t, 0)
+	var stopped atomic.Bool
+	var crowd sync.WaitGroup
+	for range readinessCrowd {
+		crowd.Go(func() {
+			for !stopped.Load() {
+				c, err := net.DialTimeout("tcp", g.ready, time.Second)
+				if err != nil {
+					continue
+				}
+				_ = c.SetReadDeadline(time.Now().Add(time.Second))
+				_, _ = c.Read(make([]byte, 1))
+				_ = c.Close()
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	failed := 0
+	for range 50 {
+		response, err := client.Get("http://" + g.ready + "/readiness")
+		if err != nil || response.StatusCode != http.StatusOK {
+			failed++
+			continue
+		}
+		_ = response.Body.Close()
+	}
+	stopped.Store(true)
+	crowd.Wait()
+	if failed > 0 {
+		t.Errorf("%d of 50 checks failed", failed)
+	}
+	g.check()
+}
