Send request targets byte for byte

Cause: a path that begins with two slashes can't be an opaque URL of net/http and was put into the URL's path, from where it is escaped anew. The question mark of an empty query was cut off, and a path in absolute form came from a parsed URL.

Change: path and query are cut out of the request target as it came. A path that begins with two slashes is sent as the raw path; one that net/http would escape even so gets 400 before a target is chosen. Full instances use the same (problem bad-path).

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -80,14 +80,15 @@
 // is not reused.
 func (f *forwarder) newCall(c routing.Candidate) upstream.Call {
 	call := upstream.Call{
-		Endpoint:  c.Endpoint,
-		Method:    f.inbound.HTTP.Method,
-		Host:      f.inbound.HTTP.Host,
-		Path:      f.inbound.Path,
-		Query:     f.inbound.Query,
-		Header:    f.targetHeader(c.Endpoint.Target.ID),
-		MaxIdle:   maxReuseIdle,
-		KeepAlive: true,
+		Endpoint:   c.Endpoint,
+		Method:     f.inbound.HTTP.Method,
+		Host:       f.inbound.HTTP.Host,
+		Path:       f.inbound.Path,
+		Query:      f.inbound.Query,
+		ForceQuery: f.inbound.ForceQuery,
+		Header:     f.targetHeader(c.Endpoint.Target.ID),
+		MaxIdle:    maxReuseIdle,
+		KeepAlive:  true,
 	}
 	if c.ColdPermit != nil {
 		call.Commit = c.ColdPermit.Valid
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -159,6 +159,9 @@
 	if rule == nil {
 		return d.rejectUnrouted(r, localReply{status: http.StatusNotFound, cause: CauseNoRoute, table: table})
 	}
+	if err := upstream.CheckPath(r.Path); err != nil {
+		return d.rejectUnrouted(r, localReply{status: http.StatusBadRequest, cause: CauseMalformed, table: table})
+	}
 	caller, denial := d.identify(r.HTTP.Header, table, rule)
 	if denial != nil {
 		return d.rejectUnrouted(r, *denial)
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -320,18 +320,29 @@
 	}
 }
 
-// request returns the Request for a parsed request. For a request target in absolute form,
-// the path is taken from the URL.
-func (c *conn) request(req *http.Request) *Request {
-	path, query, _ := strings.Cut(req.RequestURI, "?")
-	if !strings.HasPrefix(path, "/") {
-		path = req.URL.EscapedPath()
+// SplitTarget returns the path and the query of a request target as they were sent. In absolute
+// form what comes before the path is left out, and an empty path is "/". forceQuery is set if
+// the query is empty, but the question mark is there.
+func SplitTarget(target string) (path, query string, forceQuery bool) {
+	path, query, found := strings.Cut(target, "?")
+	if _, rest, absolute := strings.Cut(path, "://"); absolute && !strings.HasPrefix(path, "/") {
+		path = "/"
+		if start := strings.IndexByte(rest, '/'); start >= 0 {
+			path = rest[start:]
+		}
 	}
+	return path, query, found && query == ""
+}
+
+// request returns the Request for a parsed request.
+func (c *conn) request(req *http.Request) *Request {
+	path, query, forceQuery := SplitTarget(req.RequestURI)
 	return &Request{
 		HTTP:          req,
 		RequestTarget: req.RequestURI,
 		Path:          path,
 		Query:         query,
+		ForceQuery:    forceQuery,
 		ReceivedAt:    time.Now(),
 		Account:       c.account,
 	}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -21,8 +21,10 @@
 	HTTP *http.Request
 	// RequestTarget is the request target exactly as the caller sent it.
 	RequestTarget string
-	// Path is the escaped path of the request target, Query its raw query.
+	// Path is the escaped path of the request target, Query its raw query. ForceQuery is set if
+	// the query is empty, but the question mark is there.
 	Path, Query string
+	ForceQuery  bool
 	ReceivedAt  time.Time
 	// BodyDeadline sets the time after which reads of the body fail; the zero time means
 	// no limit. It does nothing once the body has ended.
--- a/internal/reverseproxy/idempotent.go
+++ b/internal/reverseproxy/idempotent.go
@@ -99,11 +99,12 @@
 // body.
 func (r *request) call(e *routing.Endpoint, body []byte, retry bool) upstream.Call {
 	call := upstream.Call{
-		Endpoint: e,
-		Method:   r.httpRequest.Method,
-		Path:     r.path,
-		Query:    r.query,
-		Header:   r.targetHeader(time.Now(), retry || r.retried),
+		Endpoint:   e,
+		Method:     r.httpRequest.Method,
+		Path:       r.path,
+		Query:      r.query,
+		ForceQuery: r.forceQuery,
+		Header:     r.targetHeader(time.Now(), retry || r.retried),
 	}
 	if len(body) > 0 {
 		call.Body = bytes.NewReader(body)
--- a/internal/reverseproxy/problem.go
+++ b/internal/reverseproxy/problem.go
@@ -38,6 +38,7 @@
 	CodeNotReady        Code = "not-ready"
 	CodeBadDeadline     Code = "bad-deadline"
 	CodeBadLength       Code = "bad-length"
+	CodeBadPath         Code = "bad-path"
 	CodeBadCaller       Code = "bad-caller"
 	CodeBadRequestID    Code = "bad-request-id"
 	CodeHeaderTooLarge  Code = "header-too-large"
--- a/internal/reverseproxy/request.go
+++ b/internal/reverseproxy/request.go
@@ -10,6 +10,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 
+	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/upstream"
 )
@@ -39,8 +40,10 @@
 	caller string
 	// path is escaped; query is raw.
 	path, query string
-	depth       int
-	deadline    time.Time
+	// forceQuery is set if the query is empty, but its question mark is there.
+	forceQuery bool
+	depth      int
+	deadline   time.Time
 	// retried is set if the caller marked the request as retried.
 	retried     bool
 	httpRequest *http.Request
@@ -56,7 +59,8 @@
 	if headerSize(c.Request.Header) > maxHeaderBytes {
 		return nil, newProblem(http.StatusRequestHeaderFieldsTooLarge, CodeHeaderTooLarge, NotRun, "the header is larger than 32 KiB")
 	}
-	name, path := splitPath(c.Request.URL.EscapedPath())
+	escaped, query, forceQuery := httpserver.SplitTarget(c.Request.RequestURI)
+	name, path := splitPath(escaped)
 	policy := snapshot.Policy(name)
 	if policy == nil {
 		return nil, newProblem(http.StatusNotFound, CodeUnknownService, NotRun, "the service is not configured")
@@ -65,12 +69,13 @@
 		policy:      policy,
 		svc:         s.services.get(policy),
 		path:        path,
-		query:       c.Request.URL.RawQuery,
+		query:       query,
+		forceQuery:  forceQuery,
 		deadline:    now.Add(policy.Deadline),
 		retried:     c.Request.Header.Get(upstream.HeaderRetried) != "",
 		httpRequest: c.Request,
 	}
-	checks := [...]func(*request) *Problem{s.parseID, parseDepth, parseDeadline, s.parseCaller}
+	checks := [...]func(*request) *Problem{parsePath, s.parseID, parseDepth, parseDeadline, s.parseCaller}
 	for _, check := range checks {
 		if problem := check(r); problem != nil {
 			return nil, problem
@@ -79,6 +84,14 @@
 	return r, nil
 }
 
+// parsePath checks that the path can be sent as it is.
+func parsePath(r *request) *Problem {
+	if err := upstream.CheckPath(r.path); err != nil {
+		return newProblem(http.StatusBadRequest, CodeBadPath, NotRun, err.Error())
+	}
+	return nil
+}
+
 // splitPath splits an escaped path into the service name and the path at the
 // target.
 func splitPath(escaped string) (model.ServiceName, string) {
--- a/internal/reverseproxy/upload.go
+++ b/internal/reverseproxy/upload.go
@@ -120,6 +120,7 @@
 		Method:        u.request.httpRequest.Method,
 		Path:          u.request.path,
 		Query:         u.request.query,
+		ForceQuery:    u.request.forceQuery,
 		Header:        u.request.targetHeader(time.Now(), len(u.triedTargets) > 1 || u.request.retried),
 		Body:          body,
 		ContentLength: u.request.httpRequest.ContentLength,
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -18,12 +18,14 @@
 	Method   string
 	// Host is the value of the Host field; empty means the target's address.
 	Host string
-	// Path is the escaped path.
+	// Path is the escaped path, which is sent byte for byte.
 	Path string
-	// Query is the raw query without the question mark.
-	Query  string
-	Header http.Header
-	Body   io.Reader
+	// Query is the raw query without the question mark. ForceQuery adds the question mark of
+	// an empty one.
+	Query      string
+	ForceQuery bool
+	Header     http.Header
+	Body       io.Reader
 	// ContentLength is the body's length in bytes, or -1 if unknown.
 	ContentLength int64
 	// MaxIdle is the longest time since a reused connection completed a response; zero
@@ -104,6 +106,10 @@
 // the whole exchange, including the response body. Errors are *CallError.
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
 	p := c.pools.get(c, call.Endpoint.Target.Addr)
+	request, err := newRequest(ctx, p.host, call)
+	if err != nil {
+		return nil, &CallError{Target: call.Endpoint.Target.ID, Reason: NotCommitted, Cause: err}
+	}
 	cn, err := c.connect(ctx, p, call)
 	if err != nil {
 		return nil, &CallError{Target: call.Endpoint.Target.ID, Reason: dialReason(ctx), Cause: err}
@@ -116,7 +122,7 @@
 	recentlyVerified := startedAt-cn.verifiedAt <= maxVerifiedAge
 	cn.trackedConn.written.Store(false)
 	cn.trackedConn.Begin()
-	resp, err := cn.http.RoundTrip(newRequest(ctx, p.host, call))
+	resp, err := cn.http.RoundTrip(request)
 	if err != nil {
 		cn.close()
 		if cn.reused {
