Read strongly after a stale watch that returned behind the floor

Cause: a stale watch is cancelled once it has been behind the floor for 0.1 s. Where changes come in quick succession while the stale reads fall behind slowly, each watch returns sooner than that. Ruled out: reads that lag by a fixed time begin with a wait and are cancelled.

Change: if a stale watch's response lacks what a strong read showed more than 0.1 s before, the next one is strong.

--- a/internal/replica/floor.go
+++ b/internal/replica/floor.go
@@ -31,6 +31,8 @@
 	// unchangedSince is a revision after which, up to the floor, only objects of the kinds
 	// read strongly have changed. Views that reflect it are up to date.
 	unchangedSince Position
+	// raisedAt is when unchangedSince rose last.
+	raisedAt time.Time
 	// raised is closed when the floor rises; nil while nobody waits.
 	raised chan struct{}
 }
@@ -42,6 +44,7 @@
 	if batch.AsOf <= f.revision {
 		return
 	}
+	before := f.unchangedSince
 	switch explained := changeCount(after, batch) == uint64(batch.AsOf-after); {
 	case !explained:
 		f.unchangedSince = batch.AsOf
@@ -51,6 +54,9 @@
 		f.unchangedSince = min(f.unchangedSince, after)
 	}
 	f.revision = batch.AsOf
+	if f.unchangedSince > before {
+		f.raisedAt = time.Now()
+	}
 	if f.raised != nil {
 		close(f.raised)
 		f.raised = nil
@@ -87,6 +93,14 @@
 	return f.revision, asOf < f.unchangedSince, f.raised
 }
 
+// lags reports whether a read that ends now and reflects a position lacks changes that a strong
+// read showed more than floorGrace ago.
+func (f *Floor) lags(asOf Position) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return asOf < f.unchangedSince && time.Since(f.raisedAt) > floorGrace
+}
+
 // cancelBehind cancels a watch that starts after a revision with *BehindFloorError if the view
 // may lack changes up to the floor and the watch hasn't returned floorGrace later.
 func (f *Floor) cancelBehind(ctx context.Context, after Position, cancel context.CancelCauseFunc) {
--- a/internal/replica/floor_test.go
+++ b/internal/replica/floor_test.go
@@ -19,6 +19,9 @@
 // laggingStore is a store whose eventually consistent reads return the state of lag ago.
 type laggingStore struct {
 	lag time.Duration
+	// growsFrom, if set, is when the lag begins to grow, from nothing up to lag, by half a
+	// second each second.
+	growsFrom time.Time
 
 	mu       sync.Mutex
 	revision Position
@@ -78,7 +81,11 @@
 	defer s.mu.Unlock()
 	until := time.Now()
 	if c == Eventual {
-		until = until.Add(-s.lag)
+		lag := s.lag
+		if !s.growsFrom.IsZero() {
+			lag = min(lag, max(0, time.Since(s.growsFrom)/2))
+		}
+		until = until.Add(-lag)
 	} else {
 		batch.AsOf = s.revision
 	}
@@ -293,3 +300,44 @@
 		}
 	}
 }
+
+// TestFrequentChangesDoNotHideThatReadsLag guards against targets that grow as old as the store's
+// stale reads: where changes come in quick succession each watch returns at once with old ones,
+// and was never waited for long enough to be cancelled for being behind.
+func TestFrequentChangesDoNotHideThatReadsLag(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, c := range []struct {
+		lag   time.Duration
+		grows bool
+	}{{0, false}, {1200 * time.Millisecond, false}, {1900 * time.Millisecond, false}, {5500 * time.Millisecond, false}, {8 * time.Second, true}} {
+		t.Run(fmt.Sprintf("lag %v, grows %t", c.lag, c.grows), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				s := &laggingStore{lag: c.lag}
+				if c.grows {
+					s.growsFrom = time.Now().Add(9 * time.Second)
+				}
+				r := followLagging(ctx, s)
+				time.Sleep(8 * time.Second)
+				leftAt := make(map[model.TargetID]time.Time)
+				for i := range 800 {
+					s.put("targets", "busy", fmt.Sprint("service-", i))
+					if i%20 == 0 {
+						leftAt[model.TargetID(fmt.Sprint(i/20))] = s.put("targets", fmt.Sprint(i/20), "")
+					}
+					time.Sleep(30 * time.Millisecond)
+				}
+				time.Sleep(10 * time.Second)
+				cancel()
+				time.Sleep(2 * time.Second)
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				for target, at := range leftAt {
+					if took := r.left[target].Sub(at); r.left[target].IsZero() || took > bound {
+						t.Errorf("target %s left after %v", target, took)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -283,7 +283,7 @@
 		f.raiseFloor(after, batch)
 	}
 	if f.consecutiveFailures == 0 {
-		f.requireStrong = false
+		f.requireStrong = consistency == Eventual && f.Floor.lags(batch.AsOf)
 	}
 	f.handleSuccess()
 	f.listNext = supersededBytes(batch) > maxSupersededBytes
