Keep what a target stated while its entry is missing

Evidence: TestStatementsOutlastALapse failed before; a later process under the same ID still starts anew.

--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -26,7 +26,7 @@
 
 // Table publishes snapshots of the targets by atomic swap. Readers never block;
 // writers are serialized by a mutex. The load and state of a target survive snapshot
-// changes for as long as the target is listed.
+// changes for as long as the target is listed, and if its process is listed again.
 type Table struct {
 	id      model.InstanceID
 	self    model.Location
@@ -36,6 +36,7 @@
 	position Position
 	targets  map[model.ServiceName][]model.Target
 	entries  map[model.TargetID]*entry
+	lapsed   lapsedEntries
 	domains  map[model.FailureDomain]*domainState
 }
 
@@ -72,6 +73,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dropUnlisted(service, list)
+	t.restoreLapsed(list)
 	t.markNewUnproven(service, list)
 	if len(list) == 0 {
 		delete(t.targets, service)
@@ -90,11 +92,24 @@
 	}
 	for _, old := range t.targets[service] {
 		if !kept[old.Process()] {
+			t.lapsed.put(&old, t.entries[old.ID])
 			delete(t.entries, old.ID)
 		}
 	}
 }
 
+// restoreLapsed restores the entries of processes that were listed before.
+func (t *Table) restoreLapsed(list []model.Target) {
+	for i := range list {
+		if t.entries[list[i].ID] != nil {
+			continue
+		}
+		if e := t.lapsed.take(&list[i]); e != nil {
+			t.entries[list[i].ID] = e
+		}
+	}
+}
+
 // markNewUnproven creates an entry in state Unproven for each new target of a service
 // that is already known.
 func (t *Table) markNewUnproven(service model.ServiceName, list []model.Target) {
