Heed announced idle timeouts of a second or none

Cause: a margin of a second is subtracted from the announced timeout, and what is left, zero, stood for none announced; timeout=0 was ignored.

Change: no timeout is negative, and the margin is half of a timeout below two seconds.

Evidence: TestShortKeepAliveTimeoutsAreHeeded failed before for timeout=0 and for a connection idle for 0.6 s of timeout=1.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -339,3 +339,35 @@
 		}
 	}
 }
+
+// TestShortKeepAliveTimeoutsAreHeeded guards against a target that closes idle connections after
+// a second, or at once: that counted as no timeout, and requests were lost on such connections.
+func TestShortKeepAliveTimeoutsAreHeeded(t *testing.T) {
+	for _, c := range []struct {
+		announced string
+		idle      time.Duration
+		reused    bool
+	}{
+		{"timeout=0", 10 * time.Millisecond, false},
+		{"timeout=1", 300 * time.Millisecond, true},
+		{"timeout=1", 600 * time.Millisecond, false},
+		{"max=5, timeout=2", 900 * time.Millisecond, true},
+		{"timeout=2", 1100 * time.Millisecond, false},
+		{"timeout=x", 5 * time.Second, true},
+	} {
+		target := newRawTarget(t, func(conn net.Conn, _, _ int) bool {
+			_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nKeep-Alive: "+c.announced+"\r\nContent-Length: 2\r\n\r\nok")
+			return err == nil
+		})
+		client := NewClient()
+		client.epoch = client.epoch.Add(-time.Hour)
+		mustDo(t, client, target.call())
+		pool := client.pools.get(client, target.endpoint.Target.Addr)
+		idle := pool.pop()
+		idle.verifiedAt -= c.idle
+		pool.push(idle)
+		if got := mustDo(t, client, target.call()).Reused; got != c.reused {
+			t.Errorf("%s, idle for %v: reused %t", c.announced, c.idle, got)
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -41,13 +41,13 @@
 	// since the client's epoch.
 	verifiedAt time.Duration
 	reused     bool
-	// keepAliveTimeout is how long the connection may stay idle according to the target,
-	// less keepAliveMargin; zero if the target announced no timeout.
+	// keepAliveTimeout is how long the connection may stay idle according to the target, less
+	// a margin; negative if the target announced no timeout.
 	keepAliveTimeout time.Duration
 }
 
 // keepAliveMargin is subtracted from the idle timeout that a target announces, because
-// the timeout is given in whole seconds.
+// the timeout is given in whole seconds. Of a shorter timeout it is half.
 const keepAliveMargin = time.Second
 
 // recordKeepAlive records the idle timeout that a target announces in whole seconds.
@@ -55,8 +55,9 @@
 	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		seconds, err := strconv.Atoi(value)
-		if err == nil && seconds > 0 && strings.EqualFold(name, "timeout") {
-			c.keepAliveTimeout = time.Duration(seconds)*time.Second - keepAliveMargin
+		if err == nil && seconds >= 0 && strings.EqualFold(name, "timeout") {
+			timeout := time.Duration(seconds) * time.Second
+			c.keepAliveTimeout = timeout - min(keepAliveMargin, timeout/2)
 		}
 	}
 }
@@ -175,5 +176,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{http: cc, trackedConn: tracked, verifiedAt: c.elapsed()}, nil
+	return &conn{http: cc, trackedConn: tracked, verifiedAt: c.elapsed(), keepAliveTimeout: -1}, nil
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -62,7 +62,7 @@
 		return false
 	}
 	idleFor := p.client.elapsed() - c.verifiedAt
-	if c.keepAliveTimeout > 0 && idleFor > c.keepAliveTimeout {
+	if c.keepAliveTimeout >= 0 && idleFor > c.keepAliveTimeout {
 		return false
 	}
 	return idleFor <= maxAge
