--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -32,7 +32,9 @@
 	downFor func(node, kind string) bool
 	// strongRefused is set while strong watches fail and cheap ones show no change.
 	strongRefused bool
-	calls         map[string]int
+	// withoutEras is the node whose build knows no eras, or "".
+	withoutEras string
+	calls       map[string]int
 	// responseDelay, if set, returns the time from the state that a watch shows to its return.
 	responseDelay func() time.Duration
 }
@@ -150,6 +152,12 @@
 			batch.Objects = append(batch.Objects, o)
 		}
 	}
+	if s.node == s.withoutEras {
+		batch.AsOf = inEra(0, batch.AsOf)
+		for i := range batch.Objects {
+			batch.Objects[i].Revision = inEra(0, batch.Objects[i].Revision)
+		}
+	}
 	return batch
 }
 
@@ -245,7 +253,8 @@
 	evacuated, returned map[model.FailureDomain]time.Time
 }
 
-// relayNetwork connects nodes by name. A node that is missing or silent never responds.
+// relayNetwork connects nodes by name. A node that is missing or silent never responds, and a
+// silent one reaches no other.
 type relayNetwork struct {
 	mu    sync.Mutex
 	nodes map[string]*relayNode
@@ -326,7 +335,7 @@
 func (n nodeTransport) CallAddr(ctx context.Context, addr string, op peer.Op, body, response any) (model.InstanceID, error) {
 	n.mu.Lock()
 	to := n.nodes[addr]
-	silent := to == nil || to.silent
+	silent := to == nil || to.silent || n.from.silent
 	n.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -363,7 +372,7 @@
 			return "", ctx.Err()
 		}
 		n.mu.Lock()
-		silent := to.silent
+		silent := to.silent || n.from.silent
 		n.mu.Unlock()
 		if silent {
 			<-ctx.Done()
@@ -382,7 +391,7 @@
 func (n nodeTransport) Locate(ctx context.Context, addr string) (model.Location, bool) {
 	n.mu.Lock()
 	to := n.nodes[addr]
-	silent := to == nil || to.silent
+	silent := to == nil || to.silent || n.from.silent
 	n.mu.Unlock()
 	if silent {
 		<-ctx.Done()
--- a/internal/peersync/store_return_test.go
+++ b/internal/peersync/store_return_test.go
@@ -22,10 +22,10 @@
 	store *relayStore
 	net   *relayNetwork
 	nodes map[string]*relayNode
-	// routes is the latest version of the routes, cut the instance that reaches neither the
-	// store nor its peers, or "".
+	// routes is the latest version of the routes, cut the instances that reach neither the
+	// store nor their peers.
 	routes int
-	cut    string
+	cut    []string
 }
 
 // change makes a random change of the store and lets a short time pass.
@@ -50,15 +50,22 @@
 	}
 }
 
-// cutOff cuts an instance off from the store and from its peers; "" ends that.
-func (d *returnDrill) cutOff(name string) {
-	if d.cut != "" {
-		d.net.silence(d.cut, false)
+// cutOff cuts instances off from the store and from their peers; none ends that.
+func (d *returnDrill) cutOff(names ...string) {
+	for _, name := range d.cut {
+		d.net.silence(name, false)
 	}
-	if d.cut = name; name != "" {
+	d.cut = names
+	for _, name := range names {
 		d.net.silence(name, true)
 	}
-	d.store.setDown(func(node, _ string) bool { return node == name })
+	d.reachStore()
+}
+
+// reachStore lets all instances reach the store that aren't cut off.
+func (d *returnDrill) reachStore() {
+	cut := d.cut
+	d.store.setDown(func(node, _ string) bool { return slices.Contains(cut, node) })
 }
 
 // returnStore lets the store lose up to ten changes, be away and return, once or twice. Then
@@ -67,10 +74,10 @@
 	older := d.store.copy()
 	d.changeOften(10)
 	if d.rng.IntN(2) == 0 {
-		d.cutOff([]string{"seed-1", "node-1"}[d.rng.IntN(2)])
+		// Half of the fleet, or one instance of each kind.
+		d.cutOff([][]string{{"seed-1", "node-1", "node-2"}, {"seed-2"}, {"node-3"}}[d.rng.IntN(3)]...)
 		d.changeOften(4)
 	}
-	cut := d.cut
 	d.store.setDown(func(string, string) bool { return true })
 	time.Sleep(time.Duration(d.rng.IntN(1500)) * time.Millisecond)
 	if d.rng.IntN(2) == 0 {
@@ -80,7 +87,7 @@
 	}
 	lost := []relayCopy{d.store.restore(older)}
 	if d.rng.IntN(3) == 0 {
-		d.store.setDown(func(node, _ string) bool { return node == cut })
+		d.reachStore()
 		time.Sleep(time.Duration(d.rng.IntN(800)) * time.Millisecond)
 		lost = append(lost, d.store.restore(older))
 	}
@@ -88,7 +95,7 @@
 	for range d.rng.IntN(40) {
 		d.store.put("targets", "spare", "a")
 	}
-	d.store.setDown(func(node, _ string) bool { return node == cut })
+	d.reachStore()
 	for _, l := range lost {
 		for kind, objects := range l.objects {
 			for name, o := range objects {
@@ -101,7 +108,7 @@
 		}
 	}
 	d.changeOften(6)
-	d.cutOff("")
+	d.cutOff()
 }
 
 // check compares what each instance holds with the store.
@@ -180,3 +187,33 @@
 		}
 	})
 }
+
+// TestOlderBuildFollowsRelaysOfANewerOne plays an instance whose build knows no eras: it takes the
+// lists of its relays also after the store has returned from an older copy.
+func TestOlderBuildFollowsRelaysOfANewerOne(t *testing.T) {
+	relayTest(t, func(t *testing.T, store *relayStore, n *relayNetwork, _ *relayNode) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store.mu.Lock()
+		store.withoutEras = "older"
+		store.mu.Unlock()
+		node := n.start(ctx, store, "older", "seed-1", "seed-2")
+		time.Sleep(5 * time.Second)
+		older := store.copy()
+		store.put("targets", "17", "")
+		time.Sleep(2 * time.Second)
+		store.restore(older)
+		time.Sleep(2 * time.Second)
+		store.put("targets", "17", "")
+		store.put("targets", "18", "")
+		store.put("targets", "new", "a")
+		time.Sleep(5 * time.Second)
+		names := make(map[string]bool)
+		for _, e := range node.replica.DeltaFor(replica.Versions{}).Targets {
+			names[e.Name] = true
+		}
+		if !node.client.Relayed() || names["17"] || names["18"] || !names["new"] || !names["19"] {
+			t.Errorf("relayed %t; 17 %t, 18 %t, new %t, 19 %t", node.client.Relayed(), names["17"], names["18"], names["new"], names["19"])
+		}
+	})
+}
