Let the store's stand-in answer late with an earlier era

Watches that wait while the store returns from an older copy may be answered after it, with the era and the revision from before.

--- a/internal/soak/gateway_test.go
+++ b/internal/soak/gateway_test.go
@@ -256,7 +256,8 @@
 	kind := r.random.IntN(len(crowds))
 	switch r.random.IntN(12) {
 	case 10:
-		return func() { r.returnStore(duration, duration/3, duration/2) }
+		late := time.Duration(r.random.IntN(2)) * duration / 5
+		return func() { r.returnStore(duration, duration/3, late, duration/2) }
 	case 9:
 		return func() { g.runCrowd(kind, 2*duration) }
 	case 0:
@@ -282,17 +283,21 @@
 	}
 }
 
-// returnStore lets the store be away for a moment and return from a copy of some age. What was
-// lost is written again after a further time. It does nothing while another return is played.
-func (r *gatewayRun) returnStore(age, away, again time.Duration) {
+// returnStore lets the store return from a copy of some age: after it was away for a moment or, if
+// late isn't zero, at once, with answers to calls of before that come so late. What was lost is
+// written again after a further time. It does nothing while another return is played.
+func (r *gatewayRun) returnStore(age, away, late, again time.Duration) {
 	if !r.returning.TryLock() {
 		return
 	}
 	defer r.returning.Unlock()
 	older := r.store.Copy()
 	time.Sleep(age)
-	r.store.SetUnavailable(true)
-	time.Sleep(away)
+	r.store.SetLateAnswers(late)
+	if late == 0 {
+		r.store.SetUnavailable(true)
+		time.Sleep(away)
+	}
 	lost := r.store.Restore(older)
 	r.store.SetUnavailable(false)
 	time.Sleep(again)
