--- a/review/driver-3/main.go
+++ b/review/driver-3/main.go
@@ -21,6 +21,7 @@
 	"gone":          playGone,
 	"cut-watch":     playCutWatch,
 	"two-lists":     playTwoLists,
+	"same-path":     playSamePath,
 }
 
 func main() {
