--- a/review/driver-3/same_path.go
+++ b/review/driver-3/same_path.go
@@ -83,7 +83,7 @@
 				select {
 				case <-stop:
 					return
-				case <-time.After(50 * time.Millisecond):
+				case <-time.After(15 * time.Millisecond):
 				}
 				senders.Go(func() {
 					id, kind := w.newID(), "view"
