--- a/review/driver-3/main.go
+++ b/review/driver-3/main.go
@@ -22,6 +22,7 @@
 	"cut-watch":     playCutWatch,
 	"two-lists":     playTwoLists,
 	"same-path":     playSamePath,
+	"lost-seeds":    playLostSeeds,
 }
 
 func main() {
