peersync: follow a replaced list of seeds while running

Callers of organisations with a quota saw 503 quota-unknown for every request after the three seeds of a fleet had ended for good, although the others had been given a list of seeds that live (settings file and SIGHUP); so did requests to targets that state a limit.

Cause: the list was read once, at the start, and copied into each part that uses it: grants of quotas, of limits and for cold targets, relays, marks, near seeds. Ruled out: the file isn't read (the log says "settings reloaded"), and the transport to the new seeds (marks reach them once they are asked).

Change: peersync.Seeds holds the list and answers for all five who holds a role and who grants. A replaced list takes effect while the process runs; a new grantor waits until those of earlier lists say that they stopped, or are silent for 6 s; one that was passed over is told, and one that stood still waits for that notice. Without the wait, the yield or the delay after a standstill the new tests count up to 480 requests in a window in which 284 are allowed.

Left: nobody takes over unless the list changes, and a grantor that is cut off from its successors alone goes on.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -147,6 +147,8 @@
 	quarantine *quarantine.Registry
 	permits    *peersync.Permits
 	quotas     *peersync.Quotas
+	// seeds is nil without peers.
+	seeds *peersync.Seeds
 	// probes limits the load probes of targets.
 	probes *rate.Limiter
 	// breaker is shared by the followers of routes and targets.
@@ -192,7 +194,8 @@
 	relay := g.startPeerSync(lc, local)
 	routes := g.newFollower("routes", g.provider.Routes, local.Routes, relay)
 	routes.Consistency, routes.BatchDelay, routes.Relay = replica.Strong, routesBatchDelay, relay.routes
-	routes.WatchWait = g.confirmingWatchWait(routes.WatchWait, relay.isRelay)
+	routes.WatchWait = g.confirmingWatchWait(routes.WatchWait, confirmingWatchShare)
+	routes.RelayWatchWait = g.confirmingWatchWait(routes.RelayWatchWait, relayWatchShare)
 	runLoop(lc, routes.Run)
 	targets := g.newFollower("targets", g.provider.Targets, local.Targets, relay)
 	// Targets change often: their watches are the cheaper ones, bounded by those of the routes.
@@ -210,35 +213,30 @@
 }
 
 // confirmingWatchWait returns how long the store may hold a watch of the routes so that their
-// confirmation stays recent enough where keys are withdrawn in a bounded time.
-func (g *gateway) confirmingWatchWait(watchWait time.Duration, isRelay bool) time.Duration {
+// confirmation stays recent enough where keys are withdrawn in a bounded time: the given share of
+// that time.
+func (g *gateway) confirmingWatchWait(watchWait time.Duration, share float64) time.Duration {
 	within := g.settings.Keys.WithdrawWithin
 	if within == 0 {
 		return watchWait
 	}
-	share := confirmingWatchShare
-	if isRelay {
-		share = relayWatchShare
-	}
 	return min(watchWait, time.Duration(share*float64(within)))
 }
 
 // newFollower returns a follower that keeps a view up to date with the objects of a source.
 // The kind is "routes", "targets" or "evacuations".
 func (g *gateway) newFollower(kind string, source replica.Source, view replica.View, relay peerRelay) *replica.Follower {
-	watchWait := g.settings.SettleTimeout - watchReserve
-	if relay.isRelay {
-		watchWait = min(watchWait, peersync.RelayWatchWait)
-	}
 	return &replica.Follower{
-		Source:       source,
-		View:         view,
-		Observer:     &storeObserver{kind: kind, log: g.log.With(zap.String("what", kind)), set: g.set, targetsKnown: &g.targetsKnown},
-		WatchWait:    watchWait,
-		MaxBackoff:   g.settings.SettleTimeout - backoffReserve,
-		RemovalGrace: removalGrace,
-		Breaker:      &g.breaker,
-		Floor:        &g.floor,
+		Source:         source,
+		View:           view,
+		Observer:       &storeObserver{kind: kind, log: g.log.With(zap.String("what", kind)), set: g.set, targetsKnown: &g.targetsKnown},
+		WatchWait:      g.settings.SettleTimeout - watchReserve,
+		IsRelay:        relay.isRelay,
+		RelayWatchWait: peersync.RelayWatchWait,
+		MaxBackoff:     g.settings.SettleTimeout - backoffReserve,
+		RemovalGrace:   removalGrace,
+		Breaker:        &g.breaker,
+		Floor:          &g.floor,
 	}
 }
 
--- a/internal/daemon/gateway_evacuations.go
+++ b/internal/daemon/gateway_evacuations.go
@@ -27,9 +27,7 @@
 	f := g.newFollower("evacuations", g.provider.Evacuations, view, relay)
 	f.Consistency, f.Relay, f.StartFromRelay = replica.Strong, relay.evacuations, true
 	f.WatchWait = max(min(g.settings.SettleTimeout, g.settings.EvacuationTimeout)-watchReserve, minEvacuationsWait)
-	if relay.isRelay {
-		f.WatchWait = min(f.WatchWait, relayEvacuationsWait)
-	}
+	f.RelayWatchWait = relayEvacuationsWait
 	g.set.NewGauge("redwingpoint_evacuated_domains", func() float64 { return float64(view.Count()) })
 	g.set.NewGauge("redwingpoint_evacuations_confirmed_seconds", func() float64 { return view.Age().Seconds() })
 	runLoop(lc, f.Run)
--- a/internal/daemon/gateway_observers.go
+++ b/internal/daemon/gateway_observers.go
@@ -146,8 +146,8 @@
 		zap.Duration("for", time.Duration(m.TTLMillis)*time.Millisecond))
 }
 
-// reload applies changed settings until ctx ends. Only the retry share and the limits of
-// probes take effect without a restart.
+// reload applies changed settings until ctx ends. Only the retry share, the limits of probes and
+// the seeds take effect without a restart.
 func (g *gateway) reload(ctx context.Context) {
 	for {
 		select {
@@ -155,6 +155,7 @@
 			g.dispatcher.SetRetryShare(s.RetryBudget.Share)
 			g.probes.SetLimit(rate.Limit(s.Probes.PerSecond))
 			g.probes.SetBurst(s.Probes.Burst)
+			g.replaceSeeds(s.Peers.Seeds)
 			g.log.Info("settings reloaded", zap.Float64("resend_share", s.RetryBudget.Share), zap.Int("probes_per_second", s.Probes.PerSecond))
 		case <-ctx.Done():
 			return
--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -39,8 +39,8 @@
 type peerRelay struct {
 	// routes, targets and evacuations are Follower.Relay of the followers, or nil.
 	routes, targets, evacuations replica.Relay
-	// isRelay is set if this gateway relays changes to others.
-	isRelay bool
+	// isRelay is Follower.IsRelay, or nil.
+	isRelay func() bool
 }
 
 // startPeerSync exchanges routes and targets with other gateways while the store is
@@ -56,12 +56,19 @@
 		return peerRelay{}
 	}
 	isSeed, otherSeeds := peerAddresses(g.settings.Peers.Listen, g.settings.Peers.Seeds)
+	seeds := peersync.NewSeeds(isSeed, otherSeeds, transport, g.log)
+	seeds.OnTenure = func(grants bool, shares int) {
+		g.log.Info("grants changed", zap.Bool("grants", grants), zap.Int("shares", shares))
+	}
+	g.seeds = seeds
+	transport.Handle(peer.OpQueryTenure, seeds.HandleQuery)
+	runLoop(lc, seeds.Run)
 	s := &peersync.Syncer{
 		Replica:    local,
 		NeedsPeers: g.breaker.Open,
 		OnMerge:    func() { g.targetsKnown.Store(local.Targets.Known()) },
 		Transport:  transport,
-		Seeds:      otherSeeds,
+		Seeds:      seeds,
 		Log:        g.log,
 	}
 	transport.Handle(peer.OpFetchState, s.HandleFetchState)
@@ -71,23 +78,20 @@
 		OnStop:  func(context.Context) error { transport.Stop(); return nil },
 	})
 	runLoop(lc, s.Run)
-	marks := peersync.NewMarkExchange(g.quarantine, transport, otherSeeds, isSeed, g.log)
-	vicinity := &peersync.Vicinity{Locator: transport, Seeds: otherSeeds, Region: g.settings.Location.Region}
+	marks := peersync.NewMarkExchange(g.quarantine, transport, seeds, g.log)
+	vicinity := &peersync.Vicinity{Locator: transport, Seeds: seeds, Region: g.settings.Location.Region}
 	marks.Region, marks.Vicinity = vicinity.Region, vicinity
 	g.quarantine.Isolated = marks.Isolated
 	g.quarantine.OnQuarantine = g.logQuarantine
 	transport.Handle(peer.OpExchangeMarks, marks.HandleExchange)
 	runLoop(lc, marks.Run)
-	g.sharePermits(transport, isSeed, otherSeeds)
-	g.shareQuotas(transport, isSeed, otherSeeds)
+	g.sharePermits(transport)
+	g.shareQuotas(transport)
 	if g.settings.SettleTimeout-watchReserve < peersync.MaxRelayLag {
 		return peerRelay{}
 	}
-	if isSeed {
-		g.serveRelay(transport, local)
-		return peerRelay{isRelay: true}
-	}
-	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: otherSeeds,
+	g.serveRelay(transport, local)
+	client := &peersync.RelayClient{Replica: local, OnMerge: s.OnMerge, Transport: transport, Seeds: seeds,
 		Region: vicinity.Region, Vicinity: vicinity, Demanded: g.dispatcher.Demanded(), Log: g.log}
 	g.quotas.Nearest = client.LatestRelay
 	if within := g.settings.Keys.WithdrawWithin; within > 0 {
@@ -101,27 +105,38 @@
 		return 0
 	})
 	runLoop(lc, client.Run)
-	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay(), evacuations: client.EvacuationsRelay()}
+	return peerRelay{routes: client.RoutesRelay(), targets: client.TargetsRelay(), evacuations: client.EvacuationsRelay(), isRelay: g.isSeed}
+}
+
+// replaceSeeds puts a changed list of seeds in force.
+func (g *gateway) replaceSeeds(addrs []string) {
+	if g.seeds == nil {
+		return
+	}
+	isSeed, others := peerAddresses(g.settings.Peers.Listen, addrs)
+	if g.seeds.Replace(isSeed, others) {
+		g.log.Info("seeds replaced", zap.Bool("is_seed", isSeed), zap.Strings("others", others))
+	}
 }
 
 // sharePermits divides the limits that targets state, and those of cold targets, among the
 // seeds.
-func (g *gateway) sharePermits(transport *peer.Transport, isSeed bool, otherSeeds []string) {
-	g.permits.Own, g.permits.OwnCold, g.permits.Transport, g.permits.Seeds = nil, nil, transport, otherSeeds
-	if isSeed || len(otherSeeds) == 0 {
-		g.permits.Own = limit.NewGrantor(len(otherSeeds) + 1)
-		transport.Handle(peer.OpAcquirePermit, (&peersync.PermitServer{Grantor: g.permits.Own}).HandleAcquire)
-		g.permits.OwnCold = newColdGrantor(len(otherSeeds)+1, g.settings)
-		transport.Handle(peer.OpAcquireColdPermit, (&peersync.ColdPermitServer{Grantor: g.permits.OwnCold}).HandleAcquire)
-	}
+func (g *gateway) sharePermits(transport *peer.Transport) {
+	p := g.permits
+	p.Transport, p.Seeds = transport, g.seeds
+	p.Own, p.OwnCold = peersync.NewShare(g.seeds, limit.NewGrantor), newColdShare(g.seeds, g.settings)
+	transport.Handle(peer.OpAcquirePermit, (&peersync.PermitServer{Own: p.Own}).HandleAcquire)
+	transport.Handle(peer.OpAcquireColdPermit, (&peersync.ColdPermitServer{Own: p.OwnCold}).HandleAcquire)
 }
 
 // newQuotas returns the quotas of a gateway without peers.
 func newQuotas(s *settings.Gateway, log *zap.Logger, set *metrics.Set) *peersync.Quotas {
 	tolerance := limit.Tolerance{Window: s.Quotas.Window, Overage: s.Quotas.Overage, Slack: s.Quotas.Slack}
+	seeds := peersync.NewSeeds(false, nil, nil, log)
 	return &peersync.Quotas{
 		Tolerance: tolerance,
-		Own:       limit.NewQuotaGrantor(1, tolerance),
+		Seeds:     seeds,
+		Own:       newQuotaShare(seeds, tolerance),
 		Log:       log,
 		OnAsked: func(result peersync.QuotaResult) {
 			set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_quota_questions_total{result=%q}", string(result))).Inc()
@@ -129,18 +144,24 @@
 	}
 }
 
+// newQuotaShare returns this instance's share of quotas.
+func newQuotaShare(seeds *peersync.Seeds, tolerance limit.Tolerance) *peersync.Share[*limit.QuotaGrantor] {
+	return peersync.NewShare(seeds, func(shares int) *limit.QuotaGrantor { return limit.NewQuotaGrantor(shares, tolerance) })
+}
+
 // shareQuotas divides the quotas of organisations among the seeds.
-func (g *gateway) shareQuotas(transport *peer.Transport, isSeed bool, otherSeeds []string) {
-	g.quotas.Own, g.quotas.Transport, g.quotas.Seeds = nil, transport, otherSeeds
-	if isSeed || len(otherSeeds) == 0 {
-		g.quotas.Own = limit.NewQuotaGrantor(len(otherSeeds)+1, g.quotas.Tolerance)
-		transport.Handle(peer.OpAcquireQuota, (&peersync.QuotaServer{Grantor: g.quotas.Own}).HandleAcquire)
-	}
+func (g *gateway) shareQuotas(transport *peer.Transport) {
+	g.quotas.Transport, g.quotas.Seeds = transport, g.seeds
+	g.quotas.Own = newQuotaShare(g.seeds, g.quotas.Tolerance)
+	transport.Handle(peer.OpAcquireQuota, (&peersync.QuotaServer{Own: g.quotas.Own}).HandleAcquire)
 }
 
-// serveRelay relays the store's changes to other gateways.
+// isSeed reports whether this gateway is a seed.
+func (g *gateway) isSeed() bool { return g.seeds.Current().IsSeed() }
+
+// serveRelay relays the store's changes to other gateways while this one is a seed.
 func (g *gateway) serveRelay(transport *peer.Transport, local *replica.Replica) {
-	local.Current = func() bool { return g.isReady() && !g.breaker.Open() }
+	local.Current = func() bool { return g.isSeed() && g.isReady() && !g.breaker.Open() }
 	local.Routes.OnChange = local.NotifyChanged
 	local.Targets.OnChange = local.NotifyChanged
 	if local.Evacuations != nil {
@@ -148,7 +169,7 @@
 	}
 	g.breaker.OnOpen = local.NotifyChanged
 	g.onShutdown = local.NotifyChanged
-	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local, Location: g.settings.Location}).HandleAwaitChange)
+	transport.Handle(peer.OpAwaitChange, (&peersync.RelayServer{Replica: local, Seeds: g.seeds, Location: g.settings.Location}).HandleAwaitChange)
 }
 
 // listenForPeers returns a transport that listens for peers with a self-signed
--- a/internal/daemon/gateway_permits.go
+++ b/internal/daemon/gateway_permits.go
@@ -14,9 +14,11 @@
 
 // newPermits returns the permits of a gateway without peers, which grants all itself.
 func newPermits(s *settings.Gateway, log *zap.Logger, set *metrics.Set) *peersync.Permits {
+	seeds := peersync.NewSeeds(false, nil, nil, log)
 	return &peersync.Permits{
-		Own:     limit.NewGrantor(1),
-		OwnCold: newColdGrantor(1, s),
+		Seeds:   seeds,
+		Own:     peersync.NewShare(seeds, limit.NewGrantor),
+		OwnCold: newColdShare(seeds, s),
 		OnCold: func(result peersync.ColdResult) {
 			set.GetOrCreateCounter(fmt.Sprintf("redwingpoint_cold_permits_total{result=%q}", string(result))).Inc()
 		},
@@ -24,8 +26,10 @@
 	}
 }
 
-// newColdGrantor returns one of the given number of grantors for cold targets.
-func newColdGrantor(shares int, s *settings.Gateway) *limit.ColdGrantor {
+// newColdShare returns this instance's share of the requests to cold targets.
+func newColdShare(seeds *peersync.Seeds, s *settings.Gateway) *peersync.Share[*limit.ColdGrantor] {
 	bound := limit.ColdBound{Overage: s.ColdTargets.Overage, Slack: s.ColdTargets.Slack}
-	return limit.NewColdGrantor(shares, bound, routing.ColdPermitValidity)
+	return peersync.NewShare(seeds, func(shares int) *limit.ColdGrantor {
+		return limit.NewColdGrantor(shares, bound, routing.ColdPermitValidity)
+	})
 }
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -40,6 +40,8 @@
 	OpAcquireColdPermit
 	// OpAcquireQuota asks a gateway that grants a share of organisations' quotas for requests.
 	OpAcquireQuota
+	// OpQueryTenure asks a gateway which share of limits and quotas it grants now.
+	OpQueryTenure
 )
 
 // opNames are the names of the operations in metrics.
--- a/internal/peersync/cold_permits.go
+++ b/internal/peersync/cold_permits.go
@@ -37,7 +37,7 @@
 
 // ColdPermitServer grants requests to cold targets to other instances. It is safe for
 // concurrent use.
-type ColdPermitServer struct{ Grantor *limit.ColdGrantor }
+type ColdPermitServer struct{ Own *Share[*limit.ColdGrantor] }
 
 // HandleAcquire handles peer.OpAcquireColdPermit.
 func (s *ColdPermitServer) HandleAcquire(_ model.InstanceID, body []byte) (any, error) {
@@ -45,7 +45,11 @@
 	if err := peer.Decode(body, &req); err != nil {
 		return nil, err
 	}
-	target, retryAfter := s.Grantor.Grant(req.Targets[:min(len(req.Targets), maxColdTargets)], req.PerSecond)
+	grantor, grants := s.Own.Grantor()
+	if !grants {
+		return nil, &NotHolderError{Role: "grant permits for cold targets"}
+	}
+	target, retryAfter := grantor.Grant(req.Targets[:min(len(req.Targets), maxColdTargets)], req.PerSecond)
 	return coldPermitResponse{Target: target, RetryMillis: retryAfter.Milliseconds()}, nil
 }
 
@@ -70,8 +74,8 @@
 		ids = append(ids, e.Target.ID)
 	}
 	retryAfter := permitBackoff
-	if p.OwnCold != nil {
-		target, after := p.OwnCold.Grant(ids, perSecond)
+	if own, grants := p.OwnCold.Grantor(); grants {
+		target, after := own.Grant(ids, perSecond)
 		if target != "" {
 			return p.coldPermit(target, time.Now()), 0
 		}
--- a/internal/peersync/cold_permits_test.go
+++ b/internal/peersync/cold_permits_test.go
@@ -21,7 +21,7 @@
 // coldFleet is a fleet of gateways that all want to send to one cold target, with three seeds.
 type coldFleet struct {
 	mu    sync.Mutex
-	seeds map[string]*limit.ColdGrantor
+	seeds map[string]*Share[*limit.ColdGrantor]
 	// cut reports whether a gateway can't reach a seed.
 	cut func(gateway int, seed string) bool
 	// sent are the times at which requests were sent, of which granted were permitted.
@@ -55,7 +55,7 @@
 	if err != nil {
 		return "", err
 	}
-	out, err := (&ColdPermitServer{Grantor: grantor}).HandleAcquire("asker", raw)
+	out, err := (&ColdPermitServer{Own: grantor}).HandleAcquire("asker", raw)
 	if err != nil {
 		return "", err
 	}
@@ -69,13 +69,14 @@
 func (f *coldFleet) startSeed(addr string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.seeds[addr] = limit.NewColdGrantor(testColdSeeds, testColdBound, routing.ColdPermitValidity)
+	f.seeds[addr] = newColdShare(newTestSeeds(true, "other-1", "other-2"))
 }
 
 // press sends as many requests as it gets permits for until ctx ends, and holds some of them
 // back.
 func (f *coldFleet) press(ctx context.Context, gateway int, random *rand.Rand) {
-	permits := &Permits{Transport: coldLink{f, gateway}, Seeds: []string{"seed-0", "seed-1", "seed-2"}, Log: zap.NewNop()}
+	seeds := newTestSeeds(false, "seed-0", "seed-1", "seed-2")
+	permits := &Permits{Transport: coldLink{f, gateway}, Seeds: seeds, OwnCold: newColdShare(seeds), Log: zap.NewNop()}
 	target := []*routing.Endpoint{{Target: model.Target{ID: "cold"}, Load: new(routing.Load)}}
 	for ctx.Err() == nil {
 		permit, _ := permits.AcquireCold(ctx, target, testColdPerSecond)
@@ -131,7 +132,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithTimeout(t.Context(), played)
 				defer cancel()
-				f := &coldFleet{seeds: make(map[string]*limit.ColdGrantor), cut: c.cut}
+				f := &coldFleet{seeds: make(map[string]*Share[*limit.ColdGrantor]), cut: c.cut}
 				for i := range testColdSeeds {
 					f.startSeed(fmt.Sprint("seed-", i))
 				}
--- a/internal/peersync/marks.go
+++ b/internal/peersync/marks.go
@@ -62,10 +62,7 @@
 type MarkExchange struct {
 	Registry  *quarantine.Registry
 	Transport Transport
-	// Seeds are the peer addresses of the seeds, without the own address.
-	Seeds []string
-	// IsSeed is set if this instance is a seed.
-	IsSeed bool
+	Seeds     *Seeds
 	// Region is that of this instance; a seed in it is preferred.
 	Region model.Region
 	// Vicinity, if set, finds the seed in the own region, which is asked before the others.
@@ -82,16 +79,18 @@
 }
 
 // NewMarkExchange returns an exchange of the marks in a registry with the given seeds.
-func NewMarkExchange(registry *quarantine.Registry, transport Transport, seeds []string, isSeed bool, log *zap.Logger) *MarkExchange {
-	return &MarkExchange{Registry: registry, Transport: transport, Seeds: seeds, IsSeed: isSeed, Log: log, run: rand.Uint64(), startedAt: time.Now(), stopped: make(chan struct{})}
+func NewMarkExchange(registry *quarantine.Registry, transport Transport, seeds *Seeds, log *zap.Logger) *MarkExchange {
+	return &MarkExchange{Registry: registry, Transport: transport, Seeds: seeds, Log: log, run: rand.Uint64(), startedAt: time.Now(), stopped: make(chan struct{})}
 }
 
 // Isolated reports whether there are other instances, but none has exchanged marks with
 // this one for isolationTimeout.
-func (e *MarkExchange) Isolated() bool { return len(e.Seeds) > 0 && !e.isRecent(&e.lastContact) }
+func (e *MarkExchange) Isolated() bool { return e.hasOtherSeeds() && !e.isRecent(&e.lastContact) }
+
+func (e *MarkExchange) hasOtherSeeds() bool { return len(e.Seeds.Current().Others()) > 0 }
 
 // isAlone reports whether this instance is a seed that reaches no other one.
-func (e *MarkExchange) isAlone() bool { return len(e.Seeds) > 0 && !e.isRecent(&e.lastSeedContact) }
+func (e *MarkExchange) isAlone() bool { return e.hasOtherSeeds() && !e.isRecent(&e.lastSeedContact) }
 
 func (e *MarkExchange) isRecent(contact *atomic.Int64) bool {
 	at := contact.Load()
@@ -139,17 +138,34 @@
 // Run exchanges marks with the seeds until ctx ends.
 func (e *MarkExchange) Run(ctx context.Context) {
 	defer close(e.stopped)
+	for ctx.Err() == nil {
+		list := e.Seeds.Current()
+		listCtx, cancel := context.WithCancel(ctx)
+		go func() {
+			defer cancel()
+			select {
+			case <-list.Superseded():
+			case <-ctx.Done():
+			}
+		}()
+		e.exchangeWith(listCtx, list)
+		<-listCtx.Done()
+	}
+}
+
+// exchangeWith exchanges marks with the seeds of a list until ctx ends.
+func (e *MarkExchange) exchangeWith(ctx context.Context, list *SeedList) {
 	var seeds []*seedMarks
 	var loops sync.WaitGroup
-	for _, addr := range e.Seeds {
+	for _, addr := range list.Others() {
 		s := &seedMarks{exchange: e, addr: addr}
 		seeds = append(seeds, s)
 		loops.Go(func() { s.sendReports(ctx) })
-		if e.IsSeed {
+		if list.IsSeed() {
 			loops.Go(func() { e.followNearest(ctx, []*seedMarks{s}) })
 		}
 	}
-	if !e.IsSeed && len(seeds) > 0 {
+	if !list.IsSeed() && len(seeds) > 0 {
 		loops.Go(func() { e.followNearest(ctx, seeds) })
 	}
 	loops.Wait()
--- a/internal/peersync/marks_test.go
+++ b/internal/peersync/marks_test.go
@@ -124,7 +124,7 @@
 func (f *markFleet) start(name string) {
 	otherSeeds := slices.DeleteFunc(slices.Clone(f.seeds), func(s string) bool { return s == name })
 	node := &markNode{registry: new(quarantine.Registry), startedAt: time.Now()}
-	node.exchange = NewMarkExchange(node.registry, markTransport{f, name}, otherSeeds, slices.Contains(f.seeds, name), zap.NewNop())
+	node.exchange = NewMarkExchange(node.registry, markTransport{f, name}, newTestSeeds(slices.Contains(f.seeds, name), otherSeeds...), zap.NewNop())
 	node.registry.Isolated = node.exchange.Isolated
 	ctx, cancel := context.WithCancel(f.t.Context())
 	node.stop = cancel
@@ -308,12 +308,12 @@
 		synctest.Test(t, func(t *testing.T) {
 			seeds := make(seedTransport)
 			for _, name := range []string{"seed-near", "seed-far"} {
-				seed := NewMarkExchange(new(quarantine.Registry), nil, nil, true, zap.NewNop())
+				seed := NewMarkExchange(new(quarantine.Registry), nil, newTestSeeds(true), zap.NewNop())
 				seed.Region = model.Region(name)
 				seeds[name] = seed
 			}
 			transport := slowTransport{seeds, map[string]time.Duration{"seed-near": nearDelay}}
-			e := NewMarkExchange(new(quarantine.Registry), transport, []string{"seed-near", "seed-far"}, false, zap.NewNop())
+			e := NewMarkExchange(new(quarantine.Registry), transport, newTestSeeds(false, "seed-near", "seed-far"), zap.NewNop())
 			e.Region = "seed-near"
 			s, near := e.nearest(t.Context(), []*seedMarks{{exchange: e, addr: "seed-near"}, {exchange: e, addr: "seed-far"}})
 			if s == nil || s.addr != want || near != (want == "seed-near") {
--- a/internal/peersync/permits.go
+++ b/internal/peersync/permits.go
@@ -43,7 +43,7 @@
 
 // PermitServer grants requests to targets with a limit to other instances. It is safe for
 // concurrent use.
-type PermitServer struct{ Grantor *limit.Grantor }
+type PermitServer struct{ Own *Share[*limit.Grantor] }
 
 // HandleAcquire handles peer.OpAcquirePermit.
 func (s *PermitServer) HandleAcquire(_ model.InstanceID, body []byte) (any, error) {
@@ -51,11 +51,15 @@
 	if err := peer.Decode(body, &req); err != nil {
 		return nil, err
 	}
+	grantor, grants := s.Own.Grantor()
+	if !grants {
+		return nil, &NotHolderError{Role: "grant permits for targets"}
+	}
 	if req.Withdrawn {
-		s.Grantor.Withdraw(req.Target)
+		grantor.Withdraw(req.Target)
 		return permitResponse{}, nil
 	}
-	g := s.Grantor.Grant(req.Target, req.LimitPerSecond, time.Now().Add(-time.Duration(req.AgeMillis)*time.Millisecond))
+	g := grantor.Grant(req.Target, req.LimitPerSecond, time.Now().Add(-time.Duration(req.AgeMillis)*time.Millisecond))
 	return permitResponse{Granted: g.Granted, RetryMillis: g.RetryAfter.Milliseconds(), Withdrawn: g.Withdrawn}, nil
 }
 
@@ -64,21 +68,20 @@
 // restart or are cut off; what a seed that isn't reached could have granted is not used. It
 // is safe for concurrent use.
 type Permits struct {
-	// Own grants a share if this instance is a seed, or everything without peers; otherwise
-	// it is nil.
-	Own *limit.Grantor
+	// Own is the share that this instance grants.
+	Own *Share[*limit.Grantor]
 	// OwnCold is the same for requests to cold targets.
-	OwnCold *limit.ColdGrantor
+	OwnCold *Share[*limit.ColdGrantor]
 	// OnCold, if set, is called with the result of each request for a permit for cold targets.
-	OnCold func(ColdResult)
-	// Transport and Seeds are those of the other seeds.
+	OnCold    func(ColdResult)
 	Transport Transport
-	Seeds     []string
+	Seeds     *Seeds
 	Log       *zap.Logger
 
 	mu sync.Mutex
-	// sources are the other seeds, the nearest first.
-	sources []*permitSource
+	// sources are the other seeds of a list, the nearest first.
+	sources   []*permitSource
+	sourcesOf *SeedList
 }
 
 // permitSource is what this instance knows of one seed that grants permits.
@@ -99,8 +102,8 @@
 		return true, 0
 	}
 	retryAfter = permitBackoff
-	if p.Own != nil {
-		g := p.Own.Grant(e.Target.Process(), stated.LimitPerSecond, time.Now().Add(at-routing.Monotonic()))
+	if own, grants := p.Own.Grantor(); grants {
+		g := own.Grant(e.Target.Process(), stated.LimitPerSecond, time.Now().Add(at-routing.Monotonic()))
 		if g.Granted || p.withdrawn(e, g.Withdrawn) {
 			return true, 0
 		}
@@ -153,8 +156,9 @@
 
 // sortedSources returns the other seeds, the nearest first. The caller must hold p.mu.
 func (p *Permits) sortedSources() []*permitSource {
-	if p.sources == nil {
-		for _, addr := range p.Seeds {
+	if list := p.Seeds.Current(); p.sourcesOf != list {
+		p.sources, p.sourcesOf = nil, list
+		for _, addr := range list.Others() {
 			p.sources = append(p.sources, &permitSource{addr: addr, deniedUntil: make(map[model.ProcessID]time.Time)})
 		}
 	}
@@ -197,10 +201,10 @@
 // ReportWithdrawal tells all grantors that a target has withdrawn its limit.
 func (p *Permits) ReportWithdrawal(e *routing.Endpoint) {
 	target := e.Target.Process()
-	if p.Own != nil {
-		p.Own.Withdraw(target)
+	if own, grants := p.Own.Grantor(); grants {
+		own.Withdraw(target)
 	}
-	for _, addr := range p.Seeds {
+	for _, addr := range p.Seeds.Current().Others() {
 		go func() {
 			defer contain.Panic("withdrawn limit", string(e.Target.ID), nil)
 			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
--- a/internal/peersync/permits_test.go
+++ b/internal/peersync/permits_test.go
@@ -41,7 +41,7 @@
 }
 
 // CallAddr implements Transport. Messages over a cut link are lost silently.
-func (p permitTransport) CallAddr(ctx context.Context, addr string, _ peer.Op, body, response any) (model.InstanceID, error) {
+func (p permitTransport) CallAddr(ctx context.Context, addr string, op peer.Op, body, response any) (model.InstanceID, error) {
 	p.fleet.mu.Lock()
 	to := p.fleet.nodes[addr]
 	lost := to.cut || p.fleet.nodes[p.from].cut
@@ -55,7 +55,11 @@
 	if err != nil {
 		return "", err
 	}
-	out, err := (&PermitServer{Grantor: to.permits.Own}).HandleAcquire("asker", raw)
+	handle := (&PermitServer{Own: to.permits.Own}).HandleAcquire
+	if op == peer.OpQueryTenure {
+		handle = to.permits.Seeds.HandleQuery
+	}
+	out, err := handle("asker", raw)
 	if err != nil {
 		return "", err
 	}
@@ -77,13 +81,11 @@
 // start starts an instance, or restarts it without its memory.
 func (f *permitFleet) start(name string) {
 	others := slices.DeleteFunc(slices.Clone(f.seeds), func(s string) bool { return s == name })
+	seeds := NewSeeds(len(others) < len(f.seeds), others, permitTransport{f, name}, zap.NewNop())
 	node := &permitNode{
-		permits:  &Permits{Transport: permitTransport{f, name}, Seeds: others, Log: zap.NewNop()},
+		permits:  &Permits{Transport: permitTransport{f, name}, Seeds: seeds, Own: NewShare(seeds, limit.NewGrantor), Log: zap.NewNop()},
 		endpoint: &routing.Endpoint{Target: model.Target{ID: "t"}, Load: new(routing.Load)},
 	}
-	if len(others) < len(f.seeds) {
-		node.permits.Own = limit.NewGrantor(len(f.seeds))
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.nodes[name] = node
--- a/internal/peersync/quotas.go
+++ b/internal/peersync/quotas.go
@@ -55,7 +55,7 @@
 
 // QuotaServer grants requests of organisations to other instances. It is safe for concurrent
 // use.
-type QuotaServer struct{ Grantor *limit.QuotaGrantor }
+type QuotaServer struct{ Own *Share[*limit.QuotaGrantor] }
 
 // HandleAcquire handles peer.OpAcquireQuota.
 func (s *QuotaServer) HandleAcquire(_ model.InstanceID, body []byte) (any, error) {
@@ -63,7 +63,11 @@
 	if err := peer.Decode(body, &req); err != nil {
 		return nil, err
 	}
-	g := s.Grantor.Grant(req.Organisation, limit.Quota{Revision: req.Revision, PerSecond: req.PerSecond, Burst: req.Burst}, req.Count)
+	grantor, grants := s.Own.Grantor()
+	if !grants {
+		return nil, &NotHolderError{Role: "grant quotas"}
+	}
+	g := grantor.Grant(req.Organisation, limit.Quota{Revision: req.Revision, PerSecond: req.PerSecond, Burst: req.Burst}, req.Count)
 	return quotaResponse{Granted: g.Granted, AvailableMillis: g.AvailableAfter.Milliseconds(), RetryMillis: g.RetryAfter.Milliseconds()}, nil
 }
 
@@ -75,12 +79,10 @@
 type Quotas struct {
 	// Tolerance is by how much quotas may be exceeded.
 	Tolerance limit.Tolerance
-	// Own grants a share if this instance is a seed, or everything without peers; otherwise
-	// it is nil.
-	Own *limit.QuotaGrantor
-	// Transport and Seeds are those of the other seeds.
+	// Own is the share that this instance grants.
+	Own       *Share[*limit.QuotaGrantor]
 	Transport Transport
-	Seeds     []string
+	Seeds     *Seeds
 	Log       *zap.Logger
 	// Nearest, if set, returns the address of the seed that is known as the nearest, or "".
 	Nearest func() string
@@ -88,8 +90,9 @@
 	OnAsked func(QuotaResult)
 
 	mu sync.Mutex
-	// sources are the grantors, the nearest first; nil before the first use.
-	sources []*quotaSource
+	// sources are the grantors by a list of seeds, the nearest first.
+	sources   []*quotaSource
+	sourcesOf *SeedList
 	// stocks are the permits held for organisations.
 	stocks map[model.OrganisationName]*quotaStock
 }
@@ -107,9 +110,9 @@
 
 // quotaSource is what this instance knows of one grantor.
 type quotaSource struct {
-	// grantor is this instance's own; nil for that at addr.
-	grantor *limit.QuotaGrantor
-	addr    string
+	// own is set for that of this instance; otherwise it is at addr.
+	own  bool
+	addr string
 	// took is the duration of the shortest call; zero before the first. Longer ones say more
 	// about this machine than about the way.
 	took time.Duration
@@ -323,15 +326,16 @@
 func (q *Quotas) orderedSources() []*quotaSource {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.sources == nil {
-		newSource := func(grantor *limit.QuotaGrantor, addr string) {
-			q.sources = append(q.sources, &quotaSource{grantor: grantor, addr: addr, denials: make(map[model.OrganisationName]quotaDenial)})
+	if list := q.Seeds.Current(); q.sourcesOf != list {
+		q.sources, q.sourcesOf = nil, list
+		newSource := func(own bool, addr string) {
+			q.sources = append(q.sources, &quotaSource{own: own, addr: addr, denials: make(map[model.OrganisationName]quotaDenial)})
 		}
-		if q.Own != nil {
-			newSource(q.Own, "")
+		if list.mayGrant() {
+			newSource(true, "")
 		}
-		for _, addr := range q.Seeds {
-			newSource(nil, addr)
+		for _, addr := range list.Others() {
+			newSource(false, addr)
 		}
 	}
 	ordered := slices.Clone(q.sources)
@@ -347,7 +351,7 @@
 // shortest call, and the others. Quotas.mu must be held.
 func (s *quotaSource) distance(nearest string) time.Duration {
 	switch {
-	case s.grantor != nil:
+	case s.own:
 		return -2
 	case s.addr == nearest:
 		return -1
@@ -413,8 +417,12 @@
 // call makes the call of ask. The caller's disconnect doesn't cancel it, because what is granted
 // then serves others.
 func (q *Quotas) call(ctx context.Context, s *quotaSource, organisation model.OrganisationName, quota limit.Quota, count int) (g limit.QuotaGrant, err error) {
-	if s.grantor != nil {
-		return s.grantor.Grant(organisation, quota, count), nil
+	if s.own {
+		grantor, grants := q.Own.Grantor()
+		if !grants {
+			return limit.QuotaGrant{}, &NotHolderError{Role: "grant quotas"}
+		}
+		return grantor.Grant(organisation, quota, count), nil
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), quotaTimeout)
 	defer cancel()
--- a/internal/peersync/quotas_test.go
+++ b/internal/peersync/quotas_test.go
@@ -43,8 +43,12 @@
 
 type quotaNode struct {
 	quotas *Quotas
-	// cut is set while the instance reaches no other one, silent while it doesn't respond.
-	cut, silent bool
+	seeds  *Seeds
+	// cut is set while the instance reaches no other one, silent while it doesn't respond, and
+	// frozen while it doesn't run: nobody reaches it then.
+	cut, silent, frozen bool
+	// stop ends the hand-over of grants, if it runs.
+	stop context.CancelFunc
 }
 
 // quotaTransport is the Transport of an instance.
@@ -55,7 +59,7 @@
 
 // CallAddr implements Transport. Messages over a cut link, or to an instance that is silent or
 // was restarted meanwhile, are lost.
-func (p quotaTransport) CallAddr(ctx context.Context, addr string, _ peer.Op, body, response any) (model.InstanceID, error) {
+func (p quotaTransport) CallAddr(ctx context.Context, addr string, op peer.Op, body, response any) (model.InstanceID, error) {
 	var to int
 	if _, err := fmt.Sscan(addr, &to); err != nil {
 		return "", err
@@ -77,7 +81,11 @@
 	if err != nil {
 		return "", err
 	}
-	out, err := (&QuotaServer{Grantor: node.quotas.Own}).HandleAcquire("asker", raw)
+	handle := (&QuotaServer{Own: node.quotas.Own}).HandleAcquire
+	if op == peer.OpQueryTenure {
+		handle = node.seeds.HandleQuery
+	}
+	out, err := handle("asker", raw)
 	if err != nil {
 		return "", err
 	}
@@ -96,7 +104,7 @@
 func (f *quotaFleet) reach(from, to int) *quotaNode {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.nodes[from].cut || f.nodes[to].cut || f.nodes[to].silent {
+	if f.nodes[from].cut || f.nodes[to].cut || f.nodes[to].silent || f.nodes[from].frozen || f.nodes[to].frozen {
 		return nil
 	}
 	return f.nodes[to]
@@ -115,17 +123,25 @@
 
 // start starts an instance, or restarts it without its memory.
 func (f *quotaFleet) start(i int) {
-	node := &quotaNode{quotas: &Quotas{Tolerance: quotaTolerance, Transport: quotaTransport{f, i}, Log: zap.NewNop()}}
-	for _, seed := range []int{0, 1, 2} {
+	isSeed, others := seedsOf(i, []int{0, 1, 2})
+	seeds := NewSeeds(isSeed, others, quotaTransport{f, i}, zap.NewNop())
+	share := NewShare(seeds, func(shares int) *limit.QuotaGrantor { return limit.NewQuotaGrantor(shares, quotaTolerance) })
+	node := &quotaNode{seeds: seeds, quotas: &Quotas{Tolerance: quotaTolerance, Own: share, Transport: quotaTransport{f, i}, Seeds: seeds, Log: zap.NewNop()}}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[i] = node
+}
+
+// seedsOf returns whether an instance is in a list of seeds, and the addresses of the others.
+func seedsOf(i int, list []int) (isSeed bool, others []string) {
+	for _, seed := range list {
 		if seed == i {
-			node.quotas.Own = limit.NewQuotaGrantor(3, quotaTolerance)
+			isSeed = true
 		} else {
-			node.quotas.Seeds = append(node.quotas.Seeds, fmt.Sprint(seed))
+			others = append(others, fmt.Sprint(seed))
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.nodes[i] = node
+	return isSeed, others
 }
 
 // demand is what the callers of one organisation ask.
@@ -177,6 +193,9 @@
 	f.mu.Lock()
 	node := f.nodes[at]
 	f.mu.Unlock()
+	if f.isFrozen(node) {
+		return
+	}
 	err := node.quotas.Check(d.name)
 	var permit limit.QuotaPermit
 	if err == nil {
--- a/internal/peersync/relay.go
+++ b/internal/peersync/relay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,8 +81,8 @@
 	// OnMerge is called after all targets of a relay were merged.
 	OnMerge   func()
 	Transport Transport
-	// Seeds are the peer addresses of the instances that may relay.
-	Seeds []string
+	// Seeds are the instances that may relay. A seed itself follows none.
+	Seeds *Seeds
 	// Region is that of this instance; a relay in it is preferred.
 	Region model.Region
 	// Vicinity, if set, finds the seed in the own region, which is asked before the others.
@@ -142,7 +143,7 @@
 	relayLostStore
 	// relaySlow: it doesn't send its changes within catchUpTimeout. The store is read instead.
 	relaySlow
-	// relayReplaced: a nearer one was found.
+	// relayReplaced: a nearer one was found, or it is no longer a seed.
 	relayReplaced
 )
 
@@ -166,6 +167,9 @@
 	}
 }
 
+// relays returns the instances that may relay changes to this one.
+func (c *RelayClient) relays() []string { return c.Seeds.Current().relays() }
+
 // idleInterval returns the time until the next search for a relay. An instance that waits for
 // the evacuations searches as soon as its own state is known.
 func (c *RelayClient) idleInterval() time.Duration {
@@ -198,8 +202,12 @@
 // region if any of them responds within searchTimeout. The instance has been up for the given
 // time: soon after a start the others are not asked while the one in the region responds.
 func (c *RelayClient) nearestRelay(ctx context.Context, up time.Duration) (nearest foundRelay, found bool) {
+	seeds := c.relays()
+	if len(seeds) == 0 {
+		return foundRelay{}, false
+	}
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
-	answers := make(chan relayAnswer, len(c.Seeds))
+	answers := make(chan relayAnswer, len(seeds)+1)
 	var calls sync.WaitGroup
 	// The slower calls go on, so that their connections stay open for a later search.
 	defer func() { go func() { calls.Wait(); cancel() }() }()
@@ -220,7 +228,7 @@
 	if up < nearStartWait && nearSeed != "" {
 		return foundRelay{}, false
 	}
-	for _, addr := range c.Seeds {
+	for _, addr := range seeds {
 		if addr != nearSeed {
 			ask(addr)
 			asked++
@@ -305,7 +313,7 @@
 		}
 		c.accept(remote)
 		c.fetchAbsentRoutes(ctx, relay.addr)
-		if len(nearer) > 0 {
+		if len(nearer) > 0 || !slices.Contains(c.relays(), relay.addr) {
 			return relayReplaced
 		}
 	}
--- a/internal/peersync/relay_server.go
+++ b/internal/peersync/relay_server.go
@@ -12,6 +12,7 @@
 // changes. It is safe for concurrent use.
 type RelayServer struct {
 	Replica *replica.Replica
+	Seeds   *Seeds
 	// Location is where this instance runs.
 	Location model.Location
 }
@@ -27,6 +28,9 @@
 	if err := peer.Decode(body, &req); err != nil {
 		return nil, err
 	}
+	if !s.Seeds.Current().IsSeed() {
+		return nil, &NotHolderError{Role: "relay changes"}
+	}
 	if req.Search {
 		return replica.Delta{Versions: s.Replica.Versions(), Location: &s.Location}, nil
 	}
--- a/internal/peersync/relay_test.go
+++ b/internal/peersync/relay_test.go
@@ -275,7 +275,7 @@
 	routes, targets := follower("routes", node.replica.Routes), follower("targets", node.replica.Targets)
 	routes.Consistency = replica.Strong
 	if len(seeds) == 0 {
-		node.server = &RelayServer{Replica: node.replica, Location: at}
+		node.server = &RelayServer{Replica: node.replica, Seeds: newTestSeeds(true), Location: at}
 		node.replica.Current = func() bool {
 			return node.replica.Routes.Holder.Current() != nil && !node.breaker.Open() && !time.Now().Before(n.relaysFrom)
 		}
@@ -286,9 +286,9 @@
 			routes.WatchWait = n.withdrawWithin / 10
 		}
 	} else {
-		node.client = &RelayClient{Replica: node.replica, OnMerge: func() { n.countMerge(node) }, Transport: nodeTransport{n, node}, Seeds: seeds, Region: at.Region, Demanded: n.demanded, Log: zap.NewNop()}
+		node.client = &RelayClient{Replica: node.replica, OnMerge: func() { n.countMerge(node) }, Transport: nodeTransport{n, node}, Seeds: newTestSeeds(false, seeds...), Region: at.Region, Demanded: n.demanded, Log: zap.NewNop()}
 		if at.Region != "" {
-			node.client.Vicinity = &Vicinity{Locator: nodeTransport{n, node}, Seeds: seeds, Region: at.Region}
+			node.client.Vicinity = &Vicinity{Locator: nodeTransport{n, node}, Seeds: node.client.Seeds, Region: at.Region}
 		}
 		if n.withdrawWithin > 0 {
 			node.client.HoldRequests, node.client.MaxConfirmationAge = n.withdrawWithin*12/100, n.withdrawWithin/2
--- a/internal/peersync/relay_waiter.go
+++ b/internal/peersync/relay_waiter.go
@@ -40,7 +40,7 @@
 		demanded = w.client.Demanded
 	}
 	startedAt := time.Now()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && len(w.client.relays()) > 0 {
 		if w.client.hasListed() {
 			return replica.StartRelayed
 		}
@@ -64,7 +64,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tolerance)
 	defer cancel()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && len(w.client.relays()) > 0 {
 		if w.isRelayed() {
 			return true
 		}
--- a/internal/peersync/sync.go
+++ b/internal/peersync/sync.go
@@ -54,9 +54,8 @@
 	// OnMerge is called after state of a peer was merged.
 	OnMerge   func()
 	Transport Transport
-	// Seeds are the peer addresses of the seeds, without the own address.
-	Seeds []string
-	Log   *zap.Logger
+	Seeds     *Seeds
+	Log       *zap.Logger
 
 	names nameComparison
 }
@@ -89,8 +88,8 @@
 func (s *Syncer) Run(ctx context.Context) {
 	wait.For(ctx, startupDelay)
 	for ctx.Err() == nil {
-		if len(s.Seeds) > 0 && s.NeedsPeers() {
-			s.exchange(ctx, s.Seeds[rand.IntN(len(s.Seeds))])
+		if seeds := s.Seeds.Current().Others(); len(seeds) > 0 && s.NeedsPeers() {
+			s.exchange(ctx, seeds[rand.IntN(len(seeds))])
 		}
 		interval := s.interval()
 		wait.For(ctx, interval*3/4+rand.N(interval/2))
--- a/internal/peersync/sync_test.go
+++ b/internal/peersync/sync_test.go
@@ -64,7 +64,7 @@
 		NeedsPeers: func() bool { return needsPeers },
 		OnMerge:    func() {},
 		Transport:  n,
-		Seeds:      seeds,
+		Seeds:      newTestSeeds(false, seeds...),
 		Log:        zap.NewNop(),
 	}
 	n[addr] = s
--- a/internal/peersync/vicinity.go
+++ b/internal/peersync/vicinity.go
@@ -27,11 +27,13 @@
 type Vicinity struct {
 	// Locator may be nil, in which case no seed is known to be near.
 	Locator Locator
-	Seeds   []string
+	Seeds   *Seeds
 	Region  model.Region
 
-	mu   sync.Mutex
-	near string
+	mu sync.Mutex
+	// near is the seed of a list that answered.
+	near   string
+	nearOf *SeedList
 }
 
 // Near returns the address of a seed in the own region, or false if none has answered within
@@ -42,14 +44,15 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.near != "" {
+	list := v.Seeds.Current()
+	if v.near != "" && v.nearOf == list {
 		return v.near, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
-	found := make(chan string, len(v.Seeds))
+	found := make(chan string, len(list.Others()))
 	var questions sync.WaitGroup
-	for _, seed := range v.Seeds {
+	for _, seed := range list.Others() {
 		questions.Go(func() {
 			if at, located := v.Locator.Locate(ctx, seed); located && at.Region == v.Region {
 				found <- seed
@@ -57,6 +60,6 @@
 		})
 	}
 	go func() { questions.Wait(); close(found) }()
-	v.near = <-found
+	v.near, v.nearOf = <-found, list
 	return v.near, v.near != ""
 }
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -102,6 +102,10 @@
 	// WatchWait is how long the store may hold a watch without changes. If the store
 	// drops a watch, the response may be missing until the call times out.
 	WatchWait time.Duration
+	// IsRelay, if set, reports whether this instance relays the changes to others. Then the store
+	// may hold a watch for RelayWatchWait.
+	IsRelay        func() bool
+	RelayWatchWait time.Duration
 	// MaxBackoff bounds the backoff between failed calls, each of which is charged.
 	MaxBackoff time.Duration
 	// RemovalGrace is how long removals are deferred after an outage, because entries
@@ -229,7 +233,8 @@
 // from the same position. After a failure, watches ask for an immediate response until
 // a strong one has succeeded.
 func (f *Follower) watch(ctx context.Context, after Position) (Position, error) {
-	watchWait, timeout := f.WatchWait, f.WatchWait+responseTimeout
+	usualWait := f.usualWatchWait()
+	watchWait, timeout := usualWait, usualWait+responseTimeout
 	relay := f.awaitRelay(ctx)
 	if relay.Relayed {
 		after = max(after, relay.AsOf)
@@ -247,7 +252,7 @@
 		watchWait = 0
 	}
 	consistency := f.consistency(relay)
-	if consistency == Eventual && watchWait == f.WatchWait {
+	if consistency == Eventual && watchWait == usualWait {
 		go f.Floor.cancelBehind(c.ctx, after, c.cancel)
 	}
 	startedAt := time.Now()
@@ -295,6 +300,15 @@
 	return max(after, batch.AsOf), nil
 }
 
+// usualWatchWait returns how long the store may hold a watch unless there is a reason to read
+// sooner.
+func (f *Follower) usualWatchWait() time.Duration {
+	if f.IsRelay != nil && f.IsRelay() {
+		return min(f.WatchWait, f.RelayWatchWait)
+	}
+	return f.WatchWait
+}
+
 // rejectEarlierEra handles a response of an earlier era than is known. Stale reads may give one
 // for as long as they lag; a strong read that does counts as failed.
 func (f *Follower) rejectEarlierEra(ctx context.Context, err error, consistency Consistency) {
