dispatch: know a request that ends targets with its organisation

Cause: the fingerprint held method, host, path, query and body, but not the caller. Answers to the one organisation cleared the mark of the other's request at all gateways for 30 s. Ruled out: lost marks (the gateways hold them until an answer clears them).

Change: the organisation of the key is part of the fingerprint. Without organisations nothing changes.

--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -221,8 +221,8 @@
 }
 
 // fingerprint returns what identifies the request in all attempts, repeats by the caller
-// and instances. Of a streamed body only the first maxBufferedBody bytes and the length are
-// known.
+// and instances. Of the caller only the organisation is known, of a streamed body only the
+// first maxBufferedBody bytes and the length.
 func (f *forwarder) fingerprint() quarantine.Fingerprint {
 	if f.knownFingerprint != "" {
 		return f.knownFingerprint
@@ -231,7 +231,11 @@
 	if f.stream != nil {
 		body, length = f.bodyPrefix, strconv.FormatInt(f.inbound.HTTP.ContentLength, 10)
 	}
-	digest := quarantine.Digest(body, f.inbound.HTTP.Method, f.inbound.HTTP.Host, f.inbound.Path, f.inbound.Query, length)
+	var organisation string
+	if f.organisation != nil {
+		organisation = string(f.organisation.Name)
+	}
+	digest := quarantine.Digest(body, organisation, f.inbound.HTTP.Method, f.inbound.HTTP.Host, f.inbound.Path, f.inbound.Query, length)
 	f.knownFingerprint = quarantine.NewFingerprint(digest)
 	return f.knownFingerprint
 }
