dispatch: only a whole success clears a request that ends targets

Targets ended one after the other under one request while some of the others failed all requests: with 3 of 18 targets answering 500, 25 ended, 19 of them later than 4 s after the third.

Cause: any response cleared the mark of its request for 30 s, also a failure, which a target may give without running the request, and the first 64 KiB of a response that breaks off later.

Change: a mark is cleared by a status below 400, once the body was read to its end.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -208,9 +208,6 @@
 		c.Endpoint.Load.End()
 		return f.classifyUnknownOutcome(f.recordFailure(ctx, c, err))
 	}
-	if !f.d.Quarantine.Empty() {
-		f.d.Quarantine.ReportResponse(f.fingerprint())
-	}
 	elapsed := time.Since(startedAt)
 	failed := result.Status >= minServerError || promisesNotRun(result.Status)
 	c.Endpoint.Load.Reliability.Observe(!failed, routing.Monotonic())
@@ -223,6 +220,7 @@
 	}
 	response := &httpserver.Response{Status: result.Status, Header: result.Header, Body: body}
 	if complete {
+		f.recordEnd(result.Status)
 		_ = result.Body.Close()
 		c.Endpoint.Load.End()
 		if failed && f.rule.Class == model.Idempotent && f.mayResendBody() {
@@ -241,11 +239,15 @@
 				return f.sendLocalReply(localReply{status: http.StatusBadGateway, cause: CauseResponseTooLong})
 			}
 		}
-		response.Remainder = &trackedBody{ReadCloser: result.Body, onClose: func() {
-			c.Endpoint.Load.End()
-			cancel()
-			f.inbound.Account.EndExchange()
-		}}
+		response.Remainder = &trackedBody{
+			ReadCloser: result.Body,
+			onEnd:      func() { f.recordEnd(result.Status) },
+			onClose: func() {
+				c.Endpoint.Load.End()
+				cancel()
+				f.inbound.Account.EndExchange()
+			},
+		}
 	}
 	f.observe(c, elapsed)
 	f.logResponse(c, response, elapsed)
@@ -268,10 +270,31 @@
 	return false
 }
 
-// trackedBody is the remaining body of a response. It calls onClose when it is closed.
+// recordEnd reports the end of a response to the quarantine. Only a success shows that a target
+// survived the request: a failure or rejection may be given without running it.
+func (f *forwarder) recordEnd(status int) {
+	if status < minClientError && !f.d.Quarantine.Empty() {
+		f.d.Quarantine.ReportSuccess(f.fingerprint())
+	}
+}
+
+// minClientError is the lowest status code of a rejected request.
+const minClientError = 400
+
+// trackedBody is the remaining body of a response.
 type trackedBody struct {
 	io.ReadCloser
-	onClose func()
+	// onEnd is called when the body was read to its end, onClose when it is closed.
+	onEnd, onClose func()
+}
+
+// Read implements io.Reader.
+func (r *trackedBody) Read(p []byte) (int, error) {
+	n, err := r.ReadCloser.Read(p)
+	if err == io.EOF {
+		r.onEnd()
+	}
+	return n, err
 }
 
 // Close implements io.Closer. It must be called once.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -63,10 +63,10 @@
 	Empty() bool
 	// Find reports whether a request is quarantined, and until when.
 	Find(f quarantine.Fingerprint) (until time.Time, found bool)
-	// ReportEnd reports a target that ended under a request, ReportResponse one that
-	// responded.
+	// ReportEnd reports a target that ended under a request, ReportSuccess one that ran it
+	// to its end.
 	ReportEnd(f quarantine.Fingerprint, p model.ProcessID)
-	ReportResponse(f quarantine.Fingerprint)
+	ReportSuccess(f quarantine.Fingerprint)
 }
 
 // Quotas grants requests of organisations; *peersync.Quotas implements it. Implementations
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -29,7 +29,7 @@
 	// Ended are the lowest maxEndedTargets of the processes that ended under the request,
 	// in order.
 	Ended []model.ProcessID `cbor:"2,keyasint,omitempty"`
-	// Cleared is set if a target responded to the request, so that others ended by
+	// Cleared is set if a target ran the request to its end, so that others ended by
 	// coincidence.
 	Cleared bool `cbor:"3,keyasint,omitempty"`
 	// TTLMillis is how much longer the mark is valid, in milliseconds.
@@ -96,9 +96,9 @@
 	r.update(Mark{Fingerprint: f, Ended: []model.ProcessID{p}, TTLMillis: Duration.Milliseconds()}, true)
 }
 
-// ReportResponse records that a target responded to a request. It has no effect on a
-// request without a mark.
-func (r *Registry) ReportResponse(f Fingerprint) {
+// ReportSuccess records that a target ran a request to its end. It has no effect on a request
+// without a mark.
+func (r *Registry) ReportSuccess(f Fingerprint) {
 	if r.Empty() {
 		return
 	}
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -46,16 +46,16 @@
 	})
 }
 
-// TestResponseClearsBystander guards against the quarantine of frequent requests, which are
+// TestSuccessClearsBystander guards against the quarantine of frequent requests, which are
 // often in flight at targets that end for another reason.
-func TestResponseClearsBystander(t *testing.T) {
+func TestSuccessClearsBystander(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var here, there Registry
 		here.ReportEnd(request, "a")
 		marks, _ := here.ReportedSince(0)
 		there.Merge(marks)
-		there.ReportResponse(request)
-		there.ReportResponse("unknown")
+		there.ReportSuccess(request)
+		there.ReportSuccess("unknown")
 		here.ReportEnd(request, "b")
 		marks, _ = there.ReportedSince(0)
 		here.Merge(marks)
