httpserver: answer a request that arrived before an idle connection closes

Around planned stops a caller's whole request got neither a response nor a refusal: its connection was idle, the shutdown closed it, and the process, running late, read the request after that decision and dropped it. The same could happen at the idle timeout.

Cause: closeIdle set "closing" while the reading goroutine was still on its way from the system call, so that beginRequest turned the request away; and a read that is interrupted fails although input waits. Ruled out by the test: the response isn't lost on the way, none is written.

Evidence: TestRequestThatArrivedBeforeTheCloseIsAnswered fails before in all three cases (unexpected EOF).

Change: the reading goroutine decides on the close, after a last look for input of up to 50 ms. The change of awaitingRequest happens under the connection's lock, so that a shutdown can't interrupt the read of a head that has begun.

--- /dev/null
+++ b/internal/httpserver/closing_test.go
@@ -0,0 +1,116 @@
+package httpserver
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"redwingpoint.org/redwingpoint/internal/route"
+)
+
+// lateConn is a connection of a process that runs late: its first read ends only when the server
+// interrupts it or closes the connection, whatever has arrived before.
+type lateConn struct {
+	net.Conn
+	// deliver makes the first read return what has arrived, in place of an interruption.
+	deliver bool
+	reading chan struct{}
+
+	once        sync.Once
+	interrupted chan struct{}
+	past        atomic.Bool
+}
+
+func newLateConn(c net.Conn, deliver bool) *lateConn {
+	return &lateConn{Conn: c, deliver: deliver, reading: make(chan struct{}), interrupted: make(chan struct{})}
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	first := false
+	c.once.Do(func() { first = true })
+	if !first {
+		return c.Conn.Read(p)
+	}
+	close(c.reading)
+	select {
+	case <-c.interrupted:
+	case <-time.After(time.Second):
+	}
+	if c.deliver {
+		_ = c.SetReadDeadline(time.Time{})
+		return c.Conn.Read(p)
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
+func (c *lateConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() && t.Before(time.Now()) && c.past.CompareAndSwap(false, true) {
+		close(c.interrupted)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// startLateServer returns a server with one connection whose first read is late, and the caller's
+// end of it.
+func startLateServer(t *testing.T, limits route.Limits, deliver bool) (*Server, *lateConn, net.Conn) {
+	t.Helper()
+	s := NewServer(handlerFunc{func(_ context.Context, r *Request) *Response {
+		return plainResponse(http.StatusOK, r.Path)
+	}}, func() route.Limits { return limits })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	caller := dial(t, l.Addr().String())
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := newLateConn(accepted, deliver)
+	c := newConn(s, late)
+	c.openedAt = c.openedAt.Add(-time.Minute)
+	s.add(c)
+	go func() {
+		defer s.remove(c)
+		c.serve()
+	}()
+	<-late.reading
+	return s, late, caller
+}
+
+// TestRequestThatArrivedBeforeTheCloseIsAnswered guards against a close of an idle connection whose
+// request has arrived, but which the server hasn't read yet since the process runs late: the caller gets
+// neither a response nor a refusal.
+func TestRequestThatArrivedBeforeTheCloseIsAnswered(t *testing.T) {
+	for name, deliver := range map[string]bool{"read, and closed before it is begun": true, "not read before the close": false} {
+		t.Run("shutdown, "+name, func(t *testing.T) {
+			s, _, caller := startLateServer(t, route.Limits{}, deliver)
+			send(t, caller, get("/1"))
+			s.Drain()
+			go func() { _ = s.Shutdown(context.Background()) }()
+			response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			if err != nil || response.StatusCode != http.StatusOK || !response.Close {
+				t.Errorf("response %v, %v, want one that closes the connection", response, err)
+			}
+		})
+	}
+	t.Run("idle timeout", func(t *testing.T) {
+		s, late, caller := startLateServer(t, route.Limits{IdleTimeout: time.Millisecond}, false)
+		send(t, caller, get("/1"))
+		_ = late.SetReadDeadline(time.Now().Add(-time.Second))
+		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Errorf("response %v, %v", response, err)
+		}
+		if n := s.ConnectionCount(); n > 1 {
+			t.Errorf("%d connections", n)
+		}
+	})
+}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -48,11 +48,9 @@
 	// writeBlocked is set while a write to the caller is pending.
 	writeBlocked atomic.Bool
 	// body is the body of the request that was read last, or nil.
-	body atomic.Pointer[body]
-	// awaitingRequest is set while no byte of a further request has arrived.
-	awaitingRequest atomic.Bool
-	ctx             context.Context
-	cancel          context.CancelFunc
+	body   atomic.Pointer[body]
+	ctx    context.Context
+	cancel context.CancelFunc
 	// previous is the latest request that was read, or nil. Only the reading goroutine uses it.
 	previous *exchange
 	// writerDone is closed when the writing goroutine has ended.
@@ -71,6 +69,9 @@
 	// closing is set once the caller was told, or is about to be told, that the
 	// connection closes, so that no further request is accepted.
 	closing bool
+	// awaitingRequest is set while no byte of a further request was read, endsIdle once the
+	// connection is to close unless one has arrived.
+	awaitingRequest, endsIdle bool
 }
 
 // exchange is one request and its response on a connection.
@@ -304,9 +305,9 @@
 		if c.isClosing() {
 			return false
 		}
-		c.awaitingRequest.Store(c.reader.Buffered() == 0)
+		c.setAwaiting(c.reader.Buffered() == 0)
 		_, err := c.reader.Peek(1)
-		c.awaitingRequest.Store(false)
+		endsIdle := c.setAwaiting(false)
 		if err == nil {
 			return true
 		}
@@ -314,12 +315,33 @@
 			c.cancel()
 			return false
 		}
-		if c.isIdle(idle) {
-			return false
+		if endsIdle || c.isIdle(idle) {
+			return c.hasInput()
 		}
 	}
 }
 
+// setAwaiting sets whether the connection awaits a request, and reports whether it is to close
+// unless one has arrived.
+func (c *conn) setAwaiting(awaiting bool) (endsIdle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaitingRequest = awaiting
+	return c.endsIdle
+}
+
+// lastLookTimeout is how long an idle connection still reads before it closes: longer than a busy
+// process takes from the decision to the read.
+const lastLookTimeout = 50 * time.Millisecond
+
+// hasInput reports whether input has arrived before an idle connection closes. An interrupted read
+// doesn't tell: a caller that sent a request in time must get a response.
+func (c *conn) hasInput() bool {
+	_ = c.raw.SetReadDeadline(time.Now().Add(lastLookTimeout))
+	_, err := c.reader.Peek(1)
+	return err == nil
+}
+
 // request returns the Request for a parsed request.
 func (c *conn) request(req *http.Request) *Request {
 	path, query, forceQuery := SplitTarget(req.RequestURI)
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -232,6 +232,13 @@
 	}
 }
 
+// awaits reports whether the connection awaits a request.
+func (c *conn) awaits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.awaitingRequest
+}
+
 // TestShutdownAwaitsTheFirstRequestOfANewConnection guards against a shutdown that closes a
 // connection which was accepted just before, while its first request is on the way.
 func TestShutdownAwaitsTheFirstRequestOfANewConnection(t *testing.T) {
@@ -242,7 +249,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for opened := range s.conns {
-			return opened.awaitingRequest.Load()
+			return opened.awaits()
 		}
 		return false
 	}
--- a/internal/httpserver/write.go
+++ b/internal/httpserver/write.go
@@ -158,16 +158,16 @@
 // a caller opens one to send a request, which follows within a round trip.
 const firstRequestWait = 500 * time.Millisecond
 
-// closeIdle closes the connection if no request is open and no byte of one has arrived, unless
-// it is new and its first request may be on the way.
+// closeIdle makes the reading goroutine close the connection if no request is open and none has
+// arrived, unless the connection is new and its first request may be on the way.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idleSince.IsZero() && time.Since(c.openedAt) < firstRequestWait {
 		return
 	}
-	if c.openRequests == 0 && c.awaitingRequest.Load() {
-		c.closing = true
+	if c.openRequests == 0 && c.awaitingRequest {
+		c.endsIdle = true
 		c.interruptRead()
 	}
 }
