httpserver: don't cut short the discarding of input before a close

A caller that sends on while its last response is on the way could get a reset in place of the response: in rare cases the process closed the connection at once and not after 300 ms of discarded input.

Cause: the goroutine that interrupts the wait for the last response wasn't awaited. Where the response was written already, its interruption hit the discarding.

Change: the interruption is awaited.

--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -114,3 +116,72 @@
 		}
 	})
 }
+
+// deadlineConn is a connection whose read deadlines take effect late. It records whether a read was
+// interrupted after the write side was closed.
+type deadlineConn struct {
+	*net.TCPConn
+	writeClosed, cutShort atomic.Bool
+}
+
+func (c *deadlineConn) CloseWrite() error {
+	c.writeClosed.Store(true)
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	interrupts := !t.IsZero() && t.Before(time.Now())
+	if interrupts {
+		time.Sleep(10 * time.Millisecond)
+	} else {
+		time.Sleep(2 * time.Millisecond)
+	}
+	if c.writeClosed.Load() && interrupts {
+		c.cutShort.Store(true)
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// TestLingeringIsNotCutShort guards against a connection that is closed with unread input right after
+// its last response, so that the reset takes the response with it.
+func TestLingeringIsNotCutShort(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	var s *Server
+	s = NewServer(handlerFunc{func(_ context.Context, r *Request) *Response {
+		s.Drain()
+		return plainResponse(http.StatusOK, r.Path)
+	}}, func() route.Limits { return route.Limits{} })
+	cut := 0
+	for range 20 {
+		s.draining.Store(false)
+		caller := dial(t, l.Addr().String())
+		accepted, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn := &deadlineConn{TCPConn: accepted.(*net.TCPConn)}
+		c := newConn(s, conn)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			c.serve()
+		}()
+		send(t, caller, get("/1"))
+		if _, err := io.ReadAll(caller); err != nil && !errors.Is(err, io.EOF) {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+		_ = caller.Close()
+		<-done
+		if conn.cutShort.Load() {
+			cut++
+		}
+	}
+	if cut > 0 {
+		t.Errorf("%d of 20 connections didn't read their input before they closed", cut)
+	}
+}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -192,10 +192,14 @@
 // drainInput waits until all responses are written. If the caller disconnects before
 // that, it cancels the requests that are still served.
 func (c *conn) drainInput() {
+	interrupted := make(chan struct{})
 	go func() {
 		<-c.writerDone
 		c.interruptRead()
+		close(interrupted)
 	}()
+	// A later interruption would end the discarding of input that follows.
+	defer func() { <-interrupted }()
 	_ = c.raw.SetReadDeadline(time.Time{})
 	select {
 	case <-c.writerDone:
