httpserver: serve connections that wait when a shutdown closes the listener

A caller whose connection the system had accepted, and the process hadn't yet, got a reset in place of a response when the shutdown closed the listener, 2.3 s after the SIGTERM; on a busy machine its request may have been sent long before.

Cause: closing a listener resets the connections that wait in its queue.

Evidence: TestConnectionThatWaitsAtTheCloseOfTheListenerIsServed fails before with "connection reset by peer".

Change: the server goes on accepting for 50 ms before it closes the listener.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -322,7 +322,7 @@
 	case <-acceptTimer.C:
 	case <-ctx.Done():
 	}
-	if err := g.listener.Close(); err != nil {
+	if err := g.server.StopAccepting(g.listener); err != nil {
 		g.log.Warn("caller listener not closed", zap.Error(err))
 	}
 	err := g.server.Shutdown(ctx)
--- a/internal/httpserver/closing_test.go
+++ b/internal/httpserver/closing_test.go
@@ -117,6 +117,57 @@
 	})
 }
 
+// lateListener is a listener of a process that runs late: it accepts only once a deadline is set or
+// it is closed.
+type lateListener struct {
+	*net.TCPListener
+	once    sync.Once
+	stopped chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.stopped
+	return l.TCPListener.Accept()
+}
+
+func (l *lateListener) SetDeadline(t time.Time) error {
+	defer l.once.Do(func() { close(l.stopped) })
+	return l.TCPListener.SetDeadline(t)
+}
+
+func (l *lateListener) Close() error {
+	defer l.once.Do(func() { close(l.stopped) })
+	return l.TCPListener.Close()
+}
+
+// TestConnectionThatWaitsAtTheCloseOfTheListenerIsServed guards against connections that the system has
+// accepted and the process hasn't, and that are reset with the listener.
+func TestConnectionThatWaitsAtTheCloseOfTheListenerIsServed(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &lateListener{TCPListener: tcp.(*net.TCPListener), stopped: make(chan struct{})}
+	s := NewServer(handlerFunc{func(_ context.Context, r *Request) *Response {
+		return plainResponse(http.StatusOK, r.Path)
+	}}, func() route.Limits { return route.Limits{} })
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	caller := dial(t, tcp.Addr().String())
+	send(t, caller, get("/1"))
+	s.Drain()
+	if err := s.StopAccepting(l); err != nil {
+		t.Error(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("response %v, %v", response, err)
+	}
+	if err := <-served; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the server stopped with %v", err)
+	}
+}
+
 // deadlineConn is a connection whose read deadlines take effect late. It records whether a read was
 // interrupted after the write side was closed.
 type deadlineConn struct {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,6 +112,10 @@
 		if err == nil || errors.Is(err, net.ErrClosed) {
 			return c, err
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			// Only StopAccepting sets a deadline.
+			return nil, net.ErrClosed
+		}
 		onError(err)
 		select {
 		case <-time.After(pause):
@@ -120,6 +125,18 @@
 	}
 }
 
+// lastAcceptTime is how long StopAccepting still accepts connections.
+const lastAcceptTime = 50 * time.Millisecond
+
+// StopAccepting closes a listener after Serve has had time to accept the connections that wait:
+// closing resets them, and with them the requests that were sent on them.
+func (s *Server) StopAccepting(l net.Listener) error {
+	if d, ok := l.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(time.Now().Add(lastAcceptTime)) == nil {
+		time.Sleep(lastAcceptTime)
+	}
+	return l.Close()
+}
+
 // PanicError takes the place of the response of a handler that panicked.
 type PanicError struct{}
 
