daemon: log what the connections wait for that a shutdown is about to end

"gateway stopped" with one connection left didn't tell whether a target was at work, a response was being streamed, or a request had been read and nothing done with it; so the causes of a report of cut requests couldn't be told apart.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -84,6 +84,10 @@
 	// exitMargin is the part of the setting "grace" that is left for the process to exit
 	// before it is killed.
 	exitMargin = 700 * time.Millisecond
+	// openLogLead is how long before that the open connections are logged, at most
+	// maxLoggedConnections of them.
+	openLogLead          = 20 * time.Millisecond
+	maxLoggedConnections = 20
 )
 
 // NewGateway returns the application of one gateway, not started.
@@ -269,6 +273,19 @@
 	}
 }
 
+// logOpenConnections logs what the open connections wait for.
+func (g *gateway) logOpenConnections() {
+	open := g.server.Connections()
+	for _, c := range open[:min(len(open), maxLoggedConnections)] {
+		fields := []zap.Field{zap.String("caller", c.Caller), zap.String("state", string(c.State)), zap.Int("open", c.Open), zap.Duration("age", c.Age)}
+		if c.Request != nil && c.Request.HTTP != nil {
+			fields = append(fields, zap.String("request", c.Request.HTTP.Header.Get(g.provider.Protocol.RequestID)),
+				zap.Duration("received_before", time.Since(c.Request.ReceivedAt)))
+		}
+		g.log.Info("connection open at the end of the shutdown", fields...)
+	}
+}
+
 // isReady reports whether the gateway can serve callers: routes and targets are known and
 // it is not shutting down.
 func (g *gateway) isReady() bool {
@@ -325,6 +342,9 @@
 	if err := g.server.StopAccepting(g.listener); err != nil {
 		g.log.Warn("caller listener not closed", zap.Error(err))
 	}
+	// What is open shortly before the end may be broken off.
+	logTimer := time.AfterFunc(time.Until(end)-openLogLead, g.logOpenConnections)
+	defer logTimer.Stop()
 	err := g.server.Shutdown(ctx)
 	g.log.Info("gateway stopped", zap.Int("connections", g.server.ConnectionCount()), zap.Error(err))
 	return nil
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -51,6 +51,8 @@
 	body   atomic.Pointer[body]
 	ctx    context.Context
 	cancel context.CancelFunc
+	// answering is the request that is to be answered next, or nil.
+	answering atomic.Pointer[Request]
 	// previous is the latest request that was read, or nil. Only the reading goroutine uses it.
 	previous *exchange
 	// writerDone is closed when the writing goroutine has ended.
@@ -72,6 +74,8 @@
 	// awaitingRequest is set while no byte of a further request was read, endsIdle once the
 	// connection is to close unless one has arrived.
 	awaitingRequest, endsIdle bool
+	// inputEnded is set once no further request is read.
+	inputEnded bool
 }
 
 // exchange is one request and its response on a connection.
@@ -177,7 +181,7 @@
 	defer c.cancel()
 	go c.write()
 	c.readRequests()
-	close(c.pending)
+	c.endInput()
 	c.drainInput()
 	c.closeGracefully()
 }
@@ -189,6 +193,14 @@
 	}
 }
 
+// endInput records that no further request is read.
+func (c *conn) endInput() {
+	c.mu.Lock()
+	c.inputEnded = true
+	c.mu.Unlock()
+	close(c.pending)
+}
+
 // drainInput waits until all responses are written. If the caller disconnects before
 // that, it cancels the requests that are still served.
 func (c *conn) drainInput() {
--- a/internal/httpserver/write.go
+++ b/internal/httpserver/write.go
@@ -30,11 +30,13 @@
 	w := bufio.NewWriterSize(c, writeBufferBytes)
 	broken := false
 	for x := range c.pending {
+		c.answering.Store(x.request)
 		response := <-x.response
 		broken = !c.send(w, x, response, broken)
 		c.account.Release(x.held)
 		c.endRequest()
 		c.endStreaming()
+		c.answering.Store(nil)
 		close(x.writeDone)
 	}
 }
