dispatch: refuse requests that wait for a target when a shutdown would cut them

Callers of a stopping gateway got neither a response nor a refusal for requests that no target ran: they waited for a target with room, some after another one had declined them, until the end of the shutdown closed their connections.

Cause: whether a shutdown refuses a request was checked once, before the send, and not at all for a request that a target had received, though it may have declined it.

Evidence: TestWaitingRequestsAreRefusedDuringAShutdown fails before: idempotent or not, declined or never sent, they wait 12 s of an objective of a minute.

Change: the check is made in each round of the wait, and holds for all requests that no target may have run.

--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -210,11 +210,11 @@
 	return &localReply{status: http.StatusServiceUnavailable, cause: CauseQuarantined, retryAfter: time.Until(until)}
 }
 
-// checkShutdown returns the reply to a request that no target has received and that the end
-// of the shutdown might break off, or nil.
+// checkShutdown returns the reply to a request that no target has run and that the end of the
+// shutdown might break off, or nil.
 func (f *forwarder) checkShutdown() *localReply {
 	times := f.d.shutdown.Load()
-	if times == nil || f.deliveries > 0 || time.Now().Before(times.lastStart) || f.deadline.Before(times.end) {
+	if times == nil || f.mayHaveRun || time.Now().Before(times.lastStart) || f.deadline.Before(times.end) {
 		return nil
 	}
 	return &localReply{status: http.StatusServiceUnavailable, cause: CauseShuttingDown, retryAfter: shutdownRetryAfter}
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -31,6 +31,9 @@
 	}
 	var candidates []routing.Candidate
 	for rounds := 1; ; rounds++ {
+		if reply := f.checkShutdown(); reply != nil {
+			return routing.Candidate{}, reply
+		}
 		req := f.pickRequest()
 		if f.lacksHome(req.Homes) {
 			return routing.Candidate{}, f.noHomeReply(lastFailure, req.Homes)
