dispatch: respond to requests that the end of a shutdown breaks off

Callers saw their connection end without a response when a gateway stopped while a target ran their request longer than the grace period; they couldn't tell this from a request that wasn't read. Orders that may have run were among them.

Cause: the end of the shutdown cancelled a request like a caller that has gone, for which there is no response; requests that aren't idempotent weren't cancelled at all and ended with the process.

Evidence: TestRequestsAtWorkAtTheEndOfAShutdownGetAResponse fails before: no response for idempotent requests, none until the deadline for others.

Change: the end of the server is a cause of its own. What a target may have run gets 502 without Retry-After, what none has run 503; the process leaves 0.15 s for the responses.

--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -119,11 +119,14 @@
 }
 
 // deadlineContext returns the context of the attempts, which ends at the request's
-// deadline. For idempotent requests it also ends when the caller disconnects; other
-// requests may have started to run, and completing them is better than breaking them off.
+// deadline or with the server. For idempotent requests it also ends when the caller
+// disconnects; other requests may have started to run, and completing them is better than
+// breaking them off.
 func (f *forwarder) deadlineContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	if f.rule.Class != model.Idempotent {
-		ctx = context.WithoutCancel(ctx)
+		if ctx = f.inbound.Lifetime; ctx == nil {
+			ctx = context.Background()
+		}
 	}
 	return context.WithDeadline(ctx, f.deadline)
 }
@@ -259,9 +262,13 @@
 // finishFailed returns the response to a request for which no further attempt is made. If
 // a target may have run the request, the status is 504 after a timeout, else 502 without
 // Retry-After, so that the caller does not take the request for unsent. If the caller has
-// disconnected, there is no response.
+// disconnected, there is no response; at the end of a shutdown there is one.
 func (f *forwarder) finishFailed(ctx context.Context, reply localReply) *httpserver.Response {
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() == nil:
+	case errors.Is(context.Cause(ctx), httpserver.ErrClosed):
+		reply = localReply{status: http.StatusServiceUnavailable, cause: CauseShuttingDown, retryAfter: shutdownRetryAfter}
+	default:
 		reply = localReply{cause: CauseCallerGone}
 	}
 	if f.mayHaveRun && reply.status != http.StatusGatewayTimeout && reply.status != 0 {
--- a/internal/dispatch/shutdown_test.go
+++ b/internal/dispatch/shutdown_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"redwingpoint.org/redwingpoint/internal/httpserver"
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
@@ -63,3 +66,35 @@
 		})
 	}
 }
+
+// TestRequestsAtWorkAtTheEndOfAShutdownGetAResponse guards against callers that don't learn what became
+// of a request that a shutdown breaks off.
+func TestRequestsAtWorkAtTheEndOfAShutdownGetAResponse(t *testing.T) {
+	for _, class := range []model.Class{model.Idempotent, model.NonIdempotent, model.Upload} {
+		for name, cause := range map[string]error{"shutdown": httpserver.ErrClosed, "caller gone": nil} {
+			t.Run(name+", "+class.String(), func(t *testing.T) {
+				f := newFixture(t, class, hangs)
+				lifetime, end := context.WithCancelCause(context.Background())
+				ctx, leave := context.WithCancel(lifetime)
+				req := httptest.NewRequest(http.MethodPost, "/a/", strings.NewReader("x"))
+				req.Host = "h"
+				time.AfterFunc(100*time.Millisecond, func() {
+					if cause == nil {
+						leave()
+						time.Sleep(100 * time.Millisecond)
+					}
+					end(httpserver.ErrClosed)
+				})
+				response := f.Serve(ctx, &httpserver.Request{
+					HTTP: req, RequestTarget: "/a/", Path: "/a/", ReceivedAt: time.Now(), BodyDeadline: func(time.Time) {}, Lifetime: lifetime,
+				})
+				switch {
+				case cause == nil && response != nil:
+					t.Errorf("status %d for a caller that has gone", response.Status)
+				case cause != nil && (response == nil || response.Status != http.StatusBadGateway || response.Header.Get("Retry-After") != ""):
+					t.Errorf("response %v, want status 502", response)
+				}
+			})
+		}
+	}
+}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -368,6 +368,7 @@
 		Query:         query,
 		ForceQuery:    forceQuery,
 		ReceivedAt:    time.Now(),
+		Lifetime:      c.server.ctx,
 		Account:       c.account,
 	}
 }
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -29,6 +30,8 @@
 	// BodyDeadline sets the time after which reads of the body fail; the zero time means
 	// no limit. It does nothing once the body has ended.
 	BodyDeadline func(time.Time)
+	// Lifetime ends with the server, and not when the caller disconnects. Nil never ends.
+	Lifetime context.Context
 	// Account is what the connection holds for its caller, or nil. Serve releases what it
 	// reserves, at the latest when Response.Remainder is closed.
 	Account *callers.Account
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -46,7 +46,7 @@
 	handler      Handler
 	limitsSource func() route.Limits
 	ctx          context.Context
-	cancel       context.CancelFunc
+	cancel       context.CancelCauseFunc
 	draining     atomic.Bool
 	// Budget, if set before Serve, bounds what the connections hold.
 	Budget *callers.Budget
@@ -62,7 +62,7 @@
 // mean the defaults.
 func NewServer(h Handler, limits func() route.Limits) *Server {
 	s := &Server{handler: h, limitsSource: limits, conns: make(map[*conn]struct{})}
-	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.ctx, s.cancel = context.WithCancelCause(context.Background())
 	return s
 }
 
@@ -168,11 +168,17 @@
 // still accepted; each serves one request.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// ErrClosed is the cause of the contexts of requests that Shutdown cancels.
+var ErrClosed = errors.New("the server has closed")
+
+// lastResponseTime is how long Shutdown waits for the responses to requests that it cancels.
+const lastResponseTime = 150 * time.Millisecond
+
 // Shutdown closes idle connections and waits until all others have closed. If the context
-// ends first, Shutdown cancels the remaining requests and returns the context's error.
-// Drain must be called before.
+// ends first, Shutdown cancels the remaining requests, waits lastResponseTime for their
+// responses and returns the context's error. Drain must be called before.
 func (s *Server) Shutdown(ctx context.Context) error {
-	defer s.cancel()
+	defer s.cancel(ErrClosed)
 	allClosed := make(chan struct{})
 	go func() {
 		s.wg.Wait()
@@ -186,6 +192,11 @@
 		case <-allClosed:
 			return nil
 		case <-ctx.Done():
+			s.cancel(ErrClosed)
+			select {
+			case <-allClosed:
+			case <-time.After(lastResponseTime):
+			}
 			return ctx.Err()
 		case <-ticker.C:
 		}
