daemon: take no long requests from 0.4 of the grace period on

A process that learns late of its SIGTERM, on a busy machine, took requests that its callers had sent after half of the grace period, with a deadline beyond its end, and cut them.

Cause: the limit of half of the grace period is counted from when the process learns of the signal; its callers and the platform count from the signal.

Evidence: TestLateRequestOfAShutdownIsRefused at 0.45 of the grace period fails before: the request is passed on.

Change: 0.4 of the grace period, which is still after the time for which new connections are accepted.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -79,8 +79,9 @@
 	acceptPeriod = 2300 * time.Millisecond
 	// lastStartShare is the share of the setting "grace" after which requests are no longer
 	// sent to targets if their deadline is after its end. Callers are told at once; the
-	// platform takes a gateway out of rotation well before.
-	lastStartShare = 0.5
+	// platform takes a gateway out of rotation before. It allows for a busy process, which
+	// learns of the signal after its callers' time has begun.
+	lastStartShare = 0.4
 	// exitMargin is the part of the setting "grace" that is left for the process to exit
 	// before it is killed.
 	exitMargin = 700 * time.Millisecond
