dispatch: record a target that ends within a long response

Nothing was logged of the broken response.

Cause: after the first 64 KiB a broken response was recorded only while further requests waited on the same connection, by OnBroken.

Evidence: TestTargetThatEndsWithinAResponseIsReported fails before for the six ends beyond 64 KiB with no request behind.

Change: the rest of the body records that it broke off, once, whoever reads it.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -231,23 +231,25 @@
 		cancel()
 	} else {
 		response.ContentLength = result.ContentLength
-		response.OnBroken = func(err error) *httpserver.Response {
-			return f.sendLocalReply(f.unknownOutcomeReply(f.recordFailure(ctx, c, err).Reason))
-		}
-		if f.rule.Class == model.Idempotent {
-			response.OnTooLong = func() *httpserver.Response {
-				return f.sendLocalReply(localReply{status: http.StatusBadGateway, cause: CauseResponseTooLong})
-			}
-		}
-		response.Remainder = &trackedBody{
+		remainder := &trackedBody{
 			ReadCloser: result.Body,
 			onEnd:      func() { f.recordEnd(result.Status) },
+			onBroken:   func(err error) *upstream.CallError { return f.recordFailure(ctx, c, err) },
 			onClose: func() {
 				c.Endpoint.Load.End()
 				cancel()
 				f.inbound.Account.EndExchange()
 			},
 		}
+		response.Remainder = remainder
+		response.OnBroken = func(err error) *httpserver.Response {
+			return f.sendLocalReply(f.unknownOutcomeReply(remainder.broken(err).Reason))
+		}
+		if f.rule.Class == model.Idempotent {
+			response.OnTooLong = func() *httpserver.Response {
+				return f.sendLocalReply(localReply{status: http.StatusBadGateway, cause: CauseResponseTooLong})
+			}
+		}
 	}
 	f.observe(c, elapsed)
 	f.logResponse(c, response, elapsed)
@@ -281,22 +283,39 @@
 // minClientError is the lowest status code of a rejected request.
 const minClientError = 400
 
-// trackedBody is the remaining body of a response.
+// trackedBody is the remaining body of a response. It is used by one goroutine.
 type trackedBody struct {
 	io.ReadCloser
-	// onEnd is called when the body was read to its end, onClose when it is closed.
-	onEnd, onClose func()
+	// onEnd is called when the body was read to its end, onBroken when it breaks off, onClose
+	// when it is closed.
+	onEnd    func()
+	onBroken func(error) *upstream.CallError
+	onClose  func()
+	// failure is the result of onBroken, or nil before.
+	failure *upstream.CallError
 }
 
 // Read implements io.Reader.
 func (r *trackedBody) Read(p []byte) (int, error) {
 	n, err := r.ReadCloser.Read(p)
-	if err == io.EOF {
+	switch err {
+	case nil:
+	case io.EOF:
 		r.onEnd()
+	default:
+		r.broken(err)
 	}
 	return n, err
 }
 
+// broken records once that the body has broken off.
+func (r *trackedBody) broken(err error) *upstream.CallError {
+	if r.failure == nil {
+		r.failure = r.onBroken(err)
+	}
+	return r.failure
+}
+
 // Close implements io.Closer. It must be called once.
 func (r *trackedBody) Close() error {
 	defer r.onClose()
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"redwingpoint.org/redwingpoint/internal/model"
 	"redwingpoint.org/redwingpoint/internal/quarantine"
+	"redwingpoint.org/redwingpoint/internal/routing"
+	"redwingpoint.org/redwingpoint/internal/upstream"
 )
 
 // recordingQuarantine suspects each request and counts what is reported.
@@ -76,3 +80,45 @@
 		})
 	}
 }
+
+// endingUpstream answers with the beginning of a long response of a target that ends within it.
+type endingUpstream struct {
+	status int
+	sent   int
+}
+
+func (u *endingUpstream) Do(_ context.Context, call upstream.Call) (*upstream.Response, error) {
+	lost := &upstream.CallError{Target: call.Endpoint.Target.ID, Reason: upstream.ConnectionLost, Sent: true, Cause: io.ErrUnexpectedEOF}
+	body := io.MultiReader(strings.NewReader(strings.Repeat("x", u.sent)), iotest.ErrReader(lost))
+	return &upstream.Response{Status: u.status, Header: http.Header{}, ContentLength: -1, Body: io.NopCloser(body)}, nil
+}
+
+func (*endingUpstream) HasEnded(context.Context, *routing.Endpoint) bool { return true }
+
+// TestTargetThatEndsWithinAResponseIsReported guards against a request that ends targets after the
+// first part of their response, around each limit of what is read ahead, and stays unknown.
+func TestTargetThatEndsWithinAResponseIsReported(t *testing.T) {
+	const secured = 1 << 20
+	for _, sent := range []int{0, 1, responsePrefixBytes - 1, responsePrefixBytes, responsePrefixBytes + 1, 2 * responsePrefixBytes,
+		responsePrefixBytes + secured - 1, responsePrefixBytes + secured, responsePrefixBytes + secured + 1} {
+		for _, pipelined := range []bool{false, true} {
+			t.Run(fmt.Sprint(sent, " bytes, pipelined ", pipelined), func(t *testing.T) {
+				f, q := newFixture(t, model.NonIdempotent, succeeds), new(recordingQuarantine)
+				f.Quarantine, f.Upstream = q, &endingUpstream{status: http.StatusOK, sent: sent}
+				response := f.send(context.Background(), "/a/", "x")
+				if response.Remainder != nil {
+					_, err := io.Copy(io.Discard, response.Remainder)
+					if pipelined {
+						if other := response.OnBroken(err); other.Status != http.StatusBadGateway {
+							t.Errorf("status %d, want %d", other.Status, http.StatusBadGateway)
+						}
+					}
+					_ = response.Remainder.Close()
+				}
+				if q.ends.Load() != 1 || q.successes.Load() != 0 {
+					t.Errorf("reported %d ends and %d successes", q.ends.Load(), q.successes.Load())
+				}
+			})
+		}
+	}
+}
