--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -266,7 +266,7 @@
 func (f *forwarder) finishFailed(ctx context.Context, reply localReply) *httpserver.Response {
 	switch {
 	case ctx.Err() == nil:
-	case errors.Is(context.Cause(ctx), httpserver.ErrClosed):
+	case errors.Is(context.Cause(ctx), httpserver.ClosedError{}):
 		reply = localReply{status: http.StatusServiceUnavailable, cause: CauseShuttingDown, retryAfter: shutdownRetryAfter}
 	default:
 		reply = localReply{cause: CauseCallerGone}
--- a/internal/dispatch/shutdown_test.go
+++ b/internal/dispatch/shutdown_test.go
@@ -71,7 +71,7 @@
 // of a request that a shutdown breaks off.
 func TestRequestsAtWorkAtTheEndOfAShutdownGetAResponse(t *testing.T) {
 	for _, class := range []model.Class{model.Idempotent, model.NonIdempotent, model.Upload} {
-		for name, cause := range map[string]error{"shutdown": httpserver.ErrClosed, "caller gone": nil} {
+		for name, cause := range map[string]error{"shutdown": httpserver.ClosedError{}, "caller gone": nil} {
 			t.Run(name+", "+class.String(), func(t *testing.T) {
 				f := newFixture(t, class, hangs)
 				lifetime, end := context.WithCancelCause(context.Background())
@@ -83,7 +83,7 @@
 						leave()
 						time.Sleep(100 * time.Millisecond)
 					}
-					end(httpserver.ErrClosed)
+					end(httpserver.ClosedError{})
 				})
 				response := f.Serve(ctx, &httpserver.Request{
 					HTTP: req, RequestTarget: "/a/", Path: "/a/", ReceivedAt: time.Now(), BodyDeadline: func(time.Time) {}, Lifetime: lifetime,
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -120,48 +120,6 @@
 	return n, err
 }
 
-// MayClose implements callers.Holder.
-func (c *conn) MayClose() bool {
-	if c.writeBlocked.Load() {
-		return true
-	}
-	open := c.openCount()
-	body := c.body.Load()
-	return open == 0 || (open == 1 && body != nil && body.isReading())
-}
-
-// Abort implements callers.Holder. A request that has come meanwhile is either not accepted or
-// keeps the connection.
-func (c *conn) Abort() bool {
-	if !c.writeBlocked.Load() && !c.closeIfOpen(0) {
-		body := c.body.Load()
-		if body == nil || !body.isReading() || !c.closeIfOpen(1) || !body.end() {
-			return false
-		}
-	}
-	c.abort()
-	return true
-}
-
-// openCount returns the number of open requests.
-func (c *conn) openCount() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.openRequests
-}
-
-// closeIfOpen marks the connection as closing if so many requests are open, and reports whether
-// they are.
-func (c *conn) closeIfOpen(requests int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = c.closing || c.openRequests == requests
-	return c.openRequests == requests
-}
-
-// Caller implements callers.Holder.
-func (c *conn) Caller() string { return c.raw.RemoteAddr().String() }
-
 // newConn returns a connection of a server.
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{
@@ -285,13 +243,6 @@
 	return c.closing
 }
 
-// isIdle reports whether no request was open for the duration d.
-func (c *conn) isIdle(d time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.openRequests == 0 && time.Since(c.idleSince) >= d
-}
-
 // readRequest reads one request and starts to serve it. It reports false if no further
 // request may be read.
 func (c *conn) readRequest() bool {
@@ -311,53 +262,6 @@
 	return c.startServing(x)
 }
 
-// awaitRequest waits for the first byte of a request. It reports false if the connection
-// is closing, was idle for too long, or the caller disconnected, which also cancels the
-// requests that are still served.
-func (c *conn) awaitRequest() bool {
-	for {
-		idle := c.server.limits().IdleTimeout
-		_ = c.raw.SetReadDeadline(time.Now().Add(idle))
-		if c.isClosing() {
-			return false
-		}
-		c.setAwaiting(c.reader.Buffered() == 0)
-		_, err := c.reader.Peek(1)
-		endsIdle := c.setAwaiting(false)
-		if err == nil {
-			return true
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.cancel()
-			return false
-		}
-		if endsIdle || c.isIdle(idle) {
-			return c.hasInput()
-		}
-	}
-}
-
-// setAwaiting sets whether the connection awaits a request, and reports whether it is to close
-// unless one has arrived.
-func (c *conn) setAwaiting(awaiting bool) (endsIdle bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.awaitingRequest = awaiting
-	return c.endsIdle
-}
-
-// lastLookTimeout is how long an idle connection still reads before it closes: longer than a busy
-// process takes from the decision to the read.
-const lastLookTimeout = 50 * time.Millisecond
-
-// hasInput reports whether input has arrived before an idle connection closes. An interrupted read
-// doesn't tell: a caller that sent a request in time must get a response.
-func (c *conn) hasInput() bool {
-	_ = c.raw.SetReadDeadline(time.Now().Add(lastLookTimeout))
-	_, err := c.reader.Peek(1)
-	return err == nil
-}
-
 // request returns the Request for a parsed request.
 func (c *conn) request(req *http.Request) *Request {
 	path, query, forceQuery := SplitTarget(req.RequestURI)
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -168,8 +168,10 @@
 // still accepted; each serves one request.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// ErrClosed is the cause of the contexts of requests that Shutdown cancels.
-var ErrClosed = errors.New("the server has closed")
+// ClosedError is the cause of the contexts of requests that Shutdown cancels.
+type ClosedError struct{}
+
+func (ClosedError) Error() string { return "the server has closed" }
 
 // lastResponseTime is how long Shutdown waits for the responses to requests that it cancels.
 const lastResponseTime = 150 * time.Millisecond
@@ -178,7 +180,7 @@
 // ends first, Shutdown cancels the remaining requests, waits lastResponseTime for their
 // responses and returns the context's error. Drain must be called before.
 func (s *Server) Shutdown(ctx context.Context) error {
-	defer s.cancel(ErrClosed)
+	defer s.cancel(ClosedError{})
 	allClosed := make(chan struct{})
 	go func() {
 		s.wg.Wait()
@@ -192,7 +194,7 @@
 		case <-allClosed:
 			return nil
 		case <-ctx.Done():
-			s.cancel(ErrClosed)
+			s.cancel(ClosedError{})
 			select {
 			case <-allClosed:
 			case <-time.After(lastResponseTime):
--- a/internal/httpserver/write.go
+++ b/internal/httpserver/write.go
@@ -155,21 +155,3 @@
 func (c *conn) interruptRead() {
 	_ = c.raw.SetReadDeadline(time.Now().Add(-time.Second))
 }
-
-// firstRequestWait is how long a shutdown leaves a new connection open for its first request:
-// a caller opens one to send a request, which follows within a round trip.
-const firstRequestWait = 500 * time.Millisecond
-
-// closeIdle makes the reading goroutine close the connection if no request is open and none has
-// arrived, unless the connection is new and its first request may be on the way.
-func (c *conn) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idleSince.IsZero() && time.Since(c.openedAt) < firstRequestWait {
-		return
-	}
-	if c.openRequests == 0 && c.awaitingRequest {
-		c.endsIdle = true
-		c.interruptRead()
-	}
-}
