peersync: let seeds that start learn which others grant

Cause: a process granted by the list that it was started with alone; four seeds granted a third each.

Change: the answer to OpQueryTenure names the seeds that the responder knows. A seed that starts asks the others of its list, then those that it learns, and grants once none grants that its list doesn't name. Seeds of its own list that don't respond keep it for 1 s.

--- a/internal/daemon/gateway_peers.go
+++ b/internal/daemon/gateway_peers.go
@@ -60,6 +60,8 @@
 	seeds.OnTenure = func(grants bool, shares int) {
 		g.log.Info("grants changed", zap.Bool("grants", grants), zap.Int("shares", shares))
 	}
+	seeds.Own = g.settings.Peers.Listen
+	seeds.AwaitOthers()
 	g.seeds = seeds
 	transport.Handle(peer.OpQueryTenure, seeds.HandleQuery)
 	runLoop(lc, seeds.Run)
--- a/internal/peersync/handover.go
+++ b/internal/peersync/handover.go
@@ -19,6 +19,8 @@
 	// takeoverSilence is how long a predecessor must not have responded until it counts as gone.
 	// It is longer than the windows over which grants are counted.
 	takeoverSilence = 6 * time.Second
+	// seedStartWait is takeoverSilence for a seed of the own list as the process starts.
+	seedStartWait = time.Second
 	// takeoverInterval is the time between two questions to the predecessors.
 	takeoverInterval = 400 * time.Millisecond
 	// noticeInterval is the time between two notices to instances that were passed over, and
@@ -43,6 +45,9 @@
 // is, even if it grants nothing for a moment, or 0.
 type tenureResponse struct {
 	Shares int `cbor:"1,keyasint,omitempty"`
+	// Known are the addresses of the seeds that the responder knows, and of earlier ones that
+	// may still grant.
+	Known []string `cbor:"2,keyasint,omitempty"`
 }
 
 // HandleQuery handles peer.OpQueryTenure. An instance that was passed over yields for yieldTime.
@@ -59,7 +64,7 @@
 		}
 		s.yieldsUntil = time.Now().Add(yieldTime)
 	}
-	return tenureResponse{Shares: s.tenure.Shares}, nil
+	return tenureResponse{Shares: s.tenure.Shares, Known: slices.Clone(s.known)}, nil
 }
 
 // Run takes over from the grantors of earlier lists and tells those that it passed over, until
@@ -113,12 +118,13 @@
 		return
 	}
 	isSeed := slices.Contains(list.others, addr)
+	s.learn(resp.Known)
 	switch {
 	case err != nil:
 		if p.silentSince.IsZero() {
 			p.silentSince = askedAt
 		}
-		if time.Since(p.silentSince) < takeoverSilence {
+		if time.Since(p.silentSince) < p.patience {
 			return
 		}
 		if !isSeed {
@@ -129,7 +135,7 @@
 		p.silentSince = time.Time{}
 		return
 	}
-	delete(s.predecessors, addr)
+	s.recordEnded(addr)
 	s.updateTenure()
 }
 
--- a/internal/peersync/quotas_test.go
+++ b/internal/peersync/quotas_test.go
@@ -122,10 +122,14 @@
 }
 
 // start starts an instance, or restarts it without its memory.
-func (f *quotaFleet) start(i int) {
-	isSeed, others := seedsOf(i, []int{0, 1, 2})
+func (f *quotaFleet) start(i int) { f.startWith(i, []int{0, 1, 2}) }
+
+// startWith starts an instance with a list of seeds.
+func (f *quotaFleet) startWith(i int, list []int) {
+	isSeed, others := seedsOf(i, list)
 	seeds := NewSeeds(isSeed, others, quotaTransport{f, i}, zap.NewNop())
 	share := NewShare(seeds, func(shares int) *limit.QuotaGrantor { return limit.NewQuotaGrantor(shares, quotaTolerance) })
+	seeds.Own = fmt.Sprint(i)
 	node := &quotaNode{seeds: seeds, quotas: &Quotas{Tolerance: quotaTolerance, Own: share, Transport: quotaTransport{f, i}, Seeds: seeds, Log: zap.NewNop()}}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/peersync/seeds.go
+++ b/internal/peersync/seeds.go
@@ -60,16 +60,20 @@
 //
 // An instance that becomes a grantor by a new list doesn't grant before the grantors of the
 // lists that it knew before have stopped, or haven't responded for takeoverSilence (Run). One
-// that was passed over like this is told when it responds again, and yields; since it may be
-// frozen meanwhile, a grantor that wakes up grants nothing for resumeDelay.
+// that starts as a seed (AwaitOthers) learns from the others which lists they knew. A grantor
+// that was passed over is told when it responds again, and yields; since it may be frozen
+// meanwhile, one that wakes up grants nothing for resumeDelay.
 //
 // A grantor that is cut off from its successors, but not from all callers, isn't told and goes on
-// granting: until they reach it again, what both grant can exceed a limit.
+// granting: until they reach it again, what both grant can exceed a limit. So do processes that
+// were started with lists that have no member in common.
 //
 // It is safe for concurrent use.
 type Seeds struct {
 	// OnTenure, if set, is called when the instance begins or ceases to grant.
 	OnTenure func(grants bool, shares int)
+	// Own is the peer address of this instance, or "".
+	Own string
 
 	transport Transport
 	log       *zap.Logger
@@ -78,13 +82,15 @@
 	mu sync.Mutex
 	// tenure is the current one.
 	tenure Tenure
-	// known are the addresses of all lists so far, without the own one; the latest last.
+	// known are the addresses of this list and of earlier ones whose grants may not have ended,
+	// without the own one; the latest last.
 	known []string
 	// predecessors are the instances that may still grant by an earlier list. Until there are
 	// none, a new list doesn't take effect on what this instance grants.
 	predecessors map[string]*predecessor
-	// passedOver are those that didn't respond when this instance began to grant.
-	passedOver map[string]bool
+	// ended are the addresses that no longer grant by an earlier list, and passedOver those of
+	// them that didn't respond.
+	ended, passedOver map[string]bool
 	// yieldsUntil is until when another instance grants in place of this one.
 	yieldsUntil time.Time
 	// checkedAt is when Run last ran, and resumesAt until when nothing is granted since the
@@ -103,8 +109,10 @@
 
 // predecessor is an instance that may still grant by an earlier list.
 type predecessor struct {
-	// silentSince is the time of the first question without an answer since its last answer.
+	// silentSince is the time of the first question without an answer since its last answer,
+	// and patience how long it counts as one that grants from then on.
 	silentSince time.Time
+	patience    time.Duration
 }
 
 // maxKnownSeeds bounds the addresses of earlier lists that are remembered.
@@ -112,7 +120,8 @@
 
 // NewSeeds returns the seeds of an instance that starts. It grants at once if it is one of them.
 func NewSeeds(isSeed bool, others []string, transport Transport, log *zap.Logger) *Seeds {
-	s := &Seeds{transport: transport, log: log, predecessors: make(map[string]*predecessor), passedOver: make(map[string]bool)}
+	s := &Seeds{transport: transport, log: log, predecessors: make(map[string]*predecessor),
+		ended: make(map[string]bool), passedOver: make(map[string]bool)}
 	list := newSeedList(isSeed, others)
 	s.current.Store(list)
 	s.remember(list)
@@ -140,9 +149,10 @@
 	s.yieldsUntil = time.Time{}
 	maps.DeleteFunc(s.passedOver, func(addr string, _ bool) bool { return slices.Contains(others, addr) })
 	clear(s.predecessors)
+	clear(s.ended)
 	for _, addr := range s.known {
 		if list.mayGrant() && !s.passedOver[addr] {
-			s.predecessors[addr] = &predecessor{}
+			s.predecessors[addr] = &predecessor{patience: takeoverSilence}
 		}
 	}
 	s.updateTenure()
@@ -150,6 +160,44 @@
 	return true
 }
 
+// AwaitOthers makes a seed that starts grant nothing before it has asked the others, whose lists
+// may name further ones that grant. Seeds of its own list that don't respond only keep it for
+// seedStartWait: what they grant is their share. Run must be called afterwards.
+func (s *Seeds) AwaitOthers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.Current()
+	if !list.isSeed || len(list.others) == 0 {
+		return
+	}
+	for _, addr := range list.others {
+		s.predecessors[addr] = &predecessor{patience: seedStartWait}
+	}
+	s.tenure.Shares = 0
+}
+
+// learn adds addresses that another instance knows. Those that are new may grant. The caller must
+// hold s.mu.
+func (s *Seeds) learn(addrs []string) {
+	for _, addr := range addrs {
+		if addr == s.Own || slices.Contains(s.known, addr) || s.ended[addr] || len(s.known)+len(s.ended) >= maxKnownSeeds {
+			continue
+		}
+		s.known = append(s.known, addr)
+		s.predecessors[addr] = &predecessor{patience: takeoverSilence}
+	}
+}
+
+// recordEnded records that an instance no longer grants by an earlier list. It is no longer told
+// to others unless the list names it. The caller must hold s.mu.
+func (s *Seeds) recordEnded(addr string) {
+	delete(s.predecessors, addr)
+	s.ended[addr] = true
+	if !slices.Contains(s.Current().others, addr) {
+		s.known = slices.DeleteFunc(s.known, func(known string) bool { return known == addr })
+	}
+}
+
 // remember adds a list to the known addresses. The caller must hold s.mu.
 func (s *Seeds) remember(l *SeedList) {
 	s.known = slices.DeleteFunc(s.known, func(addr string) bool { return slices.Contains(l.others, addr) })
--- a/internal/peersync/seeds_test.go
+++ b/internal/peersync/seeds_test.go
@@ -41,6 +41,17 @@
 	}
 }
 
+// restart starts instances in turn with a list of seeds.
+func (f *quotaFleet) restart(list []int, instances ...int) {
+	for _, i := range instances {
+		f.nodes[i].stop()
+		f.startWith(i, list)
+		f.nodes[i].seeds.AwaitOthers()
+		f.handOver(i)
+		time.Sleep(time.Duration(500+f.random.IntN(2000)) * time.Millisecond)
+	}
+}
+
 // freeze stops some instances for a time.
 func (f *quotaFleet) freeze(frozen bool, instances ...int) {
 	f.mu.Lock()
@@ -135,6 +146,31 @@
 			f.handOver(2)
 			time.Sleep(10 * time.Second)
 		}, 0.9},
+		"half of the instances restart with another list": {all, func(f *quotaFleet) {
+			f.restart(oneOther, after...)
+		}, 0.6},
+		"all restart in turn with another list": {all, func(f *quotaFleet) {
+			f.restart(oneOther, 3, 0, 4, 1, 5, 2)
+			time.Sleep(2 * time.Second)
+		}, 0.9},
+		"all restart in turn": {all, func(f *quotaFleet) {
+			f.restart(before, all...)
+		}, 0.9},
+		"the seeds restart at once": {all, func(f *quotaFleet) {
+			f.freeze(true, before...)
+			time.Sleep(time.Second)
+			for _, i := range before {
+				f.startWith(i, before)
+				f.nodes[i].seeds.AwaitOthers()
+			}
+			f.handOver(before...)
+		}, 0.9},
+		"a seed is lost for good, another restarts": {all, func(f *quotaFleet) {
+			f.freeze(true, 2)
+			time.Sleep(time.Second)
+			f.restart(before, 0)
+			time.Sleep(seedStartWait)
+		}, 0.6},
 		"back to the first list": {all, func(f *quotaFleet) {
 			f.relist(after, all...)
 			time.Sleep(time.Second)
