dispatch: send no request that waited and whose caller has gone

Cause: a request that may run once at most isn't cancelled with its caller, whether it was sent or not.

Evidence: TestRequestOfAGoneCallerIsNotSent fails before: requests that aren't idempotent wait 12 s after their caller left at 0.05 s.

Change: the wait ends, and nothing is sent, if the caller has gone, no target has run the request and it has waited for 0.25 s. A caller that only closed its side still gets its request sent at once (TestRequestOfACallerThatSendsNoMoreIsSent).

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -249,6 +249,7 @@
 	f := &forwarder{
 		d:                 d,
 		inbound:           r,
+		callerCtx:         context.Background(),
 		requestID:         r.HTTP.Header.Get(d.Protocol.RequestID),
 		rule:              rule,
 		service:           table.Service(name),
--- a/internal/dispatch/forwarder.go
+++ b/internal/dispatch/forwarder.go
@@ -36,6 +36,8 @@
 	// durations are those from which the request's work is estimated.
 	durations *limit.LatencyWindow
 	caller    caller
+	// callerCtx ends when the caller disconnects.
+	callerCtx context.Context
 	// organisation is the one on whose behalf the request was sent, or nil.
 	organisation *route.Organisation
 	// permit is the part of the organisation's quota that the next attempt uses, or nil.
@@ -65,6 +67,7 @@
 // returns the response. Nil closes the caller's connection without a response.
 func (f *forwarder) run(ctx context.Context) (response *httpserver.Response) {
 	f.state.countRequest()
+	f.callerCtx = ctx
 	account := f.inbound.Account
 	defer func() { account.Release(f.bodyHeld) }()
 	if reply, ok := f.bufferBody(); !ok {
@@ -90,7 +93,7 @@
 		}
 		if reply == nil {
 			acquire := func() *localReply { return f.acquirePermit(workCtx) }
-			reply = firstReply(acquire, f.checkKey, f.checkShutdown)
+			reply = firstReply(acquire, f.checkKey, f.checkWait)
 		}
 		if reply != nil {
 			cancel()
@@ -213,6 +216,23 @@
 	return &localReply{status: http.StatusServiceUnavailable, cause: CauseQuarantined, retryAfter: time.Until(until)}
 }
 
+// checkWait returns the reply to a request that must not wait any longer, or be sent after a wait,
+// or nil.
+func (f *forwarder) checkWait() *localReply { return firstReply(f.checkShutdown, f.checkCaller) }
+
+// maxGoneWait is how long a request may have waited that is sent though its caller has closed its
+// side of the connection: one that only sends no more still reads the response.
+const maxGoneWait = 250 * time.Millisecond
+
+// checkCaller returns the reply to a request that no target has run, that has waited and whose
+// caller has disconnected, or nil.
+func (f *forwarder) checkCaller() *localReply {
+	if f.mayHaveRun || f.callerCtx.Err() == nil || time.Since(f.inbound.ReceivedAt) < maxGoneWait {
+		return nil
+	}
+	return &localReply{cause: CauseCallerGone}
+}
+
 // checkShutdown returns the reply to a request that no target has run and that the end of the
 // shutdown might break off, or nil.
 func (f *forwarder) checkShutdown() *localReply {
--- a/internal/dispatch/scheduling.go
+++ b/internal/dispatch/scheduling.go
@@ -62,10 +62,10 @@
 }
 
 // lookForRoom ranks the targets once and reports whether one has a slot for the request. A
-// request doesn't wait for room if its time is up, if a shutdown refuses it, or if what it
-// lacks is a target that may be used at all.
+// request doesn't wait for room if its time is up, if it must not wait any longer, or if what
+// it lacks is a target that may be used at all.
 func (f *forwarder) lookForRoom(ctx context.Context, repeated bool) (*ranking, schedule.Outcome) {
-	if f.checkShutdown() != nil {
+	if f.checkWait() != nil {
 		return nil, schedule.Withdrawn
 	}
 	req := f.pickRequest()
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -31,7 +31,7 @@
 	}
 	var candidates []routing.Candidate
 	for rounds := 1; ; rounds++ {
-		if reply := f.checkShutdown(); reply != nil {
+		if reply := f.checkWait(); reply != nil {
 			return routing.Candidate{}, reply
 		}
 		req := f.pickRequest()
