httpserver: see a close behind many requests that were sent ahead

Cause: the reading goroutine waited for a place among the responses to be written, and nothing read the connection meanwhile.

Evidence: TestCallerThatLeavesBehindManyRequestsCancelsThem fails before with 18 and with 32 requests: none of 17 is cancelled.

Change: while it waits, the connection is read ahead up to its buffer; its end cancels the requests.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -285,7 +285,7 @@
 	if !ok {
 		return false
 	}
-	c.pending <- x
+	c.enqueue(x)
 	body := newBody(c, x.request.HTTP)
 	c.body.Store(body)
 	x.request.HTTP.Body, x.request.BodyDeadline = body, body.setDeadline
@@ -323,6 +323,42 @@
 	return false
 }
 
+// enqueue hands a request to the writing goroutine. While there are too many before it, it cancels
+// them if the caller disconnects.
+func (c *conn) enqueue(x *exchange) {
+	select {
+	case c.pending <- x:
+		return
+	default:
+	}
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		c.watchInput()
+	}()
+	c.pending <- x
+	c.interruptRead()
+	<-watched
+	_ = c.raw.SetReadDeadline(time.Time{})
+}
+
+// watchInput reads ahead until it is interrupted, the read buffer is full or the caller
+// disconnects, which cancels the open requests.
+func (c *conn) watchInput() {
+	defer contain.Panic("request reader", c.Caller(), c.abort)
+	for {
+		_, err := c.reader.Peek(c.reader.Buffered() + 1)
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, bufio.ErrBufferFull):
+			return
+		default:
+			c.cancel()
+			return
+		}
+	}
+}
+
 // serveRequest returns the response to a request. It waits until streaming is closed if that
 // isn't nil.
 func (c *conn) serveRequest(x *exchange, streaming <-chan struct{}) (response *Response) {
--- a/internal/httpserver/pipeline_test.go
+++ b/internal/httpserver/pipeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"redwingpoint.org/redwingpoint/internal/route"
 )
 
 // brokenAnswer returns a response that breaks off after its beginning.
@@ -209,3 +212,32 @@
 		})
 	}
 }
+
+// TestCallerThatLeavesBehindManyRequestsCancelsThem guards against requests that run to their end for
+// nobody, since more were sent ahead than the server reads at once and it doesn't see the close.
+func TestCallerThatLeavesBehindManyRequestsCancelsThem(t *testing.T) {
+	for _, sent := range []int{maxPipelined, maxPipelined + 2, 2 * maxPipelined} {
+		t.Run(fmt.Sprint(sent), func(t *testing.T) {
+			started, cancelled := make(chan struct{}, sent), make(chan struct{}, sent)
+			_, c := startServer(t, route.Limits{}, func(ctx context.Context, _ *Request) *Response {
+				started <- struct{}{}
+				<-ctx.Done()
+				cancelled <- struct{}{}
+				return nil
+			})
+			send(t, c, strings.Repeat(get("/1"), sent))
+			running := min(sent, maxPipelined+1)
+			for range running {
+				<-started
+			}
+			_ = c.Close()
+			for n := range running {
+				select {
+				case <-cancelled:
+				case <-time.After(5 * time.Second):
+					t.Fatalf("%d of %d requests were cancelled", n, running)
+				}
+			}
+		})
+	}
+}
