peersync: shorten the questions of seeds that start

Cause: seeds that started asked each other for up to 1 s, and a gateway that asked one for a permit meanwhile took its refusal for silence and didn't ask again for 1 s. Ruled out: requests denied by the grantors (quota-exceeded is as before).

Change: a seed of the own list that doesn't respond keeps one that starts from granting for 0.3 s, and is asked on; what has accumulated since the start is granted. A seed that refuses is asked again after 0.05 s, doubled with each refusal up to 1 s.

--- a/internal/peersync/cold_permits.go
+++ b/internal/peersync/cold_permits.go
@@ -73,7 +73,7 @@
 	for _, e := range targets {
 		ids = append(ids, e.Target.ID)
 	}
-	retryAfter := permitBackoff
+	retryAfter := silentBackoff
 	if own, grants := p.OwnCold.Grantor(); grants {
 		target, after := own.Grant(ids, perSecond)
 		if target != "" {
@@ -123,7 +123,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	return slices.DeleteFunc(slices.Clone(p.sortedSources()), func(s *permitSource) bool { return now.Before(s.silentUntil) })
+	return slices.DeleteFunc(slices.Clone(p.sortedSources()), func(s *permitSource) bool { return s.isSilent(now) })
 }
 
 // coldAskable returns the targets for which a seed may grant a request now. It marks them as
@@ -151,10 +151,11 @@
 	defer p.mu.Unlock()
 	s.took = now.Sub(startedAt)
 	if err != nil {
-		s.silentUntil = now.Add(permitBackoff)
+		s.recordFailure(now, err)
 		p.Log.Info("peer not reached for a permit", zap.String("address", s.addr), zap.Error(err))
 		return "", 0, false
 	}
+	s.recordAnswer()
 	retryAfter = time.Duration(resp.RetryMillis) * time.Millisecond
 	for _, id := range ids {
 		s.recordDenial(coldKey(id), now, retryAfter)
--- a/internal/peersync/handover.go
+++ b/internal/peersync/handover.go
@@ -19,10 +19,13 @@
 	// takeoverSilence is how long a predecessor must not have responded until it counts as gone.
 	// It is longer than the windows over which grants are counted.
 	takeoverSilence = 6 * time.Second
-	// seedStartWait is takeoverSilence for a seed of the own list as the process starts.
-	seedStartWait = time.Second
-	// takeoverInterval is the time between two questions to the predecessors.
+	// seedStartWait is how long a seed of the own list that doesn't respond keeps an instance
+	// that starts from granting.
+	seedStartWait = 300 * time.Millisecond
+	// takeoverInterval is the time between two questions to the predecessors, startInterval as
+	// an instance starts.
 	takeoverInterval = 400 * time.Millisecond
+	startInterval    = 100 * time.Millisecond
 	// noticeInterval is the time between two notices to instances that were passed over, and
 	// yieldTime how long one holds: some may be lost.
 	noticeInterval = 2 * time.Second
@@ -79,10 +82,20 @@
 			// A notice to an instance that is gone must not delay noteRun.
 			go s.notifyPassedOver(ctx)
 		}
-		wait.For(ctx, takeoverInterval)
+		wait.For(ctx, s.interval())
 	}
 }
 
+// interval returns the time until the next questions.
+func (s *Seeds) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.starts {
+		return startInterval
+	}
+	return takeoverInterval
+}
+
 // noteRun records that the process runs, and whether it stood still before.
 func (s *Seeds) noteRun() {
 	s.mu.Lock()
@@ -96,8 +109,13 @@
 // askPredecessors asks all predecessors at once whether they still grant.
 func (s *Seeds) askPredecessors(ctx context.Context) {
 	s.mu.Lock()
-	list, asked := s.Current(), slices.Sorted(maps.Keys(s.predecessors))
+	list, asked, timeout := s.Current(), slices.Sorted(maps.Keys(s.predecessors)), exchangeTimeout
+	if s.starts {
+		timeout = seedStartWait
+	}
 	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	var questions sync.WaitGroup
 	for _, addr := range asked {
 		questions.Go(func() {
@@ -124,7 +142,12 @@
 		if p.silentSince.IsZero() {
 			p.silentSince = askedAt
 		}
-		if time.Since(p.silentSince) < p.patience {
+		silent := time.Since(p.silentSince)
+		if p.isStart && !p.isPassed && silent >= seedStartWait {
+			p.isPassed = true
+			s.updateTenure()
+		}
+		if silent < takeoverSilence {
 			return
 		}
 		if !isSeed {
--- a/internal/peersync/permits.go
+++ b/internal/peersync/permits.go
@@ -20,8 +20,6 @@
 const (
 	// permitTimeout bounds the question for one permit. A call to another region takes 24 ms.
 	permitTimeout = 100 * time.Millisecond
-	// permitBackoff is how long a seed that didn't respond is not asked for permits.
-	permitBackoff = time.Second
 )
 
 // permitRequest is the request of peer.OpAcquirePermit.
@@ -89,8 +87,7 @@
 	addr string
 	// took is the duration of the latest call; zero before the first.
 	took time.Duration
-	// silentUntil is until when the seed is not asked because it didn't respond.
-	silentUntil time.Time
+	availability
 	// deniedUntil is until when the seed grants nothing for a target.
 	deniedUntil map[model.ProcessID]time.Time
 }
@@ -101,7 +98,7 @@
 	if !stated.Limited {
 		return true, 0
 	}
-	retryAfter = permitBackoff
+	retryAfter = silentBackoff
 	if own, grants := p.Own.Grantor(); grants {
 		g := own.Grant(e.Target.Process(), stated.LimitPerSecond, time.Now().Add(at-routing.Monotonic()))
 		if g.Granted || p.withdrawn(e, g.Withdrawn) {
@@ -140,7 +137,7 @@
 	now := time.Now()
 	var askable []*permitSource
 	for _, s := range p.sortedSources() {
-		if now.Before(s.silentUntil) {
+		if s.isSilent(now) {
 			continue
 		}
 		if !now.Before(s.deniedUntil[target]) {
@@ -179,10 +176,11 @@
 	defer p.mu.Unlock()
 	s.took = now.Sub(startedAt)
 	if err != nil {
-		s.silentUntil = now.Add(permitBackoff)
+		s.recordFailure(now, err)
 		p.Log.Info("peer not reached for a permit", zap.String("address", s.addr), zap.Error(err))
 		return limit.Grant{}, false
 	}
+	s.recordAnswer()
 	g = limit.Grant{Granted: resp.Granted, RetryAfter: time.Duration(resp.RetryMillis) * time.Millisecond, Withdrawn: resp.Withdrawn}
 	s.recordDenial(req.Target, now, g.RetryAfter)
 	return g, true
--- a/internal/peersync/quotas.go
+++ b/internal/peersync/quotas.go
@@ -20,8 +20,6 @@
 	// quotaTimeout bounds the question to one grantor. A call to another region takes 24 ms,
 	// with a handshake some 75 ms.
 	quotaTimeout = 150 * time.Millisecond
-	// quotaBackoff is how long a grantor that didn't respond is not asked.
-	quotaBackoff = time.Second
 	// maxQuotaRounds is how often the grantors are asked in turn: the first may have something
 	// again when the last, in another region, has denied.
 	maxQuotaRounds = 2
@@ -116,8 +114,7 @@
 	// took is the duration of the shortest call; zero before the first. Longer ones say more
 	// about this machine than about the way.
 	took time.Duration
-	// silentUntil is until when the grantor is not asked because it didn't respond.
-	silentUntil time.Time
+	availability
 	// denials are the latest denials by organisation.
 	denials map[model.OrganisationName]quotaDenial
 }
@@ -378,7 +375,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	if now.Before(s.silentUntil) {
+	if s.isSilent(now) {
 		return sourceSilent, 0
 	}
 	if denial, denied := s.denials[organisation]; denied && now.Before(denial.until) {
@@ -397,10 +394,11 @@
 	defer q.mu.Unlock()
 	switch {
 	case err != nil:
-		s.silentUntil = now.Add(quotaBackoff)
+		s.recordFailure(now, err)
 		q.Log.Info("peer not reached for a quota", zap.String("address", s.addr), zap.Error(err))
 		return nil, 0, err
 	case g.Granted == 0:
+		s.recordAnswer()
 		denial := s.denials[organisation]
 		if !askedAt.Before(denial.countedAt) {
 			denial.repeated, denial.countedAt = denial.repeated+1, now
@@ -412,6 +410,7 @@
 		s.denials[organisation] = denial
 		return nil, g.RetryAfter, nil
 	}
+	s.recordAnswer()
 	delete(s.denials, organisation)
 	for range g.Granted - 1 {
 		q.putBack(&quotaPermit{quotas: q, organisation: organisation, askedAt: askedAt})
--- a/internal/peersync/quotas_test.go
+++ b/internal/peersync/quotas_test.go
@@ -451,7 +451,7 @@
 			t.Errorf("cut off: %v", err)
 		}
 		f.nodes[4].cut = false
-		time.Sleep(2 * quotaBackoff)
+		time.Sleep(2 * silentBackoff)
 		if _, err := f.nodes[4].quotas.Acquire(t.Context(), "a", quota); err != nil {
 			t.Errorf("back again: %v", err)
 		}
--- a/internal/peersync/seeds.go
+++ b/internal/peersync/seeds.go
@@ -88,6 +88,9 @@
 	// predecessors are the instances that may still grant by an earlier list. Until there are
 	// none, a new list doesn't take effect on what this instance grants.
 	predecessors map[string]*predecessor
+	// starts is set until the first tenure of an instance that asks the others as it starts: what
+	// accumulated since then is its own.
+	starts bool
 	// ended are the addresses that no longer grant by an earlier list, and passedOver those of
 	// them that didn't respond.
 	ended, passedOver map[string]bool
@@ -109,10 +112,11 @@
 
 // predecessor is an instance that may still grant by an earlier list.
 type predecessor struct {
-	// silentSince is the time of the first question without an answer since its last answer,
-	// and patience how long it counts as one that grants from then on.
+	// silentSince is the time of the first question without an answer since its last answer.
 	silentSince time.Time
-	patience    time.Duration
+	// isStart is set for a seed of the own list that is asked as this instance starts, isPassed
+	// once it no longer keeps this instance from granting.
+	isStart, isPassed bool
 }
 
 // maxKnownSeeds bounds the addresses of earlier lists that are remembered.
@@ -152,9 +156,10 @@
 	clear(s.ended)
 	for _, addr := range s.known {
 		if list.mayGrant() && !s.passedOver[addr] {
-			s.predecessors[addr] = &predecessor{patience: takeoverSilence}
+			s.predecessors[addr] = &predecessor{}
 		}
 	}
+	s.starts = false
 	s.updateTenure()
 	close(before.superseded)
 	return true
@@ -162,7 +167,8 @@
 
 // AwaitOthers makes a seed that starts grant nothing before it has asked the others, whose lists
 // may name further ones that grant. Seeds of its own list that don't respond only keep it for
-// seedStartWait: what they grant is their share. Run must be called afterwards.
+// seedStartWait, since what they grant is their share; they are asked on until takeoverSilence has
+// passed. Run must be called afterwards.
 func (s *Seeds) AwaitOthers() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,20 +177,21 @@
 		return
 	}
 	for _, addr := range list.others {
-		s.predecessors[addr] = &predecessor{patience: seedStartWait}
+		s.predecessors[addr] = &predecessor{isStart: true}
 	}
-	s.tenure.Shares = 0
+	s.tenure.Shares, s.starts = 0, true
 }
 
-// learn adds addresses that another instance knows. Those that are new may grant. The caller must
-// hold s.mu.
+// learn adds addresses that another instance knows. Those that are new may grant, and this instance
+// grants nothing until they have ended. The caller must hold s.mu.
 func (s *Seeds) learn(addrs []string) {
 	for _, addr := range addrs {
 		if addr == s.Own || slices.Contains(s.known, addr) || s.ended[addr] || len(s.known)+len(s.ended) >= maxKnownSeeds {
 			continue
 		}
 		s.known = append(s.known, addr)
-		s.predecessors[addr] = &predecessor{patience: takeoverSilence}
+		s.predecessors[addr] = &predecessor{}
+		s.tenure.Shares, s.starts = 0, false
 	}
 }
 
@@ -211,7 +218,7 @@
 	next := Tenure{Term: before.Term}
 	switch {
 	case !list.mayGrant():
-	case len(s.predecessors) == 0:
+	case !s.hasPredecessors():
 		next.Shares = list.shares()
 	case before.Shares > 0:
 		// Both lists name this instance: the smaller share is safe under either.
@@ -220,13 +227,26 @@
 	if next == before {
 		return
 	}
-	next.Term++
-	s.tenure = next
+	if !s.starts {
+		next.Term++
+	}
+	s.tenure, s.starts = next, false
 	if s.OnTenure != nil {
 		s.OnTenure(next.Shares > 0, next.Shares)
 	}
 }
 
+// hasPredecessors reports whether an instance may still grant by an earlier list. The caller must
+// hold s.mu.
+func (s *Seeds) hasPredecessors() bool {
+	for _, p := range s.predecessors {
+		if !p.isPassed {
+			return true
+		}
+	}
+	return false
+}
+
 // Tenure returns the tenure in which the instance may grant now, or false if it may not.
 func (s *Seeds) Tenure() (Tenure, bool) {
 	s.mu.Lock()
@@ -255,10 +275,9 @@
 // NewShare returns the share of an instance. The function builds one of the given number of
 // grantors.
 func NewShare[G any](seeds *Seeds, build func(shares int) G) *Share[G] {
-	s := &Share[G]{seeds: seeds, build: build}
 	// Grantors accumulate from their beginning: that of the process, not of the first use.
-	s.Grantor()
-	return s
+	tenure, _ := seeds.Tenure()
+	return &Share[G]{seeds: seeds, build: build, term: tenure.Term, grantor: build(seeds.Current().shares())}
 }
 
 // Grantor returns the grantor, or false if this instance grants nothing now.
--- a/internal/peersync/seeds_test.go
+++ b/internal/peersync/seeds_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"redwingpoint.org/redwingpoint/internal/limit"
+	"redwingpoint.org/redwingpoint/internal/peer"
 	"redwingpoint.org/redwingpoint/internal/routing"
 )
 
@@ -226,22 +227,22 @@
 // nothing once the seeds of the start are gone.
 func TestPermitsFollowAReplacedList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newPermitFleet(6)
+		f := newPermitFleet(7)
 		ctx, cancel := context.WithCancel(t.Context())
 		for _, lost := range f.seeds {
 			f.setCut(lost, true)
 		}
 		list := []int{3, 4, 5}
-		for _, i := range list {
+		for _, i := range []int{3, 4, 5, 6} {
 			node := f.nodes[fmt.Sprint(i)]
 			go node.permits.Seeds.Run(ctx)
 			node.permits.Seeds.Replace(seedsOf(i, list))
 		}
-		f.press("5", 10, takeoverSilence-time.Second)
+		f.press("6", 10, takeoverSilence-time.Second)
 		early := len(f.arrived)
-		f.press("5", 10, 5*time.Second)
+		f.press("6", 10, 5*time.Second)
 		before := len(f.arrived)
-		f.press("5", 10, 10*time.Second)
+		f.press("6", 10, 10*time.Second)
 		served := len(f.arrived) - before
 		cancel()
 		time.Sleep(time.Minute)
@@ -312,3 +313,25 @@
 		}
 	})
 }
+
+// TestSeedThatRefusesIsAskedAgainSoon guards against seeds that aren't asked for a second since they
+// weren't granting yet when they started.
+func TestSeedThatRefusesIsAskedAgainSoon(t *testing.T) {
+	now := time.Now()
+	var a availability
+	for n, want := range []time.Duration{minRefusedBackoff, 2 * minRefusedBackoff, 4 * minRefusedBackoff, 8 * minRefusedBackoff, 16 * minRefusedBackoff, silentBackoff, silentBackoff} {
+		a.recordFailure(now, &peer.RefusedError{})
+		if a.isSilent(now.Add(want)) || !a.isSilent(now.Add(want-time.Millisecond)) {
+			t.Errorf("refusal %d: not asked for another time than %v", n, want)
+		}
+	}
+	a.recordAnswer()
+	a.recordFailure(now, &NotHolderError{})
+	if a.isSilent(now.Add(minRefusedBackoff)) {
+		t.Error("an answer doesn't end the longer pauses")
+	}
+	a.recordFailure(now, context.DeadlineExceeded)
+	if !a.isSilent(now.Add(silentBackoff - time.Millisecond)) {
+		t.Error("a seed that doesn't respond is asked at once")
+	}
+}
