--- a/internal/peersync/seeds_test.go
+++ b/internal/peersync/seeds_test.go
@@ -34,11 +34,18 @@
 	}
 }
 
+// upTo returns a random duration below a limit.
+func (f *quotaFleet) upTo(limit time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.random.Int64N(int64(limit)))
+}
+
 // relist puts a list of seeds in force on some instances, each a little later than the one before.
 func (f *quotaFleet) relist(list []int, instances ...int) {
 	for _, i := range instances {
 		f.nodes[i].seeds.Replace(seedsOf(i, list))
-		time.Sleep(time.Duration(f.random.IntN(600)) * time.Millisecond)
+		time.Sleep(f.upTo(600 * time.Millisecond))
 	}
 }
 
@@ -49,7 +56,7 @@
 		f.startWith(i, list)
 		f.nodes[i].seeds.AwaitOthers()
 		f.handOver(i)
-		time.Sleep(time.Duration(500+f.random.IntN(2000)) * time.Millisecond)
+		time.Sleep(500*time.Millisecond + f.upTo(2*time.Second))
 	}
 }
 
@@ -134,7 +141,7 @@
 			f.freeze(true, before...)
 			time.Sleep(time.Second)
 			f.relist(after, after...)
-			time.Sleep(18*time.Second + time.Duration(f.random.IntN(2000))*time.Millisecond)
+			time.Sleep(18*time.Second + f.upTo(2*time.Second))
 			f.freeze(false, before...)
 			f.handOver(before...)
 			time.Sleep(10 * time.Second)
@@ -196,7 +203,7 @@
 	stop := make(chan struct{})
 	d.at = at
 	go f.play(d, time.Minute, func() { close(stop) })
-	time.Sleep(5*time.Second + time.Duration(f.random.IntN(2000))*time.Millisecond)
+	time.Sleep(5*time.Second + f.upTo(2*time.Second))
 	course(f)
 	time.Sleep(settled)
 	since := time.Now()
