limit: free a slot and serve the queue in one step

Callers saw: a request whose turn it was could be passed over for another caller's, and with a short deadline it expired in the queue.

Cause: a turn tries the first requests of up to three callers, and slots were freed without the queue's lock. A slot that became free between two tries of a turn went to the later caller. The poll every 2 ms makes such turns common.

Change: Queue.Release frees the slot itself, with the lock held while requests wait. The observation of an exchange is reported before its slot is free; it doesn't read the number in flight. The lock is taken as often as before.

--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -122,12 +122,24 @@
 // Acquired counts the start of an exchange of the service.
 func (q *Queue) Acquired() { q.running.Add(1) }
 
-// Released counts the end of an exchange of the service and serves waiting requests.
-func (q *Queue) Released() {
-	q.running.Add(-1)
-	if q.waiting.Load() > 0 {
-		q.lockAndServe()
+// Release ends an exchange of the service: free must free its slot and must not block.
+// Then waiting requests are served. While requests wait, free runs with the queue's lock
+// held, since a slot that became free between two tries of one turn would go to a caller
+// whose turn comes later.
+func (q *Queue) Release(free func()) {
+	if q.waiting.Load() == 0 {
+		free()
+		q.running.Add(-1)
+		if q.waiting.Load() > 0 {
+			q.lockAndServe()
+		}
+		return
 	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	free()
+	q.running.Add(-1)
+	q.serve()
 }
 
 // enqueue adds a request, unless it has to be refused, and serves what can be served.
--- a/internal/limit/queue_test.go
+++ b/internal/limit/queue_test.go
@@ -53,10 +53,11 @@
 		}
 	}
 	time.Sleep(s.duration())
-	s.mu.Lock()
-	s.free++
-	s.mu.Unlock()
-	s.queue.Released()
+	s.queue.Release(func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.free++
+	})
 	return time.Since(start), nil
 }
 
--- a/internal/reverseproxy/exchange.go
+++ b/internal/reverseproxy/exchange.go
@@ -94,12 +94,11 @@
 	s.recordEvent(r, events.ExchangeFailed, e.Target.ID, err.Cause.Error())
 }
 
-// endExchange releases the target's slot, reports the observation and wakes a
+// endExchange reports the observation, releases the target's slot and wakes a
 // queued request.
 func (s *Server) endExchange(r *request, o health.Observation) {
-	o.Endpoint.Load.End()
 	s.observer.Observe(o)
-	r.svc.queue.Released()
+	r.svc.queue.Release(o.Endpoint.Load.End)
 }
 
 // reportCrash adds the crash to the quarantine list, which all instances share,
--- a/internal/reverseproxy/memory_bench_test.go
+++ b/internal/reverseproxy/memory_bench_test.go
@@ -52,10 +52,11 @@
 			runtime.Gosched()
 		}
 		b.ReportMetric((memoryInUse()-before)/waiting, "B/waiting")
-		free.Lock()
-		open = true
-		free.Unlock()
-		svc.queue.Released()
+		svc.queue.Release(func() {
+			free.Lock()
+			defer free.Unlock()
+			open = true
+		})
 		wg.Wait()
 	}
 }
--- a/internal/reverseproxy/selection.go
+++ b/internal/reverseproxy/selection.go
@@ -146,6 +146,5 @@
 
 // releaseSlot releases a slot that no exchange has used.
 func (s *Server) releaseSlot(r *request, e *routing.Endpoint) {
-	e.Load.End()
-	r.svc.queue.Released()
+	r.svc.queue.Release(e.Load.End)
 }
