redwingpoint: let a test of the command line wait for a status response

Cause: the test waited 10 ms for the response of its local server. What it checks, the report about regions where the revision isn't in force, doesn't depend on the wait: the revision is never in force there.

--- a/cmd/redwingpoint/remote_test.go
+++ b/cmd/redwingpoint/remote_test.go
@@ -94,7 +94,8 @@
 	})
 	var out bytes.Buffer
 	r := &remoteCommand{output: outputText, out: &out}
-	err := r.apply(t.Context(), client.New(server.URL, "t", nil), api.ApplyRequest{}, 10*time.Millisecond)
+	// The revision isn't in force by then; the wait must suffice for one status response.
+	err := r.apply(t.Context(), client.New(server.URL, "t", nil), api.ApplyRequest{}, time.Second)
 	if exitCode(err) != exitNotInForce || !strings.Contains(err.Error(), "not in force in brno, morava, ostrava;") {
 		t.Errorf("got %v", err)
 	}
