replica: read again soon after a watch that was cut off

Callers saw: when the store cuts off a waiting watch of the routes and says nothing further, gateways that read the store themselves sent requests to the service of the older configuration for longer than a change may take.

Cause: the store may hold such a watch for 1.6 s; a response was awaited for 0.5 s more, as for any call, and a backoff of up to 0.1 s followed: 2.2 s.

Change: a strong watch whose response is 0.15 s late is followed by a read that asks for an immediate response. The store counts as lost only if that isn't answered either. A relay's watches stay as they were. Ruled out: a shorter timeout of all calls, which would take a slow store for a lost one.

--- a/internal/replica/call.go
+++ b/internal/replica/call.go
@@ -39,10 +39,20 @@
 func newCall(ctx context.Context, release context.CancelFunc, timeout time.Duration) *call {
 	c := &call{release: release}
 	c.ctx, c.cancel = context.WithCancelCause(ctx)
-	c.timer = time.AfterFunc(timeout, func() { c.cancel(&TimeoutError{Waited: timeout}) })
+	c.giveUpAfter(timeout)
 	return c
 }
 
+// giveUpAfter cancels the call unless the next part of its response arrives within the timeout.
+// It must be called by the goroutine that makes the call.
+func (c *call) giveUpAfter(timeout time.Duration) {
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	started := c.started
+	c.timer = time.AfterFunc(timeout, func() { c.cancel(&TimeoutError{Waited: timeout, Started: started}) })
+}
+
 // progress extends the call after a part of its response has arrived. It must be called by
 // the goroutine that makes the call.
 func (c *call) progress() {
@@ -52,8 +62,7 @@
 	if !c.started {
 		c.started, c.transferEnd = true, time.Now().Add(transferTimeout)
 	}
-	timeout := min(responseTimeout, time.Until(c.transferEnd))
-	c.timer = time.AfterFunc(timeout, func() { c.cancel(&TimeoutError{Waited: timeout, Started: true}) })
+	c.giveUpAfter(min(responseTimeout, time.Until(c.transferEnd)))
 }
 
 // cause returns the error of the call: why it was cancelled, if it was, or err.
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -15,6 +15,10 @@
 	// The store responds in a few milliseconds, in tens of milliseconds across regions, and
 	// in hundreds when it is slow.
 	responseTimeout = 500 * time.Millisecond
+	// lateWatchTimeout is how long the response to a strong watch may be missing after the time
+	// for which the store may hold it. Then the changes are read by another call, before the
+	// store counts as lost: a watch that was cut off never responds.
+	lateWatchTimeout = 150 * time.Millisecond
 	// transferTimeout bounds the transfer of a response after its first part. A document of
 	// the maximum size, 1 MiB, takes 0.9 s over a link of 10 Mbit/s that carries nothing else.
 	transferTimeout = 5 * time.Second
@@ -141,6 +145,9 @@
 	goneAfter Position
 	// listNext is set if the next call must be a list.
 	listNext bool
+	// rereadNext is set if the last watch was given up as late, so that the next one asks for
+	// an immediate response.
+	rereadNext bool
 	// known is the latest position that a response has shown.
 	known Position
 }
@@ -251,7 +258,15 @@
 	if f.consecutiveFailures > 0 || f.requireStrong {
 		watchWait = 0
 	}
+	if f.rereadNext {
+		f.rereadNext, watchWait = false, 0
+		c.giveUpAfter(responseTimeout)
+	}
 	consistency := f.consistency(relay)
+	mayReread := f.rereadsLate(consistency) && watchWait == usualWait
+	if mayReread {
+		c.giveUpAfter(usualWait + lateWatchTimeout)
+	}
 	if consistency == Eventual && watchWait == usualWait {
 		go f.Floor.cancelBehind(c.ctx, after, c.cancel)
 	}
@@ -261,6 +276,7 @@
 	f.Observer.CallFinished("watch", time.Since(startedAt), len(batch.Objects), err)
 	var gone *HistoryGoneError
 	var behind *BehindFloorError
+	var late *TimeoutError
 	switch {
 	case errors.As(err, &gone):
 		f.handleSuccess()
@@ -269,6 +285,9 @@
 	case errors.As(err, &behind):
 		f.requireStrong = true
 		return after, nil
+	case mayReread && errors.As(err, &late) && !late.Started:
+		f.rereadNext = true
+		return after, nil
 	case err != nil:
 		f.handleFailure(ctx, err)
 		return after, nil
@@ -309,6 +328,13 @@
 	return f.WatchWait
 }
 
+// rereadsLate reports whether a watch that is late is followed by another read before the store
+// counts as lost. A relay's watches are short enough without it, and it must tell its peers of a
+// lost store sooner.
+func (f *Follower) rereadsLate(consistency Consistency) bool {
+	return consistency == Strong && (f.IsRelay == nil || !f.IsRelay())
+}
+
 // rejectEarlierEra handles a response of an earlier era than is known. Stale reads may give one
 // for as long as they lag; a strong read that does counts as failed.
 func (f *Follower) rejectEarlierEra(ctx context.Context, err error, consistency Consistency) {
--- a/internal/replica/follower_test.go
+++ b/internal/replica/follower_test.go
@@ -148,6 +148,46 @@
 	return first.batch, first.err
 }
 
+// outageObserver records when the store counted as lost.
+type outageObserver struct {
+	nopObserver
+	outages []time.Time
+}
+
+func (o *outageObserver) OutageStarted(error) { o.outages = append(o.outages, time.Now()) }
+
+// TestCutWatchIsReadAgainInTime guards against configuration that takes effect too late: a watch
+// that was cut off was given up only after the time for a slow response, and then backed off.
+func TestCutWatchIsReadAgainInTime(t *testing.T) {
+	const watchWait, appliedWithin = 1600 * time.Millisecond, 2 * time.Second
+	for name, test := range map[string]struct {
+		watches []response
+		isLost  bool
+	}{
+		"cut":  {watches: []response{{noResponse: true}, {batch: Batch{AsOf: 7, Objects: []Object{object("1", 7, "a")}}}}},
+		"lost": {watches: []response{{noResponse: true}, {noResponse: true}, {noResponse: true}}, isLost: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scriptedSource{lists: []response{{batch: Batch{AsOf: 5}}}, watches: test.watches}
+				targets, out := newTargets()
+				o := new(outageObserver)
+				f := &Follower{Source: s, View: targets, Observer: o, WatchWait: watchWait, MaxBackoff: 700 * time.Millisecond, Breaker: new(Breaker), Consistency: Strong, Floor: new(Floor)}
+				startedAt := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), watchWait+lateWatchTimeout+responseTimeout+time.Millisecond)
+				defer cancel()
+				f.Run(ctx)
+				if reread := s.times[1].Sub(startedAt); reread > appliedWithin-200*time.Millisecond {
+					t.Errorf("read again after %v", reread)
+				}
+				if lost := len(o.outages) > 0; out.has("1") == test.isLost || lost != test.isLost {
+					t.Errorf("targets %+v, outages %v", out.lists, o.outages)
+				}
+			})
+		})
+	}
+}
+
 func runFollower(t *testing.T, s *scriptedSource, duration time.Duration) *recordingTable {
 	t.Helper()
 	targets, out := newTargets()
