replica: defer removals after an outage for all followers of the store

Callers saw: for some seconds after an outage of the store, no targets of services whose entries had lapsed meanwhile, though the targets ran.

Cause: removals wait for a grace that counts from the start of the last failed call. While the store is lost one follower probes it. The others' last failed call was cancelled as the outage began, so that their grace was over before the store returned; one without a call running had none.

The new test, with two followers and an outage of 12 s, failed before: "follower 1 removed the target within 3s of the outage", grace 6 s.

Change: the breaker, which the followers of a store share, keeps the start of the latest failed call, and each follower counts from that.

--- a/internal/replica/breaker.go
+++ b/internal/replica/breaker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Breaker is a circuit breaker shared by the followers of one store. While it is
@@ -21,6 +22,8 @@
 	recovered chan struct{}
 	// cancels holds the function that cancels the current call of each follower.
 	cancels map[*Follower]context.CancelFunc
+	// lastFailureStarted is when the latest of the failed calls started.
+	lastFailureStarted time.Time
 }
 
 // acquire waits until a follower may call the store and returns the context of its
@@ -49,11 +52,11 @@
 	}
 }
 
-// recordFailure records a failed call and reports whether the follower is the
-// prober. Opening the breaker cancels the calls of the other followers, whose
+// recordFailure records a failed call with the time of its start and reports whether the
+// follower is the prober. Opening the breaker cancels the calls of the other followers, whose
 // responses may never arrive.
-func (b *Breaker) recordFailure(f *Follower) bool {
-	isProber, opened := b.openFor(f)
+func (b *Breaker) recordFailure(f *Follower, startedAt time.Time) bool {
+	isProber, opened := b.openFor(f, startedAt)
 	if opened && b.OnOpen != nil {
 		b.OnOpen()
 	}
@@ -62,9 +65,12 @@
 
 // openFor opens the breaker with f as the prober, unless it is open. It reports whether f
 // is the prober and whether it opened the breaker.
-func (b *Breaker) openFor(f *Follower) (isProber, opened bool) {
+func (b *Breaker) openFor(f *Follower, startedAt time.Time) (isProber, opened bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if startedAt.After(b.lastFailureStarted) {
+		b.lastFailureStarted = startedAt
+	}
 	if b.prober == nil {
 		opened = true
 		b.prober, b.recovered = f, make(chan struct{})
@@ -77,6 +83,13 @@
 	return b.prober == f, opened
 }
 
+// lastFailure returns when the latest of the failed calls started, or the zero time if none failed.
+func (b *Breaker) lastFailure() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lastFailureStarted
+}
+
 // recordSuccess records a successful call; one of the prober closes the breaker.
 func (b *Breaker) recordSuccess(f *Follower) {
 	b.mu.Lock()
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -114,7 +114,7 @@
 	MaxBackoff time.Duration
 	// RemovalGrace is how long removals are deferred after an outage, because entries
 	// that expired during the outage are registered again. It counts from the start
-	// of the last failed call: the store recovered after that.
+	// of the last failed call of any of the followers of the store: it recovered after that.
 	RemovalGrace time.Duration
 	// BatchDelay is the delay before the next watch after changes were received, so that
 	// changes in quick succession cost one call.
@@ -135,11 +135,9 @@
 
 	outageStarted       time.Time
 	callStarted         time.Time
-	lastFailureStarted  time.Time
 	consecutiveFailures int
 	// requireStrong is set after a failure until a strong watch has succeeded.
 	requireStrong bool
-	removeAfter   time.Time
 	// goneAfter is a position from which no watch can resume, since the store has discarded
 	// the history after it; 0 after a list.
 	goneAfter Position
@@ -223,7 +221,7 @@
 	f.goneAfter, f.listNext = 0, false
 	batch.Strong, batch.BeganAt = true, startedAt
 	f.Floor.raise(0, Batch{AsOf: batch.AsOf})
-	f.View.Replace(batch, f.removeAfter)
+	f.View.Replace(batch, f.removeAfter())
 	f.notifyRelay(batch)
 	return batch.AsOf, nil
 }
@@ -311,7 +309,7 @@
 	}
 	f.handleSuccess()
 	f.listNext = supersededBytes(batch) > maxSupersededBytes
-	f.View.Update(batch, f.removeAfter)
+	f.View.Update(batch, f.removeAfter())
 	f.notifyRelay(batch)
 	if len(batch.Objects) > 0 {
 		wait.For(ctx, f.BatchDelay)
@@ -390,8 +388,7 @@
 		f.Observer.OutageStarted(err)
 	}
 	f.requireStrong = true
-	f.lastFailureStarted = f.callStarted
-	if !f.Breaker.recordFailure(f) {
+	if !f.Breaker.recordFailure(f, f.callStarted) {
 		f.consecutiveFailures++
 		return
 	}
@@ -419,6 +416,10 @@
 		return
 	}
 	f.consecutiveFailures = 0
-	f.removeAfter = f.lastFailureStarted.Add(f.RemovalGrace)
 	f.Observer.OutageEnded(time.Since(f.outageStarted))
 }
+
+// removeAfter returns the time from which on removals take effect.
+func (f *Follower) removeAfter() time.Time {
+	return f.Breaker.lastFailure().Add(f.RemovalGrace)
+}
--- a/internal/replica/follower_test.go
+++ b/internal/replica/follower_test.go
@@ -356,3 +356,59 @@
 		}
 	})
 }
+
+// lapsingSource doesn't respond during an outage, after which an entry is missing. It first
+// responds after a delay.
+type lapsingSource struct {
+	unavailableSource
+	outageAt time.Time
+}
+
+func (s *lapsingSource) Watch(ctx context.Context, after Position, wait time.Duration, consistency Consistency, progress func()) (Batch, error) {
+	if pause.For(ctx, min(wait, time.Until(s.outageAt))); time.Now().Before(s.outageAt) {
+		return Batch{AsOf: after}, ctx.Err()
+	}
+	if _, err := s.respond(ctx); err != nil {
+		return Batch{}, err
+	}
+	pause.For(ctx, wait)
+	return Batch{AsOf: 9, Objects: []Object{{Name: "1", Revision: 8, Deleted: true}}}, nil
+}
+
+func (s *lapsingSource) List(context.Context, int, func()) (Batch, error) {
+	return Batch{Objects: []Object{object("1", 1, "a")}, AsOf: 5}, nil
+}
+
+// TestRemovalsAreDeferredForAllFollowers guards against targets that are removed at once after an
+// outage: followers that left the probing to another counted from the outage's beginning.
+func TestRemovalsAreDeferredForAllFollowers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const calm, outage, grace = 3 * time.Second, 12 * time.Second, 6 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		breaker := new(Breaker)
+		outageAt := time.Now().Add(calm)
+		var tables []*recordingTable
+		for range 2 {
+			source := &lapsingSource{unavailableSource: unavailableSource{until: outageAt.Add(outage)}, outageAt: outageAt}
+			targets, out := newTargets()
+			f := &Follower{Source: source, View: targets, Observer: nopObserver{}, WatchWait: 1600 * time.Millisecond, MaxBackoff: 700 * time.Millisecond, RemovalGrace: grace, Breaker: breaker, Consistency: Eventual, Floor: new(Floor)}
+			go f.Run(ctx)
+			tables = append(tables, out)
+		}
+		time.Sleep(calm + outage + grace/2)
+		synctest.Wait()
+		for i, out := range tables {
+			if !out.has("1") {
+				t.Errorf("follower %d removed the target within %v of the outage", i, grace/2)
+			}
+		}
+		time.Sleep(2 * grace)
+		synctest.Wait()
+		for i, out := range tables {
+			if out.has("1") {
+				t.Errorf("follower %d kept the target", i)
+			}
+		}
+	})
+}
