replica: list after a watch whose response is too large

Callers saw: old routes for as long as the store kept its history, at a gateway that had missed nine or more versions of the maximum size.

Cause: responses are read up to 8 MiB. A larger one was cut, didn't decode, and counted as a failed call, which is repeated from the same position.

Change: such a response is an error of its own, and the objects are listed next. The store has responded, so that it doesn't count as lost.

--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -275,6 +275,7 @@
 	var gone *HistoryGoneError
 	var behind *BehindFloorError
 	var late *TimeoutError
+	var tooLarge *ResponseTooLargeError
 	switch {
 	case errors.As(err, &gone):
 		f.handleSuccess()
@@ -286,6 +287,12 @@
 	case mayReread && errors.As(err, &late) && !late.Started:
 		f.rereadNext = true
 		return after, nil
+	case errors.As(err, &tooLarge):
+		// The same watch would fail until its history is gone. A list comes in pages and has
+		// the latest version of each object alone.
+		f.handleSuccess()
+		f.listNext = true
+		return after, nil
 	case err != nil:
 		f.handleFailure(ctx, err)
 		return after, nil
--- a/internal/replica/follower_test.go
+++ b/internal/replica/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -299,6 +300,26 @@
 	}
 }
 
+// TestWatchThatIsTooLargeIsFollowedByAList guards against a follower that repeats a watch whose
+// response is larger than it accepts until the store discards the history.
+func TestWatchThatIsTooLargeIsFollowedByAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedSource{
+			lists:   []response{{batch: Batch{AsOf: 5}}, {batch: Batch{AsOf: 9, Objects: []Object{object("1", 9, "a")}}}},
+			watches: []response{{err: fmt.Errorf("call failed: %w", &ResponseTooLargeError{Limit: 8 << 20})}},
+		}
+		targets, out := newTargets()
+		o := new(outageObserver)
+		f := &Follower{Source: s, View: targets, Observer: o, WatchWait: time.Minute, MaxBackoff: 700 * time.Millisecond, Breaker: new(Breaker), Consistency: Strong, Floor: new(Floor)}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		f.Run(ctx)
+		if !out.has("1") || len(o.outages) > 0 || s.revisions[len(s.revisions)-1] != 9 {
+			t.Errorf("targets %+v, outages %v, watches from %v", out.lists, o.outages, s.revisions)
+		}
+	})
+}
+
 // unavailableSource doesn't respond to any call until a given time.
 type unavailableSource struct {
 	until time.Time
--- a/internal/replica/source.go
+++ b/internal/replica/source.go
@@ -52,7 +52,8 @@
 	List(ctx context.Context, maxPages int, progress func()) (Batch, error)
 	// Watch returns the changes after a position. Without a change it returns an
 	// empty batch after wait. It returns *HistoryGoneError if the store has discarded
-	// the history after that position. The batch may be of another era.
+	// the history after that position, and an error that wraps *ResponseTooLargeError if the
+	// changes are larger than the source accepts. The batch may be of another era.
 	Watch(ctx context.Context, after Position, wait time.Duration, consistency Consistency, progress func()) (Batch, error)
 }
 
@@ -63,6 +64,13 @@
 	return fmt.Sprintf("the list has more than %d pages", e.Pages)
 }
 
+// ResponseTooLargeError reports a response of more than Limit bytes.
+type ResponseTooLargeError struct{ Limit int }
+
+func (e *ResponseTooLargeError) Error() string {
+	return fmt.Sprintf("the response has more than %d bytes", e.Limit)
+}
+
 // HistoryGoneError reports that a watch can't resume at a revision and that the
 // objects must be listed again.
 type HistoryGoneError struct{ After Position }
