peer: don't register a connection that has ended

Cause: a handshake may finish after the other end has closed the connection as a duplicate. It was registered all the same, and the open connection to that peer was closed in its favor.

TestEndedConnectionReplacesNone fails without the change.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -342,6 +342,9 @@
 	case t.ctx.Err() != nil:
 		_ = c.CloseWithError(closeShutdown, "")
 		return false
+	case c.Context().Err() != nil:
+		// It would take the place of an open one.
+		return false
 	case old == nil && !c.link.Dialed && len(t.links) >= t.options.MaxLinks:
 		_ = c.CloseWithError(closeLimitReached, "")
 		return false
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -232,6 +232,24 @@
 	}
 }
 
+// TestEndedConnectionReplacesNone guards against a connection that ended before it was registered
+// and takes the place of an open one.
+func TestEndedConnectionReplacesNone(t *testing.T) {
+	ca := newTestCA(t, "vltava")
+	a, atA := startTransport(t, 137, ca.credentials(t, "a", time.Now))
+	b, _ := startTransport(t, 138, ca.credentials(t, "b", time.Now))
+	var dialed []*conn
+	for range 2 {
+		a.Dial(b.Addr())
+		<-atA.up
+		dialed = append(dialed, a.conn("b"))
+	}
+	<-dialed[0].Context().Done()
+	if a.register(dialed[0]) || a.conn("b") != dialed[1] || dialed[1].Context().Err() != nil {
+		t.Error("an ended connection was registered")
+	}
+}
+
 // TestRestartedPeerIsConnectedAtOnce guards against a connection of a restarted peer that is
 // closed in favor of the dead one of its earlier process.
 func TestRestartedPeerIsConnectedAtOnce(t *testing.T) {
