--- a/internal/replica/follower_test.go
+++ b/internal/replica/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,10 +16,13 @@
 
 // recordingTable records the target lists that it receives.
 type recordingTable struct {
+	mu    sync.Mutex
 	lists map[model.ServiceName][]model.Target
 }
 
 func (t *recordingTable) SetTargets(service model.ServiceName, list []model.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.lists == nil {
 		t.lists = make(map[model.ServiceName][]model.Target)
 	}
@@ -26,6 +30,8 @@
 }
 
 func (t *recordingTable) has(id model.TargetID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, list := range t.lists {
 		for i := range list {
 			if list[i].ID == id {
