--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -337,7 +337,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.links[c.link.Peer]
-	isOpen := old != nil && old.Context().Err() == nil && old.cert.Equal(c.cert)
+	oldIsOpen := old != nil && old.Context().Err() == nil && old.cert.Equal(c.cert)
 	switch {
 	case t.ctx.Err() != nil:
 		_ = c.CloseWithError(closeShutdown, "")
@@ -348,10 +348,10 @@
 	case old == nil && !c.link.Dialed && len(t.links) >= t.options.MaxLinks:
 		_ = c.CloseWithError(closeLimitReached, "")
 		return false
-	case isOpen && old.link.Dialed != c.link.Dialed && old.link.Dialed == t.hasLowerID(c):
+	case oldIsOpen && old.link.Dialed != c.link.Dialed && old.link.Dialed == t.hasLowerID(c):
 		_ = c.CloseWithError(closeDuplicate, "")
 		return false
-	case isOpen && !old.link.Dialed && !c.link.Dialed:
+	case oldIsOpen && !old.link.Dialed && !c.link.Dialed:
 		if old.earlier != nil {
 			_ = old.earlier.CloseWithError(closeDuplicate, "")
 		}
