standin: miss no write in a watch that another write has woken

Cause: the stand-in's watch read the store's version, and then the changes up to it together with the channel for the next write. A write between the two was in neither, and the watch waited for the next one, for up to 20 s. A change of the configuration is two writes, the first of which wakes it.

Evidence: in a scratch copy with the watcher's decisions logged the instance learns each revision by its watch.

Change: the channel is taken first. The same order stood in a test of internal/discovery. The product isn't concerned.

--- a/internal/discovery/resume_test.go
+++ b/internal/discovery/resume_test.go
@@ -79,7 +79,7 @@
 
 func compareWithStore(t *testing.T, seed uint64, newest map[string]store.Change, p *standin.Platform) {
 	t.Helper()
-	batch, _ := p.Objects.Since(store.TargetsPrefix, 0)
+	batch := p.Objects.Since(store.TargetsPrefix, 0)
 	present := 0
 	for _, c := range newest {
 		if !c.Deleted {
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -51,7 +51,7 @@
 	if s.down.Load() {
 		return store.Batch{}, &store.UnavailableError{Op: "list", Cause: &store.StatusError{Status: 503}}
 	}
-	b, _ := s.objects.SinceAsOf(prefix, 0, s.at())
+	b := s.objects.SinceAsOf(prefix, 0, s.at())
 	return b, nil
 }
 
@@ -64,7 +64,8 @@
 		if s.down.Load() {
 			return store.Batch{}, &store.UnavailableError{Op: "watch", Cause: &store.StatusError{Status: 503}}
 		}
-		b, wake := s.objects.SinceAsOf(prefix, after, s.at())
+		wake := s.objects.NextWrite()
+		b := s.objects.SinceAsOf(prefix, after, s.at())
 		if len(b.Changes) > 0 && !s.holdChanges.Load() {
 			return b, nil
 		}
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -83,14 +83,22 @@
 	o.oldest = o.version
 }
 
+// NextWrite returns a channel that is closed at the next write. A watch that gets it before it
+// reads the version misses no write.
+func (o *Objects) NextWrite() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.nextWrite
+}
+
 // Since returns the newest state of the objects under prefix that were written after a
-// version, with the version of the store, and a channel that is closed at the next write.
-func (o *Objects) Since(prefix string, after store.Version) (store.Batch, <-chan struct{}) {
+// version, with the version of the store.
+func (o *Objects) Since(prefix string, after store.Version) store.Batch {
 	return o.SinceAsOf(prefix, after, o.Version())
 }
 
 // SinceAsOf is Since as of version at: it ignores later writes.
-func (o *Objects) SinceAsOf(prefix string, after, at store.Version) (store.Batch, <-chan struct{}) {
+func (o *Objects) SinceAsOf(prefix string, after, at store.Version) store.Batch {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	batch := store.Batch{Next: at}
@@ -103,7 +111,7 @@
 			batch.Changes = append(batch.Changes, c)
 		}
 	}
-	return batch, o.nextWrite
+	return batch
 }
 
 // CursorExpired reports whether a watch may no longer resume from a cursor.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -115,7 +115,7 @@
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	f := p.faults.current(&p.faults.stats.Reads)
 	p.faults.applyBeforeEffect(r, f)
-	batch, _ := p.Objects.SinceAsOf(r.URL.Query().Get("prefix"), 0, p.readVersion(f))
+	batch := p.Objects.SinceAsOf(r.URL.Query().Get("prefix"), 0, p.readVersion(f))
 	writeJSON(w, batch)
 }
 
@@ -134,7 +134,8 @@
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
-		batch, wake := p.Objects.SinceAsOf(query.Get("prefix"), store.Version(after), p.readVersion(f))
+		wake := p.Objects.NextWrite()
+		batch := p.Objects.SinceAsOf(query.Get("prefix"), store.Version(after), p.readVersion(f))
 		if len(batch.Changes) > 0 {
 			p.respondToWatch(w, f, batch)
 			return
